--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# The front door: what can be done with a checkout.
+
+.PHONY: build run run-muscat smoke test check bench slopes soak clean
+
+build:
+	go build -o bin/ ./cmd/...
+
+# Stand-ins, three nodes and an applied text; stays up until it is interrupted.
+run: build
+	scripts/run.sh ravenala
+
+run-muscat: build
+	scripts/run.sh muscat
+
+# Both example deployments under load for some seconds, every answer checked.
+smoke: build
+	scripts/smoke.sh
+
+test:
+	go test ./...
+
+# Format, vet, linter and house rules.
+check:
+	scripts/check.sh
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/hbctl/config.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"hickorybend/core/intent"
+	"hickorybend/io/admin"
+	"hickorybend/io/shell"
+)
+
+func (tool *tool) validate() *ff.Command {
+	return &ff.Command{
+		Name: "validate", Usage: "hbctl validate FILE", ShortHelp: "check a text without a node",
+		Flags: ff.NewFlagSet("validate").SetParent(tool.flags),
+		Exec: func(_ context.Context, args []string) error {
+			file, src, err := readText(args)
+			if err != nil {
+				return err
+			}
+			if _, err := intent.Parse(file, src); err != nil {
+				return shell.Exit{Code: shell.CodeUsage, Message: err.Error()}
+			}
+			fmt.Printf("%s is in order\n", file)
+			return nil
+		},
+	}
+}
+
+func (tool *tool) apply() *ff.Command {
+	flags := ff.NewFlagSet("apply").SetParent(tool.flags)
+	base := flags.Uint64Long("base", 0, "the version that the change started from; 0 for the first text")
+	return &ff.Command{
+		Name: "apply", Usage: "hbctl apply [--base VERSION] FILE", ShortHelp: "put a text in force", Flags: flags,
+		LongHelp: "Sections that others changed since the base stay as they are. A section that both changed is a conflict:\n" +
+			"nothing takes effect, and the winning text is shown (exit code 3).",
+		Exec: tool.exec(func(ctx context.Context, client *admin.Client, args []string) error {
+			file, src, err := readText(args)
+			if err != nil {
+				return err
+			}
+			applied, err := client.Apply(ctx, file, src, int64(*base))
+			if err != nil {
+				return err
+			}
+			return tool.printApplied(applied)
+		}),
+	}
+}
+
+func (tool *tool) printApplied(applied admin.Applied) error {
+	if *tool.json {
+		printJSON(applied)
+	}
+	switch {
+	case applied.Unknown:
+		return shell.Exit{Code: shell.CodeUnknown, Message: fmt.Sprintf("the outcome is not known; see whether 'hbctl history' has version %d", applied.Head)}
+	case len(applied.Conflicts) > 0:
+		return shell.Exit{Code: shell.CodeConflict, Message: conflictText(applied)}
+	case *tool.json:
+		return nil
+	case applied.Unchanged:
+		fmt.Printf("nothing to change; version %d is in force\n", applied.Head)
+		return nil
+	}
+	fmt.Printf("accepted as version %d: %s\n", applied.Head, strings.Join(applied.Sections, ", "))
+	fmt.Printf("told %d nodes", len(applied.Told))
+	if len(applied.Untold) > 0 {
+		fmt.Printf("; without an answer: %s (they read it from the store or stop taking new work within seconds)", strings.Join(applied.Untold, ", "))
+	}
+	fmt.Println()
+	return nil
+}
+
+func conflictText(applied admin.Applied) string {
+	var text strings.Builder
+	_, _ = fmt.Fprintf(&text, "conflict: version %d is in force and changed what this text changes\n", applied.Head)
+	for _, conflict := range applied.Conflicts {
+		_, _ = fmt.Fprintf(&text, "%s\n  base:     %s\n  in force: %s\n  asked:    %s\n", conflict.Name, conflict.Base, conflict.Current, conflict.Asked)
+	}
+	return text.String()
+}
+
+func (tool *tool) diff() *ff.Command {
+	return tool.command("diff", "diff FILE", "compare a text with what is in force",
+		func(ctx context.Context, client *admin.Client, args []string) error {
+			file, src, err := readText(args)
+			if err != nil {
+				return err
+			}
+			asked, err := intent.Parse(file, src)
+			if err != nil {
+				return shell.Exit{Code: shell.CodeUsage, Message: err.Error()}
+			}
+			shown, err := client.Show(ctx, 0)
+			if err != nil {
+				return err
+			}
+			current, err := intent.Parse("in force", []byte(shown.Text))
+			if err != nil {
+				return err
+			}
+			changes := intent.Diff(current.Sections(), asked.Sections())
+			fmt.Printf("against version %d: %d sections differ\n", shown.Head, len(changes))
+			for _, change := range changes {
+				fmt.Printf("%s\n  - %s\n  + %s\n", change.Name, change.Before, change.After)
+			}
+			return nil
+		})
+}
+
+func (tool *tool) show() *ff.Command {
+	flags := ff.NewFlagSet("show").SetParent(tool.flags)
+	version := flags.Uint64Long("version", 0, "what a version left in force; 0 for now")
+	return &ff.Command{
+		Name: "show", Usage: "hbctl show [--version N]", ShortHelp: "print the text in force", Flags: flags,
+		Exec: tool.exec(func(ctx context.Context, client *admin.Client, _ []string) error {
+			shown, err := client.Show(ctx, int64(*version))
+			if err != nil {
+				return err
+			}
+			if *tool.json {
+				printJSON(shown)
+				return nil
+			}
+			fmt.Printf("// version %d\n%s", shown.Head, shown.Text)
+			return nil
+		}),
+	}
+}
+
+func (tool *tool) history() *ff.Command {
+	return tool.command("history", "history", "list every accepted change",
+		func(ctx context.Context, client *admin.Client, _ []string) error {
+			changes, err := client.History(ctx)
+			if err != nil {
+				return err
+			}
+			if *tool.json {
+				printJSON(changes)
+				return nil
+			}
+			table := newTable("VERSION", "AT", "OPERATOR", "SECTIONS")
+			for _, change := range changes {
+				table.row(change.Version, change.At.Format(time.RFC3339), change.Operator, strings.Join(change.Sections, ", "))
+			}
+			return table.print()
+		})
+}
--- /dev/null
+++ b/cmd/hbctl/doc.go
@@ -0,0 +1,2 @@
+// Command hbctl is the operators' client.
+package main
--- /dev/null
+++ b/cmd/hbctl/watch.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"hickorybend/io/admin"
+	"hickorybend/io/shell"
+)
+
+// table prints columns.
+type table struct {
+	writer *tabwriter.Writer
+}
+
+func newTable(columns ...string) *table {
+	table := &table{writer: tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)}
+	_, _ = fmt.Fprintln(table.writer, strings.Join(columns, "\t"))
+	return table
+}
+
+func (table *table) row(cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = fmt.Sprint(cell)
+	}
+	_, _ = fmt.Fprintln(table.writer, strings.Join(texts, "\t"))
+}
+
+func (table *table) print() error { return table.writer.Flush() }
+
+func printJSON(body any) {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(body)
+}
+
+func (tool *tool) status() *ff.Command {
+	return tool.command("status", "status", "what a node knows",
+		func(ctx context.Context, client *admin.Client, _ []string) error {
+			report, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if *tool.json {
+				printJSON(report)
+				return nil
+			}
+			fmt.Printf("node %s in %s: serving %t, version %d, store up %t\n", report.Node, report.Zone, report.Serving, report.Head, report.StoreUp)
+			fmt.Printf("places: %s\n", strings.Join(report.Leases, ", "))
+			fmt.Printf("replicas %d, not whole %d; stranded hosts %d\n", len(report.Replicas), report.Down, report.Stranded)
+			table := newTable("NODE", "ZONE", "CALLERS", "CONTROL", "DRAINING")
+			for _, node := range report.Nodes {
+				table.row(node.Name, node.Zone, node.Callers, node.Control, node.Draining)
+			}
+			return table.print()
+		})
+}
+
+func (tool *tool) replicas() *ff.Command {
+	return tool.command("replicas", "replicas", "list the replicas",
+		func(ctx context.Context, client *admin.Client, _ []string) error {
+			report, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if *tool.json {
+				printJSON(report.Replicas)
+				return nil
+			}
+			table := newTable("REPLICA", "STATE", "WHOLE", "EJECTED", "EPOCH", "DOMAIN", "LOAD", "HERE", "HOSTS")
+			for _, replica := range report.Replicas {
+				var hosts []string
+				for _, member := range replica.Replica.Members {
+					hosts = append(hosts, member.Host)
+				}
+				table.row(replica.Replica.ID, replica.Replica.State, replica.Whole, replica.Ejected, replica.Replica.Epoch,
+					replica.Replica.Domain, replica.Load, replica.InFlight, strings.Join(hosts, " "))
+			}
+			return table.print()
+		})
+}
+
+func (tool *tool) endpoints() *ff.Command {
+	return tool.command("endpoints", "endpoints", "list the endpoints",
+		func(ctx context.Context, client *admin.Client, _ []string) error {
+			report, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if *tool.json {
+				printJSON(report.Hosts)
+				return nil
+			}
+			table := newTable("HOST", "SERVICE", "DOMAIN", "SEEN", "LEAVING", "REPLICA", "RUNNING", "WAITING")
+			for _, host := range report.Hosts {
+				table.row(host.Host, host.Service, host.Domain, host.Seen, host.Leaving, host.Replica, host.Running, host.Waiting)
+			}
+			return table.print()
+		})
+}
+
+func (tool *tool) drain() *ff.Command {
+	flags := ff.NewFlagSet("drain").SetParent(tool.flags)
+	endpoint := flags.StringLong("endpoint", "", "the host of an endpoint to empty")
+	replica := flags.StringLong("replica", "", "a replica to empty")
+	zone := flags.StringLong("zone", "", "an availability zone to empty")
+	lift := flags.BoolLong("lift", "take the order back")
+	return &ff.Command{
+		Name: "drain", Usage: "hbctl drain (--endpoint HOST | --replica ID | --zone ZONE) [--lift]",
+		ShortHelp: "stop new work on something and let what runs finish", Flags: flags,
+		LongHelp: "A node is drained by SIGTERM. Progress shows in 'hbctl replicas' and 'hbctl endpoints'.",
+		Exec: tool.exec(func(ctx context.Context, client *admin.Client, _ []string) error {
+			drained, err := whatToDrain(*endpoint, *replica, *zone)
+			if err != nil {
+				return err
+			}
+			drained.Lift = *lift
+			return client.Drain(ctx, drained)
+		}),
+	}
+}
+
+func whatToDrain(endpoint, replica, zone string) (admin.Drained, error) {
+	var chosen []admin.Drained
+	for _, one := range []admin.Drained{
+		{Kind: admin.KindEndpoint, Name: endpoint},
+		{Kind: admin.KindReplica, Name: replica},
+		{Kind: admin.KindZone, Name: zone},
+	} {
+		if one.Name != "" {
+			chosen = append(chosen, one)
+		}
+	}
+	if len(chosen) != 1 {
+		return admin.Drained{}, shell.Exit{Code: shell.CodeUsage, Message: "name one of --endpoint, --replica and --zone"}
+	}
+	return chosen[0], nil
+}
+
+func (tool *tool) explain() *ff.Command {
+	return tool.command("explain", "explain REQUEST-ID", "why a request went where it did; ask the node that served it",
+		func(ctx context.Context, client *admin.Client, args []string) error {
+			if len(args) != 1 {
+				return shell.Exit{Code: shell.CodeUsage, Message: "this command takes one request id"}
+			}
+			explained, err := client.Explain(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			if !explained.Found {
+				return shell.Exit{Code: shell.CodeFailed, Message: "this node does not remember the request"}
+			}
+			if *tool.json {
+				printJSON(explained)
+				return nil
+			}
+			fmt.Printf("%s of %s to %s at %s: %s\n", explained.Request, explained.Team, explained.Service, explained.Came.Format(time.RFC3339Nano), explained.Ended)
+			table := newTable("TARGET", "LOAD", "CANDIDATES", "FROM-TOKEN", "FAILED")
+			for _, attempt := range explained.Attempts {
+				table.row(attempt.Target, attempt.Load, attempt.Candidates, attempt.Offset, attempt.Failed)
+			}
+			return table.print()
+		})
+}
--- /dev/null
+++ b/cmd/hickorybend/main.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/peterbourgon/ff/v4"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"hickorybend/io/conf"
+	"hickorybend/io/node"
+	"hickorybend/io/shell"
+)
+
+func main() {
+	flags := ff.NewFlagSet("hickorybend")
+	settings := flags.StringLong("settings", "/etc/hickorybend/node.jsonc", "the node's settings, JSON with comments")
+	check := flags.BoolLong("check", "check the settings and exit")
+	shell.Main(&ff.Command{
+		Name:      "hickorybend",
+		Usage:     "hickorybend --settings FILE [--check]",
+		ShortHelp: "serve models that span several hosts",
+		LongHelp:  "Each flag can be given by the environment too: HICKORYBEND_SETTINGS=FILE.\nSIGTERM drains the node and ends it.",
+		Flags:     flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return serve(ctx, *settings, *check)
+		},
+	}, "HICKORYBEND")
+}
+
+func serve(ctx context.Context, file string, checkOnly bool) error {
+	settings, err := conf.Read(file)
+	if err != nil {
+		return shell.Exit{Code: shell.CodeUsage, Message: err.Error()}
+	}
+	if checkOnly {
+		_, _ = os.Stdout.WriteString("settings are in order\n")
+		return nil
+	}
+	log, err := shell.Log()
+	if err != nil {
+		return err
+	}
+	app := fx.New(
+		fx.Supply(settings, log),
+		fx.WithLogger(func(log *zap.Logger) fxevent.Logger {
+			return &fxevent.ZapLogger{Logger: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
+		}),
+		fx.StopTimeout(settings.Drain.Notice+2*settings.Drain.Limit),
+		node.Module(),
+	)
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	code := 0
+	select {
+	case <-ctx.Done():
+	case shutdown := <-app.Wait():
+		code = shutdown.ExitCode
+	}
+	if err := app.Stop(context.Background()); err != nil {
+		return err
+	}
+	if code != 0 {
+		return shell.Exit{Code: code, Message: "the node failed"}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/config/held.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"hickorybend/core/intent"
+	"hickorybend/core/rows"
+)
+
+// Part is the partition of the sections and of their head.
+const Part = "config"
+
+// PartHistory is the partition of the accepted changes.
+const PartHistory = "history"
+
+// HeadKey names the row whose version counts the accepted changes.
+func HeadKey() rows.Key { return rows.Key{Part: Part, Sort: "head"} }
+
+// SectionKey names a section's row.
+func SectionKey(name string) rows.Key {
+	return rows.Key{Part: Part, Sort: sectionPrefix + name}
+}
+
+// HistoryKey names the row of the change that made the head this version.
+func HistoryKey(version int64) rows.Key {
+	return rows.Key{Part: PartHistory, Sort: fmt.Sprintf("%012d", version)}
+}
+
+const sectionPrefix = "section/"
+
+// Held is a node's copy of the configuration; each part of it only moves to
+// higher versions.
+type Held struct {
+	term      time.Duration
+	head      int64
+	sections  map[string]rows.Row
+	confirmed time.Time
+}
+
+// NewHeld makes an empty copy that trusts a confirmation for a term.
+func NewHeld(term time.Duration) *Held {
+	return &Held{term: term, sections: map[string]rows.Row{}}
+}
+
+// Head gives the version up to which every section is held.
+func (held *Held) Head() int64 { return held.head }
+
+// Take keeps those sections that are newer than the ones held, and tells
+// whether there were any.
+func (held *Held) Take(sections []rows.Row) bool {
+	changed := false
+	for _, row := range sections {
+		name, isSection := strings.CutPrefix(row.Key.Sort, sectionPrefix)
+		if isSection && row.Version > held.sections[name].Version {
+			held.sections[name] = row
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Confirm notes that all sections are held up to a head that the store had at
+// some moment not before at.
+func (held *Held) Confirm(head int64, at time.Time) {
+	if head < held.head {
+		return
+	}
+	held.head = head
+	if at.After(held.confirmed) {
+		held.confirmed = at
+	}
+}
+
+// Confirmed gives the moment as of which the copy is known to be the newest.
+func (held *Held) Confirmed() time.Time { return held.confirmed }
+
+// Sure tells whether the copy may be relied on without asking anyone.
+func (held *Held) Sure(now time.Time) bool {
+	return held.head > 0 && now.Before(held.confirmed.Add(held.term))
+}
+
+// Rows gives every held section.
+func (held *Held) Rows() []rows.Row {
+	all := make([]rows.Row, 0, len(held.sections))
+	for _, row := range held.sections {
+		all = append(all, row)
+	}
+	slices.SortFunc(all, func(a, b rows.Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
+	return all
+}
+
+// Text puts the held sections together.
+func (held *Held) Text() (*intent.Text, error) {
+	return intent.Join(SectionsOf(held.Rows()))
+}
+
+// SectionsOf names the sections in rows of the configuration's partition.
+func SectionsOf(all []rows.Row) []intent.Section {
+	var sections []intent.Section
+	for _, row := range all {
+		if name, isSection := strings.CutPrefix(row.Key.Sort, sectionPrefix); isSection {
+			sections = append(sections, intent.Section{Name: name, Body: row.Body})
+		}
+	}
+	return sections
+}
+
+// Witness is what another node says of its own sight of the store.
+type Witness struct {
+	Zone        string
+	SeesStore   bool
+	ConfirmedAt time.Time
+	Head        int64
+}
+
+// MayServe tells whether a node may take new work under its copy.
+//
+// A sure copy may be used. A copy that is not sure may be used only while the
+// store is down for all: no change can be accepted then. The node believes
+// that if at least one node of every other zone answers and none of them sees
+// the store. A node that a whole zone is cut off from cannot know what that
+// zone has accepted, so it stops. For example the store is down and all three
+// zones answer: all serve on. Then zone c is cut off: zones a and b stop
+// hearing from c, c from both, and each stops within a term, since c might
+// have the store back first.
+func (held *Held) MayServe(now time.Time, zone string, zones []string, witnesses []Witness) bool {
+	if held.Sure(now) {
+		return true
+	}
+	if held.head == 0 {
+		return false
+	}
+	heard := map[string]bool{zone: true}
+	for _, witness := range witnesses {
+		if witness.SeesStore {
+			return false
+		}
+		heard[witness.Zone] = true
+	}
+	for _, other := range zones {
+		if !heard[other] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/jsonc/doc.go
@@ -0,0 +1,3 @@
+// Package jsonc decodes JSON with comments into plain structs and reports
+// every fault at once, each with its line and column.
+package jsonc
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,3 @@
+// Package route chooses the replica that serves a request, from load reports
+// that lag and from what this node itself has sent since.
+package route
--- /dev/null
+++ b/io/admin/apply.go
@@ -0,0 +1,164 @@
+package admin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"hickorybend/core/config"
+	"hickorybend/core/intent"
+	"hickorybend/core/jsonc"
+	"hickorybend/core/rows"
+	"hickorybend/io/table"
+)
+
+// ErrBase says that a change names no version to start from, though one is in force.
+var ErrBase = errors.New("admin: a configuration is in force, so the change needs the version that it started from")
+
+// ErrVersion says that the history has no such version.
+var ErrVersion = errors.New("admin: no such version")
+
+// ErrBusy says that the store did not settle a change; asking again is safe.
+var ErrBusy = errors.New("admin: the table service did not take the change; try again")
+
+const applyTries = 8
+
+// Apply puts an operator's text in force, as a change against the version that
+// the operator started from. It is tried again when another change of other
+// sections came first.
+func (service *Service) Apply(ctx context.Context, text *intent.Text, base int64, operator string) (Applied, error) {
+	baseSections, err := service.sectionsAt(ctx, base)
+	if err != nil {
+		return Applied{}, err
+	}
+	for range applyTries {
+		applied, again, err := service.applyOnce(ctx, text, base, baseSections, operator)
+		if err != nil || !again {
+			return applied, err
+		}
+	}
+	return Applied{}, ErrBusy
+}
+
+func (service *Service) applyOnce(ctx context.Context, text *intent.Text, base int64, baseSections []intent.Section, operator string) (Applied, bool, error) {
+	stored, err := service.store.List(ctx, config.Part)
+	if err != nil {
+		return Applied{}, false, err
+	}
+	head := headOf(stored)
+	if base == 0 && head.Version > 0 {
+		return Applied{}, false, errors.Wrapf(ErrBase, "in force: %d", head.Version)
+	}
+	if base > head.Version {
+		return Applied{}, false, errors.Wrapf(ErrVersion, "%d", base)
+	}
+	plan, conflicts := config.Merge(baseSections, config.SectionsOf(stored), text.Sections())
+	if len(conflicts) > 0 {
+		return Applied{Head: head.Version, Conflicts: conflictsOf(conflicts)}, false, nil
+	}
+	if len(plan.Changes) == 0 {
+		return Applied{Head: head.Version, Unchanged: true}, false, nil
+	}
+	object, err := service.keep(ctx, plan)
+	if err != nil {
+		return Applied{}, false, err
+	}
+	entry := config.Entry{Operator: operator, At: time.Now().UTC(), Object: object}
+	txn, err := config.Accept(plan, head, stored, entry, uuid.NewString())
+	if err != nil {
+		return Applied{}, false, err
+	}
+	return service.commit(ctx, txn, plan, head.Version+1)
+}
+
+// keep checks the text that would be in force as a whole and stores it.
+func (service *Service) keep(ctx context.Context, plan config.Plan) (string, error) {
+	merged, err := intent.Join(plan.Sections)
+	if err != nil {
+		return "", err
+	}
+	body := jsonc.Indent(merged)
+	if _, err := intent.Parse("merged", body); err != nil {
+		return "", err
+	}
+	return service.objects.Put(ctx, body)
+}
+
+func (service *Service) commit(ctx context.Context, txn rows.Txn, plan config.Plan, head int64) (Applied, bool, error) {
+	switch table.Settled(ctx, service.store, txn).(type) {
+	case rows.Done:
+		applied := Applied{Head: head}
+		for _, change := range plan.Changes {
+			applied.Sections = append(applied.Sections, change.Name)
+		}
+		applied.Told, applied.Untold = service.node.Spread(ctx, written(txn))
+		return applied, false, nil
+	case rows.Refused:
+		return Applied{}, true, nil
+	default:
+		return Applied{Head: head, Unknown: true}, false, nil
+	}
+}
+
+func written(txn rows.Txn) []rows.Row {
+	var changed []rows.Row
+	for _, step := range txn.Steps {
+		if put, isPut := step.(rows.Put); isPut && put.Key.Part == config.Part {
+			changed = append(changed, rows.Apply(put, txn.Write))
+		}
+	}
+	return changed
+}
+
+func (service *Service) sectionsAt(ctx context.Context, version int64) ([]intent.Section, error) {
+	if version == 0 {
+		return nil, nil
+	}
+	body, _, err := service.textAt(ctx, version)
+	if err != nil {
+		return nil, err
+	}
+	text, err := intent.Parse("base", body)
+	if err != nil {
+		return nil, err
+	}
+	return text.Sections(), nil
+}
+
+// textAt reads the whole text that a version left in force.
+func (service *Service) textAt(ctx context.Context, version int64) ([]byte, config.Entry, error) {
+	row, err := service.store.Get(ctx, config.HistoryKey(version))
+	if errors.Is(err, rows.ErrAbsent) {
+		return nil, config.Entry{}, errors.Wrapf(ErrVersion, "%d", version)
+	}
+	if err != nil {
+		return nil, config.Entry{}, err
+	}
+	entry, err := config.ReadEntry(row)
+	if err != nil {
+		return nil, entry, err
+	}
+	body, err := service.objects.Get(ctx, entry.Object)
+	return body, entry, err
+}
+
+func headOf(stored []rows.Row) rows.Row {
+	for _, row := range stored {
+		if row.Key == config.HeadKey() {
+			return row
+		}
+	}
+	return rows.Row{Key: config.HeadKey()}
+}
+
+func conflictsOf(conflicts []config.Conflict) []Conflict {
+	var shown []Conflict
+	for _, conflict := range conflicts {
+		shown = append(shown, Conflict{
+			Name: conflict.Name, Base: string(conflict.Base), Current: string(conflict.Current), Asked: string(conflict.Asked),
+		})
+	}
+	return shown
+}
--- /dev/null
+++ b/io/admin/client.go
@@ -0,0 +1,80 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"hickorybend/io/wire"
+)
+
+// Client calls the operators' service of a node.
+type Client struct {
+	http *http.Client
+	base string
+	key  string
+}
+
+// NewClient makes a client of the node at a base address such as
+// "http://127.0.0.1:8180".
+func NewClient(client *http.Client, base, key string) *Client {
+	return &Client{http: client, base: base, key: key}
+}
+
+// Apply asks for a text to be put in force, as a change of a base version.
+func (client *Client) Apply(ctx context.Context, file string, text []byte, base int64) (Applied, error) {
+	caller := connect.NewClient[applyCall, applyReply](client.http, client.base+procedureApply, wire.ClientOptions(client.key)...)
+	reply, err := caller.CallUnary(ctx, connect.NewRequest(&applyCall{File: file, Text: text, Base: base}))
+	if err != nil {
+		return Applied{}, err
+	}
+	return reply.Msg.Applied, nil
+}
+
+// Show asks for the configuration in force, or for what a version left in force.
+func (client *Client) Show(ctx context.Context, version int64) (Shown, error) {
+	caller := connect.NewClient[showCall, showReply](client.http, client.base+procedureShow, wire.ClientOptions(client.key)...)
+	reply, err := caller.CallUnary(ctx, connect.NewRequest(&showCall{Version: version}))
+	if err != nil {
+		return Shown{}, err
+	}
+	return reply.Msg.Shown, nil
+}
+
+// History asks for every accepted change, oldest first.
+func (client *Client) History(ctx context.Context) ([]Change, error) {
+	caller := connect.NewClient[historyCall, historyReply](client.http, client.base+procedureHistory, wire.ClientOptions(client.key)...)
+	reply, err := caller.CallUnary(ctx, connect.NewRequest(&historyCall{}))
+	if err != nil {
+		return nil, err
+	}
+	return reply.Msg.Changes, nil
+}
+
+// Status asks for what the node knows.
+func (client *Client) Status(ctx context.Context) (Report, error) {
+	caller := connect.NewClient[statusCall, statusReply](client.http, client.base+procedureStatus, wire.ClientOptions(client.key)...)
+	reply, err := caller.CallUnary(ctx, connect.NewRequest(&statusCall{}))
+	if err != nil {
+		return Report{}, err
+	}
+	return reply.Msg.Report, nil
+}
+
+// Drain orders an endpoint, replica or zone to be emptied, or lifts that order.
+func (client *Client) Drain(ctx context.Context, drained Drained) error {
+	caller := connect.NewClient[drainCall, drainReply](client.http, client.base+procedureDrain, wire.ClientOptions(client.key)...)
+	_, err := caller.CallUnary(ctx, connect.NewRequest(&drainCall{Drained: drained}))
+	return err
+}
+
+// Explain asks why a request went where it did; only the node that served it knows.
+func (client *Client) Explain(ctx context.Context, request string) (Explained, error) {
+	caller := connect.NewClient[explainCall, explainReply](client.http, client.base+procedureExplain, wire.ClientOptions(client.key)...)
+	reply, err := caller.CallUnary(ctx, connect.NewRequest(&explainCall{Request: request}))
+	if err != nil {
+		return Explained{}, err
+	}
+	return reply.Msg.Explained, nil
+}
--- /dev/null
+++ b/io/admin/service.go
@@ -0,0 +1,268 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"hickorybend/core/config"
+	"hickorybend/core/intent"
+	"hickorybend/core/jsonc"
+	"hickorybend/core/rows"
+	"hickorybend/io/table"
+	"hickorybend/io/wire"
+)
+
+const prefix = "/hickorybend.operators/"
+
+const (
+	procedureApply   = prefix + "apply"
+	procedureShow    = prefix + "show"
+	procedureHistory = prefix + "history"
+	procedureStatus  = prefix + "status"
+	procedureDrain   = prefix + "drain"
+	procedureExplain = prefix + "explain"
+)
+
+// Objects keeps whole texts.
+type Objects interface {
+	Put(ctx context.Context, body []byte) (string, error)
+	Get(ctx context.Context, name string) ([]byte, error)
+}
+
+// Node is what the service needs of the node that it runs on.
+type Node interface {
+	Report() *Report
+	Spread(ctx context.Context, changed []rows.Row) (told, untold []string)
+	Explain(request string) Explained
+}
+
+// Service answers operators.
+type Service struct {
+	store   rows.Store
+	objects Objects
+	node    Node
+}
+
+// NewService makes the service.
+func NewService(store rows.Store, objects Objects, node Node) *Service {
+	return &Service{store: store, objects: objects, node: node}
+}
+
+type applyCall struct {
+	File string `cbor:"1,keyasint"`
+	Text []byte `cbor:"2,keyasint"`
+	Base int64  `cbor:"3,keyasint"`
+}
+
+type applyReply struct {
+	Applied Applied `cbor:"1,keyasint"`
+}
+
+type showCall struct {
+	Version int64 `cbor:"1,keyasint"`
+}
+
+type showReply struct {
+	Shown Shown `cbor:"1,keyasint"`
+}
+
+type historyCall struct{}
+
+type historyReply struct {
+	Changes []Change `cbor:"1,keyasint"`
+}
+
+type statusCall struct{}
+
+type statusReply struct {
+	Report Report `cbor:"1,keyasint"`
+}
+
+type drainCall struct {
+	Drained Drained `cbor:"1,keyasint"`
+}
+
+type drainReply struct{}
+
+type explainCall struct {
+	Request string `cbor:"1,keyasint"`
+}
+
+type explainReply struct {
+	Explained Explained `cbor:"1,keyasint"`
+}
+
+// Handler serves operators that hold one of the keys.
+func (service *Service) Handler(keys []wire.Key) (string, http.Handler) {
+	options := wire.HandlerOptions(keys)
+	routes := http.NewServeMux()
+	routes.Handle(procedureApply, connect.NewUnaryHandler(procedureApply, service.apply, options...))
+	routes.Handle(procedureShow, connect.NewUnaryHandler(procedureShow, service.show, options...))
+	routes.Handle(procedureHistory, connect.NewUnaryHandler(procedureHistory, service.history, options...))
+	routes.Handle(procedureStatus, connect.NewUnaryHandler(procedureStatus, service.status, options...))
+	routes.Handle(procedureDrain, connect.NewUnaryHandler(procedureDrain, service.drain, options...))
+	routes.Handle(procedureExplain, connect.NewUnaryHandler(procedureExplain, service.explain, options...))
+	return prefix, routes
+}
+
+func (service *Service) status(_ context.Context, _ *connect.Request[statusCall]) (*connect.Response[statusReply], error) {
+	return connect.NewResponse(&statusReply{Report: *service.node.Report()}), nil
+}
+
+func (service *Service) explain(_ context.Context, request *connect.Request[explainCall]) (*connect.Response[explainReply], error) {
+	return connect.NewResponse(&explainReply{Explained: service.node.Explain(request.Msg.Request)}), nil
+}
+
+func (service *Service) apply(ctx context.Context, request *connect.Request[applyCall]) (*connect.Response[applyReply], error) {
+	text, err := intent.Parse(request.Msg.File, request.Msg.Text)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	applied, err := service.Apply(ctx, text, request.Msg.Base, wire.Caller(ctx))
+	if err != nil {
+		return nil, translate(err)
+	}
+	return connect.NewResponse(&applyReply{Applied: applied}), nil
+}
+
+// translate turns errors from below into those of the operators' protocol.
+func translate(err error) error {
+	var faults jsonc.Faults
+	switch {
+	case errors.As(err, &faults):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case errors.Is(err, ErrBase), errors.Is(err, config.ErrTooLarge), errors.Is(err, ErrVersion):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, rows.ErrOutage), errors.Is(err, ErrBusy):
+		return connect.NewError(connect.CodeUnavailable, err)
+	default:
+		return connect.NewError(connect.CodeInternal, err)
+	}
+}
+
+func (service *Service) show(ctx context.Context, request *connect.Request[showCall]) (*connect.Response[showReply], error) {
+	shown, err := service.Show(ctx, request.Msg.Version)
+	if err != nil {
+		return nil, translate(err)
+	}
+	return connect.NewResponse(&showReply{Shown: shown}), nil
+}
+
+// Show gives the configuration in force, or the one that a version left in force.
+func (service *Service) Show(ctx context.Context, version int64) (Shown, error) {
+	if version > 0 {
+		body, _, err := service.textAt(ctx, version)
+		return Shown{Head: version, Text: string(body)}, err
+	}
+	stored, err := service.store.List(ctx, config.Part)
+	if err != nil {
+		return Shown{}, err
+	}
+	text, err := intent.Join(config.SectionsOf(stored))
+	if err != nil {
+		return Shown{}, err
+	}
+	shown := Shown{Head: headOf(stored).Version, Text: string(jsonc.Indent(text))}
+	for _, row := range stored {
+		if row.Key != config.HeadKey() {
+			shown.Sections = append(shown.Sections, Section{Name: row.Key.Sort, Version: row.Version, Body: string(row.Body)})
+		}
+	}
+	return shown, nil
+}
+
+func (service *Service) history(ctx context.Context, _ *connect.Request[historyCall]) (*connect.Response[historyReply], error) {
+	all, err := service.store.List(ctx, config.PartHistory)
+	if err != nil {
+		return nil, translate(err)
+	}
+	reply := &historyReply{}
+	for _, row := range all {
+		entry, err := config.ReadEntry(row)
+		if err != nil {
+			return nil, translate(err)
+		}
+		reply.Changes = append(reply.Changes, Change{Version: entry.Version, Operator: entry.Operator, At: entry.At, Sections: entry.Sections})
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// DrainOrder is the body of an order's row.
+type DrainOrder struct {
+	Kind string    `json:"kind"`
+	Name string    `json:"name"`
+	By   string    `json:"by"`
+	At   time.Time `json:"at"`
+}
+
+// PartDrains is the partition of the orders to drain.
+const PartDrains = "drain"
+
+// DrainKey names the row of an order.
+func DrainKey(kind, name string) rows.Key {
+	return rows.Key{Part: PartDrains, Sort: kind + "/" + name}
+}
+
+// The kinds of things that can be drained.
+const (
+	KindEndpoint = "endpoint"
+	KindReplica  = "replica"
+	KindZone     = "zone"
+)
+
+func (service *Service) drain(ctx context.Context, request *connect.Request[drainCall]) (*connect.Response[drainReply], error) {
+	asked := request.Msg.Drained
+	if !service.exists(asked) {
+		return nil, connect.NewError(connect.CodeNotFound, errors.Newf("admin: this node knows no %s %q", asked.Kind, asked.Name))
+	}
+	key := DrainKey(asked.Kind, asked.Name)
+	row, err := service.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, rows.ErrAbsent) {
+		return nil, translate(err)
+	}
+	row.Key = key
+	body, err := json.Marshal(DrainOrder{Kind: asked.Kind, Name: asked.Name, By: wire.Caller(ctx), At: time.Now().UTC()})
+	if err != nil {
+		return nil, translate(err)
+	}
+	if asked.Lift {
+		body = nil
+	}
+	txn := rows.Txn{Write: uuid.NewString(), Steps: []rows.Step{rows.Over(row, body)}}
+	if _, done := table.Settled(ctx, service.store, txn).(rows.Done); !done {
+		return nil, translate(ErrBusy)
+	}
+	service.node.Spread(ctx, []rows.Row{{Key: key}})
+	return connect.NewResponse(&drainReply{}), nil
+}
+
+func (service *Service) exists(asked Drained) bool {
+	report := service.node.Report()
+	switch asked.Kind {
+	case KindEndpoint:
+		for _, host := range report.Hosts {
+			if host.Host == asked.Name {
+				return true
+			}
+		}
+	case KindReplica:
+		for _, replica := range report.Replicas {
+			if replica.Replica.ID == asked.Name {
+				return true
+			}
+		}
+	case KindZone:
+		for _, host := range report.Hosts {
+			if host.Zone == asked.Name {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/blobs/client.go
@@ -0,0 +1,95 @@
+package blobs
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+	"github.com/cockroachdb/errors"
+)
+
+// Client reads and writes objects of one bucket.
+type Client struct {
+	service *s3.Client
+	bucket  string
+}
+
+// Access says where the object store is and who asks.
+type Access struct {
+	Endpoint string
+	Bucket   string
+	Region   string
+	KeyID    string
+	Secret   string
+	HTTP     *http.Client
+}
+
+// ErrOutage says that the object store did not answer.
+var ErrOutage = errors.New("blobs: the object store does not answer")
+
+// ErrDamaged says that an object is not what its name says.
+var ErrDamaged = errors.New("blobs: an object does not match its hash")
+
+const callLimit = 3 * time.Second
+
+// New makes a client.
+func New(access Access) *Client {
+	service := s3.New(s3.Options{
+		BaseEndpoint:               aws.String(access.Endpoint),
+		Region:                     access.Region,
+		Credentials:                credentials.NewStaticCredentialsProvider(access.KeyID, access.Secret, ""),
+		UsePathStyle:               true,
+		HTTPClient:                 access.HTTP,
+		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
+		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
+	})
+	return &Client{service: service, bucket: access.Bucket}
+}
+
+// Put stores a body and gives its hash, which is its name.
+func (client *Client) Put(ctx context.Context, body []byte) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	name := Name(body)
+	_, err := client.service.PutObject(ctx, &s3.PutObjectInput{
+		Bucket: aws.String(client.bucket), Key: aws.String(name), Body: bytes.NewReader(body),
+	})
+	if err != nil {
+		return "", errors.Mark(errors.Wrap(err, "blobs: storing"), ErrOutage)
+	}
+	return name, nil
+}
+
+// Get reads the body with a hash and checks it.
+func (client *Client) Get(ctx context.Context, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	answer, err := client.service.GetObject(ctx, &s3.GetObjectInput{
+		Bucket: aws.String(client.bucket), Key: aws.String(name),
+	})
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "blobs: reading %s", name), ErrOutage)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "blobs: reading %s", name), ErrOutage)
+	}
+	if Name(body) != name {
+		return nil, errors.Wrapf(ErrDamaged, "object %s", name)
+	}
+	return body, nil
+}
+
+// Name gives the name that a body is stored under.
+func Name(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/io/conf/doc.go
@@ -0,0 +1,2 @@
+// Package conf reads and checks a node's settings.
+package conf
--- /dev/null
+++ b/io/engine/call.go
@@ -0,0 +1,60 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Call is one request to a plain service.
+type Call struct {
+	Address string
+	Method  string
+	Target  string
+	Header  http.Header
+	Body    []byte
+}
+
+// Answer is a plain service's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// MaxAnswerBytes bounds a plain service's answer.
+const MaxAnswerBytes = 4 << 20
+
+// Call sends a request once. ErrUnreached is proof that it did not run; any
+// other error leaves that open.
+func (client *Client) Call(ctx context.Context, call Call) (Answer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Target, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, errors.Mark(errors.Wrap(err, "engine: making a call"), ErrUnreached)
+	}
+	request.Header = call.Header
+	answer, err := client.calls.Do(request)
+	if err != nil && !connected.Load() {
+		return Answer{}, errors.Mark(errors.Wrap(err, "engine: connecting"), ErrUnreached)
+	}
+	if err != nil {
+		return Answer{}, errors.Mark(errors.Wrap(err, "engine: calling"), ErrBroken)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, errors.Mark(errors.Wrap(err, "engine: reading an answer"), ErrBroken)
+	}
+	if len(body) > MaxAnswerBytes {
+		return Answer{}, errors.Wrapf(ErrBroken, "an answer over %d bytes", MaxAnswerBytes)
+	}
+	return Answer{Status: answer.StatusCode, Header: answer.Header, Body: body}, nil
+}
--- /dev/null
+++ b/io/event/event.go
@@ -0,0 +1,69 @@
+package event
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is a kind of log line; its number never changes meaning.
+type Event struct {
+	Number int
+	Text   string
+	Level  zapcore.Level
+}
+
+// The events, by subject: 1xx the node, 2xx the platform, 3xx leases, 4xx
+// replicas, 5xx configuration, 6xx requests.
+var (
+	NodeStarted      = Event{101, "node started", zap.InfoLevel}
+	NodeDraining     = Event{102, "node draining", zap.InfoLevel}
+	NodeStopped      = Event{103, "node stopped", zap.InfoLevel}
+	NodeFailed       = Event{104, "node failed", zap.ErrorLevel}
+	StoreDown        = Event{201, "table service does not answer", zap.WarnLevel}
+	StoreBack        = Event{202, "table service answers again", zap.InfoLevel}
+	ListDown         = Event{203, "host list does not answer", zap.WarnLevel}
+	ListBack         = Event{204, "host list answers again", zap.InfoLevel}
+	OutcomeUnknown   = Event{205, "outcome of a transaction is not known", zap.WarnLevel}
+	RowUnreadable    = Event{206, "a stored row is not readable", zap.ErrorLevel}
+	LeaseTaken       = Event{301, "lease taken", zap.InfoLevel}
+	LeaseLost        = Event{302, "lease lost", zap.WarnLevel}
+	LeaseReleased    = Event{303, "lease released", zap.InfoLevel}
+	ReplicaChanged   = Event{401, "replica changed", zap.InfoLevel}
+	ReplicaRefused   = Event{402, "change of a replica refused by the store", zap.InfoLevel}
+	OrderFailed      = Event{403, "order to an endpoint failed", zap.WarnLevel}
+	MemberLost       = Event{404, "member of a replica lost", zap.WarnLevel}
+	EndpointEjected  = Event{405, "straggling replica ejected", zap.WarnLevel}
+	EndpointReturned = Event{406, "ejected replica returned", zap.InfoLevel}
+	HostHandedBack   = Event{407, "host handed back", zap.InfoLevel}
+	MoveRejected     = Event{408, "placement move breaks a rule", zap.ErrorLevel}
+	ConfigAccepted   = Event{501, "configuration accepted", zap.InfoLevel}
+	ConfigInForce    = Event{502, "configuration in force on this node", zap.InfoLevel}
+	ConfigConflict   = Event{503, "configuration change conflicts", zap.InfoLevel}
+	ConfigUnreadable = Event{504, "stored configuration is not readable", zap.ErrorLevel}
+	ConfigDoubt      = Event{505, "node in doubt about its configuration takes no new work", zap.WarnLevel}
+	ConfigSure       = Event{506, "node is sure of its configuration again", zap.InfoLevel}
+	PeerRefused      = Event{507, "peer did not prepare a configuration", zap.WarnLevel}
+	StreamResumed    = Event{601, "stream resumed on another replica", zap.InfoLevel}
+	AnswerBroken     = Event{602, "answer could not be completed", zap.WarnLevel}
+	ChunkForeign     = Event{603, "chunk of another request dropped", zap.WarnLevel}
+	CallInDoubt      = Event{604, "outcome of a call is not known", zap.WarnLevel}
+	RecordLate       = Event{605, "outcome of a call not yet recorded", zap.WarnLevel}
+)
+
+// All lists every event in the order of the numbers.
+func All() []Event {
+	return []Event{
+		NodeStarted, NodeDraining, NodeStopped, NodeFailed,
+		StoreDown, StoreBack, ListDown, ListBack, OutcomeUnknown, RowUnreadable,
+		LeaseTaken, LeaseLost, LeaseReleased,
+		ReplicaChanged, ReplicaRefused, OrderFailed, MemberLost, EndpointEjected,
+		EndpointReturned, HostHandedBack, MoveRejected,
+		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigDoubt, ConfigSure, PeerRefused,
+		StreamResumed, AnswerBroken, ChunkForeign, CallInDoubt, RecordLate,
+	}
+}
+
+// Log writes an event with its number and fields.
+func Log(log *zap.Logger, event Event, fields ...zap.Field) {
+	log.Log(event.Level, event.Text, append(fields, zap.Int("event", event.Number))...)
+}
--- /dev/null
+++ b/io/front/limits.go
@@ -0,0 +1,23 @@
+package front
+
+import "time"
+
+// Limits bound what one request may use.
+type Limits struct {
+	BodyBytes   int64         `json:"body-bytes"`
+	ReadLimit   time.Duration `json:"read-limit"`
+	WriteLimit  time.Duration `json:"write-limit"`
+	FirstToken  time.Duration `json:"first-token-limit"`
+	Stall       time.Duration `json:"stall-limit"`
+	CallLimit   time.Duration `json:"call-limit"`
+	MaxAttempts int           `json:"max-attempts"`
+}
+
+// DefaultLimits suit prompts of a megabyte and engines that answer in seconds.
+func DefaultLimits() Limits {
+	return Limits{
+		BodyBytes: 4 << 20, ReadLimit: 10 * time.Second, WriteLimit: 20 * time.Second,
+		FirstToken: 15 * time.Second, Stall: 3 * time.Second, CallLimit: 30 * time.Second,
+		MaxAttempts: 4,
+	}
+}
--- /dev/null
+++ b/io/front/record.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"hickorybend/core/once"
+	"hickorybend/core/rows"
+	"hickorybend/io/event"
+	"hickorybend/io/table"
+)
+
+// recorder writes how calls ended, and goes on trying while the store is down.
+type recorder struct {
+	store rows.Store
+	log   *zap.Logger
+	open  atomic.Int64
+}
+
+const (
+	recordPause = 500 * time.Millisecond
+	recordMost  = 24 * time.Hour
+)
+
+func newRecorder(store rows.Store, log *zap.Logger) *recorder {
+	return &recorder{store: store, log: log}
+}
+
+func (recorder *recorder) waiting() int { return int(recorder.open.Load()) }
+
+// ending is how the call under a claim ended.
+type ending struct {
+	claim  rows.Txn
+	state  once.State
+	answer once.Answer
+}
+
+// close records the end of a claimed call; the caller's answer does not wait
+// for a store that is down.
+func (recorder *recorder) close(ctx context.Context, ending ending) {
+	ctx, cancel := context.WithTimeout(ctx, recordLimit)
+	defer cancel()
+	if recorder.try(ctx, once.Claimed(ending.claim), ending) {
+		return
+	}
+	event.Log(recorder.log, event.RecordLate, zap.String("state", string(ending.state)))
+	recorder.open.Add(1)
+	go recorder.insist(ending)
+}
+
+// abandon takes back a claim that may have landed or may land yet, though its
+// call never ran.
+func (recorder *recorder) abandon(claim rows.Txn) {
+	recorder.open.Add(1)
+	go recorder.takeBack(claim)
+}
+
+func (recorder *recorder) takeBack(claim rows.Txn) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordMost)
+	defer cancel()
+	for ctx.Err() == nil {
+		switch table.Resolve(ctx, recorder.store, claim).(type) {
+		case rows.Done:
+			recorder.insist(ending{claim: claim, state: once.StateNotRun})
+			return
+		case rows.Refused:
+			recorder.open.Add(-1)
+			return
+		}
+		time.Sleep(recordPause)
+	}
+	recorder.open.Add(-1)
+}
+
+// insist reads the row anew for each attempt: one that landed after all, or
+// lands late, wrote the same end, so a second never contradicts it.
+func (recorder *recorder) insist(ending ending) {
+	defer recorder.open.Add(-1)
+	ctx, cancel := context.WithTimeout(context.Background(), recordMost)
+	defer cancel()
+	for ctx.Err() == nil {
+		time.Sleep(recordPause)
+		row, err := recorder.store.Get(ctx, ending.claim.Steps[0].(rows.Put).Key)
+		if err == nil && recorder.try(ctx, row, ending) {
+			return
+		}
+	}
+}
+
+// try attempts to record an end over a row, and tells whether nothing is left to do.
+func (recorder *recorder) try(ctx context.Context, row rows.Row, ending ending) bool {
+	txn, owed := once.Close(row, ending.claim.Write, uuid.NewString(), ending.state, ending.answer)
+	if !owed {
+		return true
+	}
+	_, done := recorder.store.Commit(ctx, txn).(rows.Done)
+	return done
+}
--- /dev/null
+++ b/io/node/publish.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"hickorybend/core/group"
+	"hickorybend/core/intent"
+	"hickorybend/core/roster"
+	"hickorybend/core/route"
+	"hickorybend/core/rows"
+	"hickorybend/core/view"
+	"hickorybend/io/admin"
+	"hickorybend/io/event"
+	"hickorybend/io/hosts"
+)
+
+// knowledge is what other goroutines may tell about this node.
+type knowledge struct {
+	zone      string
+	seesStore bool
+	head      int64
+	confirmed time.Time
+	sections  []rows.Row
+	nodes     []roster.Node
+}
+
+// publish makes the view for traffic, the report for operators and the
+// knowledge for other nodes.
+func (control *Control) publish(now time.Time) {
+	nodes := control.roster.Nodes(now)
+	control.publishMind(nodes, now)
+	if control.text == nil {
+		return
+	}
+	control.judgeServing(now)
+	if now.Before(control.publishAt) {
+		return
+	}
+	control.publishAt = now.Add(publishEvery)
+	next := &view.View{Serving: control.serving, Nodes: len(nodes), Teams: control.text.Teams}
+	for _, node := range nodes {
+		next.Alive = append(next.Alive, node.Incarnation)
+	}
+	live := map[string]bool{}
+	for _, service := range control.text.Services {
+		table := control.tableOf(service, live, now)
+		if service.Kind == intent.KindModel {
+			next.Models = append(next.Models, view.Model{Service: service, Table: table})
+		} else {
+			next.Plains = append(next.Plains, view.Plain{Service: service, Table: table})
+		}
+	}
+	control.forgetCells(live)
+	control.views.Store(next)
+	if !now.Before(control.reportAt) {
+		control.reportAt = now.Add(reportEvery)
+		control.reports.Store(control.report(next, nodes, now))
+	}
+}
+
+const (
+	publishEvery = 100 * time.Millisecond
+	reportEvery  = 500 * time.Millisecond
+)
+
+func (control *Control) publishMind(nodes []roster.Node, now time.Time) {
+	var others []roster.Node
+	for _, node := range nodes {
+		if node.Name != control.self.Name {
+			others = append(others, node)
+		}
+	}
+	control.mind.Store(&knowledge{
+		zone: control.self.Zone, seesStore: !control.storeDown && control.held.Sure(now),
+		head: control.held.Head(), confirmed: control.held.Confirmed(), sections: control.sections, nodes: others,
+	})
+}
+
+func (control *Control) judgeServing(now time.Time) {
+	var zones []string
+	for _, node := range control.roster.Nodes(now) {
+		zones = append(zones, node.Zone)
+	}
+	serving := control.held.MayServe(now, control.self.Zone, zones, control.witnesses)
+	if serving == control.serving {
+		return
+	}
+	control.serving = serving
+	if serving {
+		control.event(event.ConfigSure, zap.Int64("head", control.held.Head()))
+		return
+	}
+	control.event(event.ConfigDoubt, zap.Int64("head", control.held.Head()))
+}
+
+// tableOf makes the candidates of a service. Cells of replicas that take no
+// new work are kept up as well, for the streams that they still carry.
+func (control *Control) tableOf(service intent.Service, live map[string]bool, now time.Time) *route.Table {
+	table := &route.Table{Policy: control.settings.Route, Start: control.start}
+	if service.Kind == intent.KindPlain {
+		table.Replicas = control.plainCandidates(service, live, now)
+	} else {
+		table.Replicas = control.modelCandidates(service, live, now)
+	}
+	slices.SortFunc(table.Replicas, func(a, b route.Replica) int { return strings.Compare(a.ID, b.ID) })
+	control.eject(service.Name, table.Replicas, now)
+	return table
+}
+
+func (control *Control) modelCandidates(service intent.Service, live map[string]bool, now time.Time) []route.Replica {
+	var candidates []route.Replica
+	for _, replica := range control.replicas[service.Name] {
+		if replica.State == group.StateReleased || replica.State == group.StateLoading {
+			continue
+		}
+		cell := control.cell(replica.ID, replica.Epoch, live)
+		cell.SetUntil(control.start, control.board.Whole(replica, now))
+		control.sampleOf(replica).Note(cell.InFlight(), now)
+		if replica.State != group.StateServing || control.isDrained(admin.KindReplica, replica.ID) {
+			continue
+		}
+		candidates = append(candidates, control.candidate(service, replica, cell, now))
+	}
+	return candidates
+}
+
+func (control *Control) candidate(service intent.Service, replica group.Replica, cell *route.Cell, now time.Time) route.Replica {
+	candidate := route.Replica{
+		ID: replica.ID, Epoch: replica.Epoch, Address: replica.Members[0].Address, Zone: replica.Zone,
+		Distance: control.distance(replica.Zone), Hash: xxhash.Sum64String(replica.ID),
+		Streams: service.ReplicaStreams, Cell: cell,
+	}
+	if lead, fresh := control.board.Of(replica.Members[0].Host, now); fresh {
+		candidate.Reported = lead.Status.Running + lead.Status.Waiting
+		candidate.OwnAtReport = control.sampleOf(replica).At(lead.At.Add(-control.settings.Route.ReportLag))
+	}
+	return candidate
+}
+
+func (control *Control) plainCandidates(service intent.Service, live map[string]bool, now time.Time) []route.Replica {
+	var candidates []route.Replica
+	for name, host := range control.listed {
+		if host.Service != service.Name || control.emptied(name, host) {
+			continue
+		}
+		cell := control.cell(name, 0, live)
+		until := time.Time{}
+		if sight, fresh := control.board.Of(name, now); fresh && sight.Status.Ready {
+			until = sight.At.Add(control.settings.Watch.EvidenceTerm)
+		}
+		cell.SetUntil(control.start, until)
+		candidates = append(candidates, route.Replica{
+			ID: name, Address: host.Address, Zone: host.Zone, Distance: control.distance(host.Zone),
+			Hash: xxhash.Sum64String(name), Streams: plainStreams, Cell: cell,
+		})
+	}
+	return candidates
+}
+
+// plainStreams is how many calls an instance of a plain service is expected to
+// take at once.
+const plainStreams = 64
+
+func (control *Control) emptied(name string, host hosts.Host) bool {
+	return host.Leaving || control.isDrained(admin.KindEndpoint, name) || control.isDrained(admin.KindZone, host.Zone)
+}
+
+func (control *Control) cell(id string, epoch int64, live map[string]bool) *route.Cell {
+	key := cellKey(id, epoch)
+	live[key] = true
+	cell, known := control.cells[key]
+	if !known {
+		cell = &route.Cell{}
+		control.cells[key] = cell
+	}
+	return cell
+}
+
+func (control *Control) sampleOf(replica group.Replica) *route.Samples {
+	key := cellKey(replica.ID, replica.Epoch)
+	samples, known := control.samples[key]
+	if !known {
+		samples = &route.Samples{}
+		control.samples[key] = samples
+	}
+	return samples
+}
+
+func (control *Control) forgetCells(live map[string]bool) {
+	for key, cell := range control.cells {
+		if !live[key] {
+			cell.SetUntil(control.start, time.Time{})
+			delete(control.cells, key)
+			delete(control.samples, key)
+		}
+	}
+}
+
+func (control *Control) distance(zone string) route.Distance {
+	if zone == control.self.Zone {
+		return route.SameZone
+	}
+	if control.regionOf(zone) == control.regionOf(control.self.Zone) {
+		return route.SameRegion
+	}
+	return route.OtherRegion
+}
+
+func (control *Control) regionOf(zone string) string {
+	for _, known := range control.text.Zones {
+		if known.Name == zone {
+			return known.Region
+		}
+	}
+	return ""
+}
+
+func (control *Control) eject(service string, replicas []route.Replica, now time.Time) {
+	before := control.ejections[service]
+	after := route.Eject(control.settings.Route, replicas, before, now)
+	control.ejections[service] = after
+	for i := range replicas {
+		replicas[i].Ejected = hasEjection(after, replicas[i].ID)
+		was := hasEjection(before, replicas[i].ID)
+		switch {
+		case replicas[i].Ejected && !was:
+			control.event(event.EndpointEjected, zap.String("replica", replicas[i].ID))
+		case was && !replicas[i].Ejected:
+			control.event(event.EndpointReturned, zap.String("replica", replicas[i].ID))
+		}
+	}
+}
+
+func hasEjection(ejections []route.Ejection, id string) bool {
+	return slices.ContainsFunc(ejections, func(ejection route.Ejection) bool { return ejection.ID == id })
+}
--- /dev/null
+++ b/io/peers/peers.go
@@ -0,0 +1,150 @@
+package peers
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"hickorybend/core/config"
+	"hickorybend/core/rows"
+	"hickorybend/io/wire"
+)
+
+const (
+	procedurePush = "/hickorybend.peers/push"
+	procedureAsk  = "/hickorybend.peers/ask"
+	callLimit     = time.Second
+)
+
+// ErrPeer says that another node did not answer.
+var ErrPeer = errors.New("peers: a node did not answer")
+
+// Mind is what a node tells others: the configuration that it holds and how
+// long ago that was confirmed, counted by its own clock.
+type Mind struct {
+	Zone         string
+	SeesStore    bool
+	Head         int64
+	ConfirmedAgo time.Duration
+	Config       []rows.Row
+}
+
+// Local is the node that answers others.
+type Local interface {
+	Learn(pushed []rows.Row)
+	Tell(head int64) Mind
+}
+
+type wireRow struct {
+	Part    string   `cbor:"1,keyasint"`
+	Sort    string   `cbor:"2,keyasint"`
+	Version int64    `cbor:"3,keyasint"`
+	Writes  []string `cbor:"4,keyasint,omitempty"`
+	Body    []byte   `cbor:"5,keyasint,omitempty"`
+}
+
+type pushCall struct {
+	Rows []wireRow `cbor:"1,keyasint"`
+}
+
+type pushReply struct{}
+
+type askCall struct {
+	Head int64 `cbor:"1,keyasint"`
+}
+
+type askReply struct {
+	Zone      string    `cbor:"1,keyasint"`
+	SeesStore bool      `cbor:"2,keyasint"`
+	Head      int64     `cbor:"3,keyasint"`
+	AgoNanos  int64     `cbor:"4,keyasint"`
+	Config    []wireRow `cbor:"5,keyasint,omitempty"`
+}
+
+// Handler answers other nodes.
+func Handler(local Local, peerKey string) (string, http.Handler) {
+	options := wire.HandlerOptions([]wire.Key{{Name: "peer", SHA256: wire.Hash(peerKey)}})
+	routes := http.NewServeMux()
+	routes.Handle(procedurePush, connect.NewUnaryHandler(procedurePush, func(_ context.Context, request *connect.Request[pushCall]) (*connect.Response[pushReply], error) {
+		local.Learn(decodeRows(request.Msg.Rows))
+		return connect.NewResponse(&pushReply{}), nil
+	}, options...))
+	routes.Handle(procedureAsk, connect.NewUnaryHandler(procedureAsk, func(_ context.Context, request *connect.Request[askCall]) (*connect.Response[askReply], error) {
+		mind := local.Tell(request.Msg.Head)
+		return connect.NewResponse(&askReply{
+			Zone: mind.Zone, SeesStore: mind.SeesStore, Head: mind.Head,
+			AgoNanos: int64(mind.ConfirmedAgo), Config: encodeRows(mind.Config),
+		}), nil
+	}, options...))
+	return "/hickorybend.peers/", routes
+}
+
+// Client calls other nodes.
+type Client struct {
+	http   *http.Client
+	scheme string
+	key    string
+}
+
+// NewClient makes a client that calls by a scheme and carries a key.
+func NewClient(client *http.Client, scheme, key string) *Client {
+	return &Client{http: client, scheme: scheme, key: key}
+}
+
+// Push tells a node of rows that changed.
+func (client *Client) Push(ctx context.Context, address string, pushed []rows.Row) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	caller := connect.NewClient[pushCall, pushReply](client.http, client.scheme+address+procedurePush, wire.ClientOptions(client.key)...)
+	_, err := caller.CallUnary(ctx, connect.NewRequest(&pushCall{Rows: encodeRows(pushed)}))
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "peers: pushing"), ErrPeer)
+	}
+	return nil
+}
+
+// Answer is what another node knows, with its confirmation on this node's
+// clock: counted from before the question left, it is never too late.
+type Answer struct {
+	Witness config.Witness
+	Config  []rows.Row
+}
+
+// Ask asks a node what it knows beyond a head version.
+func (client *Client) Ask(ctx context.Context, address string, head int64) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	caller := connect.NewClient[askCall, askReply](client.http, client.scheme+address+procedureAsk, wire.ClientOptions(client.key)...)
+	before := time.Now()
+	reply, err := caller.CallUnary(ctx, connect.NewRequest(&askCall{Head: head}))
+	if err != nil {
+		return Answer{}, errors.Mark(errors.Wrap(err, "peers: asking"), ErrPeer)
+	}
+	mind := reply.Msg
+	return Answer{
+		Witness: config.Witness{
+			Zone: mind.Zone, SeesStore: mind.SeesStore, Head: mind.Head,
+			ConfirmedAt: before.Add(-time.Duration(mind.AgoNanos)),
+		},
+		Config: decodeRows(mind.Config),
+	}, nil
+}
+
+func encodeRows(all []rows.Row) []wireRow {
+	encoded := make([]wireRow, len(all))
+	for i, row := range all {
+		encoded[i] = wireRow{Part: row.Key.Part, Sort: row.Key.Sort, Version: row.Version, Writes: row.Writes, Body: row.Body}
+	}
+	return encoded
+}
+
+func decodeRows(all []wireRow) []rows.Row {
+	decoded := make([]rows.Row, len(all))
+	for i, row := range all {
+		decoded[i] = rows.Row{Key: rows.Key{Part: row.Part, Sort: row.Sort}, Version: row.Version, Writes: row.Writes, Body: row.Body}
+	}
+	return decoded
+}
--- /dev/null
+++ b/io/shell/doc.go
@@ -0,0 +1,3 @@
+// Package shell is what the commands have in common: flags with their
+// environment, logs, signals and exit codes.
+package shell
