--- a/cmd/hbctl/config.go
+++ b/cmd/hbctl/config.go
@@ -61,6 +61,9 @@
 		return shell.Exit{Code: shell.CodeUnknown, Message: fmt.Sprintf("the outcome is not known; see whether 'hbctl history' has version %d", applied.Head)}
 	case len(applied.Conflicts) > 0:
 		return shell.Exit{Code: shell.CodeConflict, Message: conflictText(applied)}
+	case len(applied.Deaf) > 0:
+		return shell.Exit{Code: shell.CodeFailed, Message: fmt.Sprintf(
+			"not accepted: %s could not be told first. Try again; a dead node's row stops counting within half a minute", strings.Join(applied.Deaf, ", "))}
 	case *tool.json:
 		return nil
 	case applied.Unchanged:
--- a/core/config/held.go
+++ b/core/config/held.go
@@ -38,11 +38,19 @@
 	head      int64
 	sections  map[string]rows.Row
 	confirmed time.Time
+	prepared  map[string]Doubt
+}
+
+// Doubt is a change that a node was told of before it was tried: until its
+// outcome is known it may be in force.
+type Doubt struct {
+	Version int64
+	Since   time.Time
 }
 
 // NewHeld makes an empty copy that trusts a confirmation for a term.
 func NewHeld(term time.Duration) *Held {
-	return &Held{term: term, sections: map[string]rows.Row{}}
+	return &Held{term: term, sections: map[string]rows.Row{}, prepared: map[string]Doubt{}}
 }
 
 // Head gives the version up to which every section is held.
@@ -69,11 +77,40 @@
 		return
 	}
 	held.head = head
+	for id, doubt := range held.prepared {
+		if doubt.Version <= head {
+			delete(held.prepared, id)
+		}
+	}
 	if at.After(held.confirmed) {
 		held.confirmed = at
 	}
 }
 
+// Prepare notes that a change is about to be tried as a version.
+func (held *Held) Prepare(id string, version int64, now time.Time) {
+	if version > held.head {
+		held.prepared[id] = Doubt{Version: version, Since: now}
+	}
+}
+
+// Abort notes that a prepared change was not accepted and never will be.
+func (held *Held) Abort(id string) { delete(held.prepared, id) }
+
+// InDoubt tells whether a prepared change may be in force.
+func (held *Held) InDoubt() bool { return len(held.prepared) > 0 }
+
+// LongDoubt gives a version that has been in doubt since before a moment, 0 if
+// there is none.
+func (held *Held) LongDoubt(before time.Time) int64 {
+	for _, doubt := range held.prepared {
+		if doubt.Since.Before(before) {
+			return doubt.Version
+		}
+	}
+	return 0
+}
+
 // Confirmed gives the moment as of which the copy is known to be the newest.
 func (held *Held) Confirmed() time.Time { return held.confirmed }
 
@@ -114,6 +151,8 @@
 	SeesStore   bool
 	ConfirmedAt time.Time
 	Head        int64
+	InDoubt     bool
+	HeardAt     time.Time
 }
 
 // MayServe tells whether a node may take new work under its copy.
@@ -126,16 +165,25 @@
 // zones answer: all serve on. Then zone c is cut off: zones a and b stop
 // hearing from c, c from both, and each stops within a term, since c might
 // have the store back first.
+//
+// A change may have been accepted in the last moment before the store went
+// down, by a node that went down with it. That is why every node is told of a
+// change before it is tried: one that was told and did not learn the outcome,
+// or that hears of such a node, does not use the exception. What others said
+// counts for a term, like a confirmation.
 func (held *Held) MayServe(now time.Time, zone string, zones []string, witnesses []Witness) bool {
 	if held.Sure(now) {
 		return true
 	}
-	if held.head == 0 {
+	if held.head == 0 || held.InDoubt() {
 		return false
 	}
 	heard := map[string]bool{zone: true}
 	for _, witness := range witnesses {
-		if witness.SeesStore {
+		if !now.Before(witness.HeardAt.Add(held.term)) {
+			continue
+		}
+		if witness.SeesStore || witness.InDoubt {
 			return false
 		}
 		heard[witness.Zone] = true
--- a/core/config/merge.go
+++ b/core/config/merge.go
@@ -109,6 +109,16 @@
 	return rows.Txn{Write: write, Steps: steps}, nil
 }
 
+// Void makes the transaction that takes a version's place without a change,
+// so that a change which waits for the same head can no longer land.
+func Void(head rows.Row, before Entry, now time.Time, write string) (rows.Txn, error) {
+	entry := Entry{Operator: voidOperator, At: now, Object: before.Object}
+	return Accept(Plan{}, head, nil, entry, write)
+}
+
+// voidOperator stands in the history where no operator changed anything.
+const voidOperator = "(void)"
+
 func rowOf(stored []rows.Row, name string) rows.Row {
 	key := SectionKey(name)
 	for _, row := range stored {
--- a/core/quota/gate.go
+++ b/core/quota/gate.go
@@ -32,8 +32,8 @@
 
 // Shed turns a request away before anything ran.
 type Shed struct {
-	Reason     Reason
-	RetryAfter time.Duration
+	Reason  Reason
+	RetryAt time.Time
 }
 
 func (Admitted) verdict() {}
@@ -84,17 +84,17 @@
 	defer gate.mutex.Unlock()
 	account := gate.account(ask)
 	if reason, shed := gate.overload(ask, account); shed {
-		return Shed{Reason: reason, RetryAfter: gate.policy.RetryAfter}
+		return Shed{Reason: reason, RetryAt: ask.Now.Add(gate.policy.RetryAfter)}
 	}
 	if account.inFlight >= account.concurrent {
-		return Shed{Reason: ReasonConcurrent, RetryAfter: gate.policy.RetryAfter}
+		return Shed{Reason: ReasonConcurrent, RetryAt: ask.Now.Add(gate.policy.RetryAfter)}
 	}
 	tokens := min(ask.Tokens, account.tokens.Burst())
 	if account.tokens.TokensAt(ask.Now) < float64(tokens) {
-		return Shed{Reason: ReasonTokens, RetryAfter: untilTokens(account.tokens, tokens, ask.Now)}
+		return Shed{Reason: ReasonTokens, RetryAt: tokensAt(account.tokens, tokens, ask.Now)}
 	}
 	if !account.requests.AllowN(ask.Now, 1) {
-		return Shed{Reason: ReasonRate, RetryAfter: untilTokens(account.requests, 1, ask.Now)}
+		return Shed{Reason: ReasonRate, RetryAt: tokensAt(account.requests, 1, ask.Now)}
 	}
 	account.tokens.AllowN(ask.Now, tokens)
 	account.inFlight++
@@ -168,10 +168,12 @@
 	limiter.SetBurstAt(now, max(int(perSecond), 1))
 }
 
-func untilTokens(limiter *rate.Limiter, tokens int, now time.Time) time.Duration {
+// tokensAt gives the moment at which a limiter will have so many tokens.
+func tokensAt(limiter *rate.Limiter, tokens int, now time.Time) time.Time {
 	missing := float64(tokens) - limiter.TokensAt(now)
 	if missing <= 0 || limiter.Limit() <= 0 {
-		return time.Second
+		return now.Add(time.Second)
 	}
-	return time.Duration(missing / float64(limiter.Limit()) * float64(time.Second))
+	wait := missing / float64(limiter.Limit()) * float64(time.Second)
+	return now.Add(time.Duration(wait))
 }
--- /dev/null
+++ b/core/roster/policy.go
@@ -0,0 +1,8 @@
+package roster
+
+import "time"
+
+// Policy says for how long a node's row may stand still.
+type Policy struct {
+	Term time.Duration
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -38,7 +38,7 @@
 
 // Roster is the set of nodes as the rows tell.
 type Roster struct {
-	term    time.Duration
+	policy  Policy
 	entries map[string]entry
 }
 
@@ -48,9 +48,9 @@
 	since time.Time
 }
 
-// NewRoster makes an empty roster in which a row may stand still for a term.
-func NewRoster(term time.Duration) *Roster {
-	return &Roster{term: term, entries: map[string]entry{}}
+// NewRoster makes an empty roster in which a row may stand still for the policy's term.
+func NewRoster(policy Policy) *Roster {
+	return &Roster{policy: policy, entries: map[string]entry{}}
 }
 
 // Observe takes in all node rows as read by a moment not after at; a row that
@@ -75,7 +75,7 @@
 func (roster *Roster) Nodes(now time.Time) []Node {
 	var nodes []Node
 	for _, entry := range roster.entries {
-		if now.Before(entry.since.Add(roster.term)) {
+		if now.Before(entry.since.Add(roster.policy.Term)) {
 			nodes = append(nodes, entry.node)
 		}
 	}
@@ -83,11 +83,32 @@
 	return nodes
 }
 
+// Silent lists the nodes whose rows have stood still for a term; they may yet live.
+func (roster *Roster) Silent(now time.Time) []Node {
+	var nodes []Node
+	for _, entry := range roster.entries {
+		if !now.Before(entry.since.Add(roster.policy.Term)) {
+			nodes = append(nodes, entry.node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	return nodes
+}
+
+// Restart counts every row's time anew: a row stands still only for as long as
+// this node itself could read it, so not while the reads failed.
+func (roster *Roster) Restart(at time.Time) {
+	for name, entry := range roster.entries {
+		entry.since = at
+		roster.entries[name] = entry
+	}
+}
+
 // Stale lists the rows that have stood still for two terms and can be erased.
 func (roster *Roster) Stale(now time.Time) []rows.Row {
 	var stale []rows.Row
 	for _, entry := range roster.entries {
-		if !now.Before(entry.since.Add(2 * roster.term)) {
+		if !now.Before(entry.since.Add(2 * roster.policy.Term)) {
 			stale = append(stale, entry.row)
 		}
 	}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -106,7 +106,8 @@
 	if table.Policy.Jitter <= 0 {
 		return 0
 	}
-	return time.Duration(Mix(seed) % uint64(table.Policy.Jitter))
+	jitter := time.Duration(Mix(seed) % uint64(table.Policy.Jitter))
+	return jitter
 }
 
 // Load estimates the streams at a replica now.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -91,7 +91,8 @@
 
 // FirstTime gives the smoothed time to the first token and how many samples it rests on.
 func (cell *Cell) FirstTime() (time.Duration, int64) {
-	return time.Duration(cell.firstTime.Load()), cell.answers.Load()
+	smoothed := time.Duration(cell.firstTime.Load())
+	return smoothed, cell.answers.Load()
 }
 
 // Pressure gives the streams at whole replicas over what they batch, and how
--- a/io/admin/apply.go
+++ b/io/admin/apply.go
@@ -70,9 +70,15 @@
 	if err != nil {
 		return Applied{}, false, err
 	}
-	return service.commit(ctx, txn, plan, head.Version+1)
+	if deaf := service.node.Warn(ctx, txn.Write, entryVersion(head), false); len(deaf) > 0 {
+		service.node.Warn(ctx, txn.Write, entryVersion(head), true)
+		return Applied{Head: head.Version, Deaf: deaf}, false, nil
+	}
+	return service.commit(ctx, txn, plan, entryVersion(head))
 }
 
+func entryVersion(head rows.Row) int64 { return head.Version + 1 }
+
 // keep checks the text that would be in force as a whole and stores it.
 func (service *Service) keep(ctx context.Context, plan config.Plan) (string, error) {
 	merged, err := intent.Join(plan.Sections)
@@ -96,6 +102,7 @@
 		applied.Told, applied.Untold = service.node.Spread(ctx, written(txn))
 		return applied, false, nil
 	case rows.Refused:
+		service.node.Warn(ctx, txn.Write, head, true)
 		return Applied{}, true, nil
 	default:
 		return Applied{Head: head, Unknown: true}, false, nil
--- a/io/admin/report.go
+++ b/io/admin/report.go
@@ -61,7 +61,8 @@
 }
 
 // Applied is what became of a change: accepted as a head version, without
-// effect because of conflicts, or of unknown outcome.
+// effect because of conflicts or of deaf nodes, which are alive by their rows
+// and could not be told of the change first, or of unknown outcome.
 type Applied struct {
 	Head      int64      `json:"head"`
 	Unchanged bool       `json:"unchanged"`
@@ -70,6 +71,7 @@
 	Conflicts []Conflict `json:"conflicts"`
 	Told      []string   `json:"told"`
 	Untold    []string   `json:"untold"`
+	Deaf      []string   `json:"deaf"`
 }
 
 // Shown is the configuration in the store.
--- a/io/admin/service.go
+++ b/io/admin/service.go
@@ -39,6 +39,7 @@
 type Node interface {
 	Report() *Report
 	Spread(ctx context.Context, changed []rows.Row) (told, untold []string)
+	Warn(ctx context.Context, id string, version int64, abort bool) (deaf []string)
 	Explain(request string) Explained
 }
 
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -74,7 +74,7 @@
 	switch typed := verdict.(type) {
 	case quota.Shed:
 		server.meter.Count("shed_"+string(typed.Reason), visit.team.Name)
-		return nil, shedding(typed)
+		return nil, shedding(typed, visit.came)
 	case quota.Admitted:
 		return typed.Place, nil
 	default:
@@ -82,14 +82,15 @@
 	}
 }
 
-func shedding(shed quota.Shed) *problem {
+func shedding(shed quota.Shed, came time.Time) *problem {
+	wait := shed.RetryAt.Sub(came)
 	switch shed.Reason {
 	case quota.ReasonLoad:
-		return notRun("overloaded", "The service is full; work of lower priority waits.", shed.RetryAfter)
+		return notRun("overloaded", "The service is full; work of lower priority waits.", wait)
 	case quota.ReasonFairness:
-		return notRun("overloaded", "The service is full and the team uses more than its even part.", shed.RetryAfter)
+		return notRun("overloaded", "The service is full and the team uses more than its even part.", wait)
 	default:
-		return limited("limit_"+string(shed.Reason), "The team is over its "+string(shed.Reason)+" limit.", shed.RetryAfter)
+		return limited("limit_"+string(shed.Reason), "The team is over its "+string(shed.Reason)+" limit.", wait)
 	}
 }
 
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -63,6 +63,33 @@
 	return told, untold
 }
 
+// Warn tells every node of a change before it is tried, and names the nodes
+// that are alive by their rows and did not answer.
+func (bridge *bridge) Warn(ctx context.Context, id string, version int64, abort bool) []string {
+	warning := peers.Warning{ID: id, Version: version, Abort: abort}
+	known := bridge.control.mind.Load()
+	var deaf []string
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	if err := (local{control: bridge.control}).Warn(ctx, warning); err != nil {
+		deaf = append(deaf, bridge.control.self.Name)
+	}
+	for _, node := range known.nodes {
+		calls.Go(func() {
+			if bridge.peers.Warn(ctx, node.Control, warning) != nil {
+				mutex.Lock()
+				defer mutex.Unlock()
+				deaf = append(deaf, node.Name)
+			}
+		})
+	}
+	for _, node := range known.silent {
+		calls.Go(func() { _ = bridge.peers.Warn(ctx, node.Control, warning) })
+	}
+	calls.Wait()
+	return deaf
+}
+
 // Explain tells why a request went where it did.
 func (bridge *bridge) Explain(request string) admin.Explained {
 	visit, found := bridge.front.Explainer().Of(request)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -82,6 +82,7 @@
 	publishAt  time.Time
 	reportAt   time.Time
 	ejections  map[string][]route.Ejection
+	voiding    bool
 	gone       bool
 }
 
@@ -109,7 +110,7 @@
 	control := &Control{
 		settings: settings, outside: outside, log: log, meter: meter, start: time.Now(),
 		inbox: make(chan message, inboxSize), self: self,
-		roster:    roster.NewRoster(settings.Config.NodeTerm),
+		roster:    roster.NewRoster(roster.Policy{Term: settings.Config.NodeTerm}),
 		held:      config.NewHeld(settings.Config.ConfirmTerm),
 		polls:     map[string]*poll{},
 		listed:    map[string]hosts.Host{},
@@ -215,6 +216,10 @@
 		control.takeMove(typed, now)
 	case ordered:
 		control.takeOrder(typed, now)
+	case voided:
+		control.voiding = false
+	case warned:
+		control.takeWarning(typed, now)
 	case pushed:
 		control.takePushed(typed, now)
 	case leaving:
@@ -226,6 +231,7 @@
 // leases, place, order, publish.
 func (control *Control) tick(now time.Time) {
 	control.pollAll(now)
+	control.voidLongDoubt(now)
 	control.beat(now)
 	control.probeAll(now)
 	control.holdLeases(now)
--- a/io/node/message.go
+++ b/io/node/message.go
@@ -9,6 +9,7 @@
 	"hickorybend/core/rows"
 	"hickorybend/core/watch"
 	"hickorybend/io/hosts"
+	"hickorybend/io/peers"
 )
 
 // message is what reaches the control goroutine; nothing else changes its state.
@@ -78,6 +79,12 @@
 	err  error
 }
 
+// warned is a change that is about to be tried, or is off.
+type warned struct {
+	warning peers.Warning
+	done    chan struct{}
+}
+
 // pushed are rows that another node or this node's operators' service sent.
 type pushed struct {
 	rows []rows.Row
@@ -99,5 +106,6 @@
 func (beaten) message()    {}
 func (moved) message()     {}
 func (ordered) message()   {}
+func (warned) message()    {}
 func (pushed) message()    {}
 func (leaving) message()   {}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -232,7 +232,7 @@
 // Tell says what this node knows of the configuration.
 func (local local) Tell(head int64) peers.Mind {
 	known := local.control.mind.Load()
-	mind := peers.Mind{Zone: known.zone, SeesStore: known.seesStore, Head: known.head, ConfirmedAgo: time.Since(known.confirmed)}
+	mind := peers.Mind{Zone: known.zone, SeesStore: known.seesStore, InDoubt: known.inDoubt, Head: known.head, ConfirmedAgo: time.Since(known.confirmed)}
 	if known.head > head {
 		mind.Config = known.sections
 	}
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -174,6 +174,7 @@
 	poll := control.pollOf(read.part)
 	poll.running = false
 	if read.err != nil {
+		control.roster.Restart(now)
 		return
 	}
 	poll.read, poll.from = true, read.from
--- a/io/node/publish.go
+++ b/io/node/publish.go
@@ -26,7 +26,9 @@
 	head      int64
 	confirmed time.Time
 	sections  []rows.Row
+	inDoubt   bool
 	nodes     []roster.Node
+	silent    []roster.Node
 }
 
 // publish makes the view for traffic, the report for operators and the
@@ -78,6 +80,7 @@
 	control.mind.Store(&knowledge{
 		zone: control.self.Zone, seesStore: !control.storeDown && control.held.Sure(now),
 		head: control.held.Head(), confirmed: control.held.Confirmed(), sections: control.sections, nodes: others,
+		inDoubt: control.held.InDoubt(), silent: control.roster.Silent(now),
 	})
 }
 
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -16,6 +16,7 @@
 const (
 	procedurePush = "/hickorybend.peers/push"
 	procedureAsk  = "/hickorybend.peers/ask"
+	procedureWarn = "/hickorybend.peers/warn"
 	callLimit     = time.Second
 )
 
@@ -27,6 +28,7 @@
 type Mind struct {
 	Zone         string
 	SeesStore    bool
+	InDoubt      bool
 	Head         int64
 	ConfirmedAgo time.Duration
 	Config       []rows.Row
@@ -36,6 +38,15 @@
 type Local interface {
 	Learn(pushed []rows.Row)
 	Tell(head int64) Mind
+	Warn(ctx context.Context, warning Warning) error
+}
+
+// Warning tells a node of a change before it is tried, or that it was not
+// accepted and never will be.
+type Warning struct {
+	ID      string
+	Version int64
+	Abort   bool
 }
 
 type wireRow struct {
@@ -62,8 +73,17 @@
 	Head      int64     `cbor:"3,keyasint"`
 	AgoNanos  int64     `cbor:"4,keyasint"`
 	Config    []wireRow `cbor:"5,keyasint,omitempty"`
+	InDoubt   bool      `cbor:"6,keyasint,omitempty"`
+}
+
+type warnCall struct {
+	ID      string `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+	Abort   bool   `cbor:"3,keyasint,omitempty"`
 }
 
+type warnReply struct{}
+
 // Handler answers other nodes.
 func Handler(local Local, peerKey string) (string, http.Handler) {
 	options := wire.HandlerOptions([]wire.Key{{Name: "peer", SHA256: wire.Hash(peerKey)}})
@@ -75,10 +95,17 @@
 	routes.Handle(procedureAsk, connect.NewUnaryHandler(procedureAsk, func(_ context.Context, request *connect.Request[askCall]) (*connect.Response[askReply], error) {
 		mind := local.Tell(request.Msg.Head)
 		return connect.NewResponse(&askReply{
-			Zone: mind.Zone, SeesStore: mind.SeesStore, Head: mind.Head,
+			Zone: mind.Zone, SeesStore: mind.SeesStore, InDoubt: mind.InDoubt, Head: mind.Head,
 			AgoNanos: int64(mind.ConfirmedAgo), Config: encodeRows(mind.Config),
 		}), nil
 	}, options...))
+	routes.Handle(procedureWarn, connect.NewUnaryHandler(procedureWarn, func(ctx context.Context, request *connect.Request[warnCall]) (*connect.Response[warnReply], error) {
+		warning := Warning{ID: request.Msg.ID, Version: request.Msg.Version, Abort: request.Msg.Abort}
+		if err := local.Warn(ctx, warning); err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		return connect.NewResponse(&warnReply{}), nil
+	}, options...))
 	return "/hickorybend.peers/", routes
 }
 
@@ -106,6 +133,18 @@
 	return nil
 }
 
+// Warn tells a node of a change before it is tried, or that it is off.
+func (client *Client) Warn(ctx context.Context, address string, warning Warning) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	caller := connect.NewClient[warnCall, warnReply](client.http, client.scheme+address+procedureWarn, wire.ClientOptions(client.key)...)
+	call := &warnCall{ID: warning.ID, Version: warning.Version, Abort: warning.Abort}
+	if _, err := caller.CallUnary(ctx, connect.NewRequest(call)); err != nil {
+		return errors.Mark(errors.Wrap(err, "peers: warning"), ErrPeer)
+	}
+	return nil
+}
+
 // Answer is what another node knows, with its confirmation on this node's
 // clock: counted from before the question left, it is never too late.
 type Answer struct {
@@ -126,7 +165,7 @@
 	mind := reply.Msg
 	return Answer{
 		Witness: config.Witness{
-			Zone: mind.Zone, SeesStore: mind.SeesStore, Head: mind.Head,
+			Zone: mind.Zone, SeesStore: mind.SeesStore, InDoubt: mind.InDoubt, Head: mind.Head, HeardAt: before,
 			ConfirmedAt: before.Add(-time.Duration(mind.AgoNanos)),
 		},
 		Config: decodeRows(mind.Config),
