--- a/core/group/group.go
+++ b/core/group/group.go
@@ -207,6 +207,12 @@
 	return rows.Check{Key: authority.Key, Base: authority.Fence}
 }
 
+// Row gives the replica's row as it was read.
+func (replica Replica) Row() rows.Row {
+	key := rows.Key{Part: PartReplicas(replica.Service), Sort: replica.ID}
+	return rows.Row{Key: key, Version: replica.Revision, Writes: replica.Writes, Body: encode(replica)}
+}
+
 // ReadReplica decodes a replica's row.
 func ReadReplica(row rows.Row) (Replica, error) {
 	var replica Replica
--- a/core/quota/gate.go
+++ b/core/quota/gate.go
@@ -147,25 +147,33 @@
 }
 
 func (gate *Gate) account(ask Ask) *account {
+	share := 1 / float64(max(ask.Nodes, 1))
+	requests, tokens := ask.Team.RequestsPerSecond*share, ask.Team.TokensPerSecond*share
 	found, known := gate.teams[ask.Team.Name]
 	if !known {
-		found = &account{requests: rate.NewLimiter(0, 1), tokens: rate.NewLimiter(0, 1)}
+		found = &account{requests: limiterOf(requests), tokens: limiterOf(tokens)}
 		gate.teams[ask.Team.Name] = found
 	}
-	share := 1 / float64(max(ask.Nodes, 1))
 	found.concurrent = max(int(float64(ask.Team.Concurrent)*share), 1)
-	adjust(found.requests, ask.Team.RequestsPerSecond*share, ask.Now)
-	adjust(found.tokens, ask.Team.TokensPerSecond*share, ask.Now)
+	adjust(found.requests, requests, ask.Now)
+	adjust(found.tokens, tokens, ask.Now)
 	return found
 }
 
-// adjust gives a limiter its share; the burst is one second's worth.
+// limiterOf makes a limiter that is full at first.
+func limiterOf(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), burstOf(perSecond))
+}
+
+// burstOf is one second's worth.
+func burstOf(perSecond float64) int { return max(int(perSecond), 1) }
+
 func adjust(limiter *rate.Limiter, perSecond float64, now time.Time) {
 	if limiter.Limit() == rate.Limit(perSecond) {
 		return
 	}
 	limiter.SetLimitAt(now, rate.Limit(perSecond))
-	limiter.SetBurstAt(now, max(int(perSecond), 1))
+	limiter.SetBurstAt(now, burstOf(perSecond))
 }
 
 // tokensAt gives the moment at which a limiter will have so many tokens.
--- a/io/fakes/platform.go
+++ b/io/fakes/platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	Speed         Speed
 	LoadSpacing   time.Duration
 	ListLag       time.Duration
+	Nodes         []HostSpec
 }
 
 // Platform is one process's stand-ins: the platform's services on one address
@@ -134,7 +136,7 @@
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
 	groups := make([]target, 0, len(platform.layout.Hosts))
-	for _, spec := range platform.layout.Hosts {
+	for _, spec := range slices.Concat(platform.layout.Nodes, platform.layout.Hosts) {
 		if platform.past(platform.returned, spec.Host) {
 			continue
 		}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -156,6 +156,9 @@
 }
 
 func (server *Server) prepare(visit *visit) *problem {
+	if !visit.view.Serving {
+		return notRun("node_not_serving", "This node takes no new work now.", time.Second)
+	}
 	key, bearer := strings.CutPrefix(visit.r.Header.Get("Authorization"), "Bearer ")
 	if !bearer || key == "" {
 		return unauthorized("missing_api_key", "The request needs a team's key, as Authorization: Bearer KEY.")
@@ -172,9 +175,6 @@
 	if found != nil {
 		return found
 	}
-	if !visit.view.Serving {
-		return notRun("node_not_serving", "This node takes no new work now.", time.Second)
-	}
 	return nil
 }
 
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -83,6 +83,7 @@
 	reportAt   time.Time
 	ejections  map[string][]route.Ejection
 	voiding    bool
+	encoded    []rows.Row
 	gone       bool
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -236,5 +237,8 @@
 	if known.head > head {
 		mind.Config = known.sections
 	}
+	if head == 0 {
+		mind.Config = append(slices.Clone(mind.Config), known.replicas...)
+	}
 	return mind
 }
--- a/io/node/placer.go
+++ b/io/node/placer.go
@@ -42,6 +42,7 @@
 
 func (control *Control) takeReplicas(service string, all []rows.Row) {
 	before := control.replicas[service]
+	control.encoded = nil
 	control.replicas[service] = map[string]group.Replica{}
 	for _, row := range all {
 		if known, was := before[row.Key.Sort]; was && known.Revision > row.Version {
@@ -65,6 +66,7 @@
 		control.replicas[replica.Service] = service
 	}
 	if replica.Revision >= service[replica.ID].Revision {
+		control.encoded = nil
 		service[replica.ID] = replica
 	}
 }
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -216,6 +216,11 @@
 func (control *Control) takeMinds(minds minds) {
 	control.pollOf(pollMinds).running = false
 	control.adopt(minds.rows)
+	for _, row := range minds.rows {
+		if strings.HasPrefix(row.Key.Part, group.PartReplicas("")) {
+			control.takeReplica(row)
+		}
+	}
 	for _, witness := range minds.witnesses {
 		if witness.Head > 0 {
 			control.held.Confirm(witness.Head, witness.ConfirmedAt)
@@ -239,6 +244,7 @@
 		}
 	}
 	control.adopt(sections)
+	control.publishAt = time.Time{}
 	control.publish(now)
 }
 
--- a/io/node/probe.go
+++ b/io/node/probe.go
@@ -19,6 +19,9 @@
 func (control *Control) probeAll(now time.Time) {
 	every := control.settings.Watch.ProbeEvery
 	for name, host := range control.listed {
+		if host.Service == nodeService {
+			continue
+		}
 		state, known := control.probes[name]
 		if !known {
 			state = &probe{dueAt: now.Add(rand.N(every))}
--- a/io/node/publish.go
+++ b/io/node/publish.go
@@ -26,6 +26,7 @@
 	head      int64
 	confirmed time.Time
 	sections  []rows.Row
+	replicas  []rows.Row
 	inDoubt   bool
 	nodes     []roster.Node
 	silent    []roster.Node
@@ -34,16 +35,16 @@
 // publish makes the view for traffic, the report for operators and the
 // knowledge for other nodes.
 func (control *Control) publish(now time.Time) {
+	if now.Before(control.publishAt) {
+		return
+	}
+	control.publishAt = now.Add(publishEvery)
 	nodes := control.roster.Nodes(now)
 	control.publishMind(nodes, now)
 	if control.text == nil {
 		return
 	}
 	control.judgeServing(now)
-	if now.Before(control.publishAt) {
-		return
-	}
-	control.publishAt = now.Add(publishEvery)
 	next := &view.View{Serving: control.serving, Nodes: len(nodes), Teams: control.text.Teams}
 	for _, node := range nodes {
 		next.Alive = append(next.Alive, node.Incarnation)
@@ -77,18 +78,57 @@
 			others = append(others, node)
 		}
 	}
+	others = append(others, control.listedNodes(others)...)
 	control.mind.Store(&knowledge{
 		zone: control.self.Zone, seesStore: !control.storeDown && control.held.Sure(now),
 		head: control.held.Head(), confirmed: control.held.Confirmed(), sections: control.sections, nodes: others,
-		inDoubt: control.held.InDoubt(), silent: control.roster.Silent(now),
+		replicas: control.replicaRows(), inDoubt: control.held.InDoubt(), silent: control.roster.Silent(now),
 	})
 }
 
+// listedNodes gives the nodes on the platform's list that the roster does not
+// have: a node that starts while the store is down finds the others there.
+func (control *Control) listedNodes(known []roster.Node) []roster.Node {
+	if control.pollOf(roster.Part).read {
+		return nil
+	}
+	var listed []roster.Node
+	for name, host := range control.listed {
+		same := func(node roster.Node) bool { return node.Name == name }
+		if host.Service == nodeService && name != control.self.Name && !slices.ContainsFunc(known, same) {
+			listed = append(listed, roster.Node{Name: name, Zone: host.Zone, Control: host.Address})
+		}
+	}
+	return listed
+}
+
+// nodeService is the service under which the platform lists this system's own
+// nodes, with their control addresses.
+const nodeService = "hickorybend"
+
+// replicaRows gives every replica's row, encoded anew only after a change.
+func (control *Control) replicaRows() []rows.Row {
+	if control.encoded != nil {
+		return control.encoded
+	}
+	all := []rows.Row{}
+	for _, service := range control.replicas {
+		for _, replica := range service {
+			all = append(all, replica.Row())
+		}
+	}
+	control.encoded = all
+	return all
+}
+
 func (control *Control) judgeServing(now time.Time) {
 	var zones []string
 	for _, node := range control.roster.Nodes(now) {
 		zones = append(zones, node.Zone)
 	}
+	for _, node := range control.listedNodes(nil) {
+		zones = append(zones, node.Zone)
+	}
 	serving := control.held.MayServe(now, control.self.Zone, zones, control.witnesses)
 	if serving == control.serving {
 		return
