At most once and the callers' surface, proved; "not run" said only when true

Cause: the promises to callers stood untested.

Found and mended: - a duplicate that came while the store was down was told "not run" though its first attempt had run. A request with an idempotency key is now told "not run" only on the word of the key's record, else "unknown" with what to do; - a caller that never finished its body got its 408 only when it hung up, because net/http first reads the rest; the connection is now closed; - a wrong method on a known path was 404; it is 405; - a paused stand-in never noticed that its caller had gone. Ruled out: saying "not run, this attempt" in two header values; callers act on one word, and a fitter who reads "not run" books again.

--- /dev/null
+++ b/core/jsonc/jsonc_test.go
@@ -0,0 +1,70 @@
+package jsonc_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"hickorybend/core/jsonc"
+)
+
+type inner struct {
+	Count int           `json:"count"`
+	Wait  time.Duration `json:"wait"`
+}
+
+type outer struct {
+	Name  string  `json:"name"`
+	On    bool    `json:"on"`
+	Share float64 `json:"share"`
+	Inner inner   `json:"inner"`
+	List  []inner `json:"list"`
+	Maybe *inner  `json:"maybe"`
+}
+
+func TestDecodeAndEncodeAgree(t *testing.T) {
+	src := []byte("{ // comment\n \"name\": \"n\", \"on\": true, \"share\": 0.5,\n \"inner\": {\"count\": 3, \"wait\": \"2s\"},\n \"list\": [{\"count\": 1}, {\"wait\": \"1ms\"}],\n}")
+	var first, second outer
+	assert.NilError(t, jsonc.Decode("f", src, &first).Err())
+	assert.DeepEqual(t, first.Inner, inner{Count: 3, Wait: 2 * time.Second})
+	assert.NilError(t, jsonc.Decode("f", jsonc.Indent(first), &second).Err())
+	assert.DeepEqual(t, first, second)
+}
+
+func TestFaultsNameTheirPlace(t *testing.T) {
+	expectFaults := func(name, src string, want ...string) {
+		t.Helper()
+		var target outer
+		var faults jsonc.Faults
+		assert.Assert(t, errors.As(jsonc.Decode("f", []byte(src), &target).Err(), &faults), name)
+		var got []string
+		for _, fault := range faults {
+			got = append(got, fault.String())
+		}
+		assert.DeepEqual(t, got, want)
+	}
+	expectFaults("all at once", "{\n  \"name\": 7,\n  \"inner\": {\"wait\": \"soon\", \"nmae\": 1},\n  \"list\": {}\n}",
+		`f:2:11: name: expected a string, found 7`,
+		`f:3:21: inner.wait: expected a duration such as "2s", found "soon"`,
+		`f:3:29: inner.nmae: expected one of count, wait, found "nmae"`,
+		`f:4:11: list: expected an array, found an object`)
+	expectFaults("a key twice", "{\"on\": true,\n\"on\": false}", `f:2:1: on: expected each key once, found it again`)
+	expectFaults("a fraction for a count", `{"inner": {"count": 1.5}}`, `f:1:21: inner.count: expected a whole number, found 1.5`)
+	expectFaults("broken", "{\n\"name\": }", `f:2:9: text: expected JSON with comments, found invalid character '}' at start of value`)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name": "n", "list": [{}], "maybe": null}`))
+	f.Add([]byte("{/**/\"inner\":{\"count\":1e400}}"))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		var first, second outer
+		if jsonc.Decode("f", src, &first).Err() != nil {
+			return
+		}
+		if err := jsonc.Decode("f", jsonc.Encode(first), &second).Err(); err != nil {
+			t.Fatalf("own output is refused: %v", err)
+		}
+	})
+}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -168,6 +168,9 @@
 		{"limits.stall-limit", settings.Limits.Stall, 0, "0s"},
 		{"limits.first-token-limit", settings.Limits.FirstToken, 0, "0s"},
 		{"limits.call-limit", settings.Limits.CallLimit, 0, "0s"},
+		{"limits.claim-limit", settings.Limits.ClaimLimit, 0, "0s"},
+		{"limits.record-limit", settings.Limits.RecordLimit, 0, "0s"},
+		{"limits.record-pause", settings.Limits.RecordPause, 0, "0s"},
 		{"limits.read-limit", settings.Limits.ReadLimit, 0, "0s"},
 		{"limits.write-limit", settings.Limits.WriteLimit, 0, "0s"},
 	} {
--- a/io/fakes/engine.go
+++ b/io/fakes/engine.go
@@ -138,8 +138,8 @@
 	if fault.Dead {
 		panic(http.ErrAbortHandler)
 	}
-	if fault.Paused && r.URL.Path != "/order" {
-		<-r.Context().Done()
+	if fault.Paused {
+		hang(r)
 		return
 	}
 	switch r.URL.Path {
@@ -156,6 +156,12 @@
 	}
 }
 
+// hang waits until the caller has gone, which shows only once its body is read.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 type failure struct {
 	Error string `json:"error"`
 }
@@ -273,3 +279,19 @@
 		priority: priority, tokens: make(chan int, tokenBuffer), gone: r.Context().Done(),
 	}
 }
+
+// Served counts the requests that the engine began.
+func (engine *Engine) Served() int64 {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.served
+}
+
+// Busy counts the streams that the engine has now.
+func (engine *Engine) Busy() int {
+	engine.mutex.Lock()
+	batch := engine.batch
+	engine.mutex.Unlock()
+	running, waiting := batch.load()
+	return running + waiting
+}
--- a/io/fakes/plain.go
+++ b/io/fakes/plain.go
@@ -97,7 +97,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if fault.Paused {
-		<-r.Context().Done()
+		hang(r)
 		return
 	}
 	if r.URL.Path == "/status" {
--- a/io/front/limits.go
+++ b/io/front/limits.go
@@ -10,6 +10,9 @@
 	FirstToken  time.Duration `json:"first-token-limit"`
 	Stall       time.Duration `json:"stall-limit"`
 	CallLimit   time.Duration `json:"call-limit"`
+	ClaimLimit  time.Duration `json:"claim-limit"`
+	RecordLimit time.Duration `json:"record-limit"`
+	RecordPause time.Duration `json:"record-pause"`
 	MaxAttempts int           `json:"max-attempts"`
 }
 
@@ -18,6 +21,7 @@
 	return Limits{
 		BodyBytes: 4 << 20, ReadLimit: 10 * time.Second, WriteLimit: 20 * time.Second,
 		FirstToken: 15 * time.Second, Stall: 3 * time.Second, CallLimit: 30 * time.Second,
+		ClaimLimit: 1500 * time.Millisecond, RecordLimit: time.Second, RecordPause: 500 * time.Millisecond,
 		MaxAttempts: 4,
 	}
 }
--- a/io/front/once.go
+++ b/io/front/once.go
@@ -19,10 +19,8 @@
 )
 
 const (
-	claimTries  = 4
-	claimLimit  = 5 * time.Second
-	recordLimit = 3 * time.Second
-	askAgain    = 2 * time.Second
+	claimTries = 4
+	askAgain   = 2 * time.Second
 )
 
 // once serves a call that may run at most once, through whichever node: its
@@ -37,7 +35,7 @@
 		Team: trip.visit.team.Name, Service: trip.service.Service.Name, Key: key,
 		Payload: once.PayloadHash(trip.call.Method, trip.call.Target, trip.call.Body),
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(trip.visit.r.Context()), trip.server.limits.CallLimit+claimLimit)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(trip.visit.r.Context()), trip.server.limits.CallLimit+trip.server.limits.ClaimLimit)
 	defer cancel()
 	claim, found := trip.claim(ctx, call)
 	if found != nil || claim.Write == "" {
@@ -73,7 +71,7 @@
 }
 
 func (trip *trip) commitClaim(ctx context.Context, claim rows.Txn) (bool, *problem) {
-	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	ctx, cancel := context.WithTimeout(ctx, trip.server.limits.ClaimLimit)
 	defer cancel()
 	switch table.Settled(ctx, trip.server.store, claim).(type) {
 	case rows.Done:
@@ -86,10 +84,10 @@
 	}
 }
 
-// storeDown is said before anything was sent, so "not run" is true; the claim
-// that may yet land is taken back when the store answers.
+// storeDown is said before anything was sent; the claim that may yet land is
+// taken back when the store answers.
 func (trip *trip) storeDown() *problem {
-	return notRun("record_unavailable", "The record of calls does not answer, so the call was not run.", askAgain)
+	return notRun("record_unavailable", "The record of calls does not answer.", askAgain)
 }
 
 func (trip *trip) busy() *problem {
@@ -108,7 +106,7 @@
 		return trip.busy()
 	case once.Mismatch:
 		found := badRequest("idempotency_key_reused", headerKey, "This key was used for another request.")
-		found.status = http.StatusUnprocessableEntity
+		found.status, found.proven = http.StatusUnprocessableEntity, true
 		return found
 	case once.Doubt:
 		return inDoubt("The call with this key may have run; ask its service by the key, and do not send it under another.", askAgain)
@@ -130,7 +128,9 @@
 		return nil
 	case errors.Is(err, engine.ErrUnreached):
 		trip.server.later.close(ctx, ending{claim: claim, state: once.StateNotRun})
-		return notRun("endpoint_unreached", "No endpoint of the service could be reached.", time.Second)
+		found := notRun("endpoint_unreached", "No endpoint of the service could be reached.", time.Second)
+		found.proven = true
+		return found
 	default:
 		event.Log(trip.server.log, event.CallInDoubt, zap.String("request", trip.visit.id), zap.Error(err))
 		trip.server.later.close(ctx, ending{claim: claim, state: once.StateInDoubt})
--- a/io/front/problem.go
+++ b/io/front/problem.go
@@ -28,9 +28,21 @@
 	message    string
 	param      string
 	outcome    Outcome
+	proven     bool
 	retryAfter time.Duration
 }
 
+// honest takes back "not run" where it holds for this attempt only: an earlier
+// one under the same idempotency key, through any node, may have run. Only the
+// key's record can tell, and a problem that rests on it is proven.
+func (problem *problem) honest(key string) {
+	if key == "" || problem.proven || problem.outcome != OutcomeNotRun {
+		return
+	}
+	problem.outcome = OutcomeUnknown
+	problem.message += " This attempt was not run; whether an earlier one with this key ran is not known: ask again with the same key."
+}
+
 type errorBody struct {
 	Error errorFields `json:"error"`
 }
--- a/io/front/record.go
+++ b/io/front/record.go
@@ -16,18 +16,17 @@
 
 // recorder writes how calls ended, and goes on trying while the store is down.
 type recorder struct {
-	store rows.Store
-	log   *zap.Logger
-	open  atomic.Int64
+	store  rows.Store
+	log    *zap.Logger
+	limits Limits
+	open   atomic.Int64
 }
 
-const (
-	recordPause = 500 * time.Millisecond
-	recordMost  = 24 * time.Hour
-)
+// recordMost is how long a record that the store does not take is kept trying.
+const recordMost = 24 * time.Hour
 
-func newRecorder(store rows.Store, log *zap.Logger) *recorder {
-	return &recorder{store: store, log: log}
+func newRecorder(store rows.Store, limits Limits, log *zap.Logger) *recorder {
+	return &recorder{store: store, limits: limits, log: log}
 }
 
 func (recorder *recorder) waiting() int { return int(recorder.open.Load()) }
@@ -42,7 +41,7 @@
 // close records the end of a claimed call; the caller's answer does not wait
 // for a store that is down.
 func (recorder *recorder) close(ctx context.Context, ending ending) {
-	ctx, cancel := context.WithTimeout(ctx, recordLimit)
+	ctx, cancel := context.WithTimeout(ctx, recorder.limits.RecordLimit)
 	defer cancel()
 	if recorder.try(ctx, once.Claimed(ending.claim), ending) {
 		return
@@ -71,7 +70,7 @@
 			recorder.open.Add(-1)
 			return
 		}
-		time.Sleep(recordPause)
+		time.Sleep(recorder.limits.RecordPause)
 	}
 	recorder.open.Add(-1)
 }
@@ -83,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), recordMost)
 	defer cancel()
 	for ctx.Err() == nil {
-		time.Sleep(recordPause)
+		time.Sleep(recorder.limits.RecordPause)
 		row, err := recorder.store.Get(ctx, ending.claim.Steps[0].(rows.Put).Key)
 		if err == nil && recorder.try(ctx, row, ending) {
 			return
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -74,7 +74,7 @@
 	for _, option := range options {
 		option(server)
 	}
-	server.later = newRecorder(store, server.log)
+	server.later = newRecorder(store, server.limits, server.log)
 	return server
 }
 
@@ -98,15 +98,19 @@
 	router.Handle("/v1/models/{model}", server.known(server.model)).Methods(http.MethodGet)
 	router.Handle(string(surfaceChat), server.known(server.generate(surfaceChat))).Methods(http.MethodPost)
 	router.Handle(string(surfaceText), server.known(server.generate(surfaceText))).Methods(http.MethodPost)
+	for _, path := range []string{string(surfaceChat), string(surfaceText), "/v1/models"} {
+		router.HandleFunc(path, wrongMethod)
+	}
 	router.PathPrefix("/").Handler(server.known(server.plain))
-	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		found := badRequest("method_not_allowed", "", r.Method+" is not served at "+r.URL.Path+".")
-		found.status = http.StatusMethodNotAllowed
-		found.write(w)
-	})
 	return server.counted(router)
 }
 
+func wrongMethod(w http.ResponseWriter, r *http.Request) {
+	found := badRequest("method_not_allowed", "", r.Method+" is not served at "+r.URL.Path+".")
+	found.status = http.StatusMethodNotAllowed
+	found.write(w)
+}
+
 func (server *Server) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		server.open.Add(1)
@@ -150,6 +154,7 @@
 		if found == nil {
 			return
 		}
+		found.honest(r.Header.Get(headerKey))
 		server.meter.Count("answers_"+found.code, visit.team.Name)
 		found.write(w)
 	})
@@ -239,19 +244,21 @@
 	controller := http.NewResponseController(visit.w)
 	_ = controller.SetReadDeadline(visit.came.Add(server.limits.ReadLimit))
 	body, err := io.ReadAll(http.MaxBytesReader(visit.w, visit.r.Body, server.limits.BodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	// Without this the answer would wait for the rest of the body.
+	visit.w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		found := badRequest("body_too_large", "", "The body is over "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes.")
 		found.status = http.StatusRequestEntityTooLarge
 		return nil, found
 	}
-	if err != nil {
-		found := badRequest("body_incomplete", "", "The body did not arrive whole in time.")
-		found.status = http.StatusRequestTimeout
-		return nil, found
-	}
-	return body, nil
+	found := badRequest("body_incomplete", "", "The body did not arrive whole in time.")
+	found.status = http.StatusRequestTimeout
+	return nil, found
 }
 
 type modelList struct {
