Placement: a serving reserve, demand remembered in the store, no early hand-back

Cause: measured against a first-fit twin with four fixed spares, on the same month of events (failures, a dark fabric domain, replacement in turn, demand that shrinks with a daily tide): idle spares for each domain cost much and saved little, and most downtime came from hosts given back in a dip or before there was any memory of demand.

Ruled out: spares in each domain for Muscat; six of them strand more than the twin's four.

--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -11,6 +11,7 @@
 // on nothing but its input.
 func Decide(input Input) []Move {
 	planner := newPlanner(input)
+	planner.target = min(input.Wanted+planner.reserved, input.Service.MaxReplicas)
 	planner.serve()
 	planner.mend()
 	planner.finishDrains()
@@ -23,19 +24,23 @@
 
 // planner gathers moves; what one move uses is out of reach of the next.
 type planner struct {
-	input   Input
-	free    map[string][]Host
-	working int
-	loading int
-	moves   []Move
-	touched map[string]bool
+	input    Input
+	free     map[string][]Host
+	working  int
+	loading  int
+	reserved int
+	target   int
+	moves    []Move
+	touched  map[string]bool
 }
 
 func newPlanner(input Input) *planner {
-	return &planner{
+	planner := &planner{
 		input: input, free: input.free(), working: input.working(), loading: input.loading(),
-		touched: map[string]bool{},
+		touched: map[string]bool{}, target: input.Wanted,
 	}
+	planner.reserved = planner.reserve()
+	return planner
 }
 
 func (planner *planner) add(replica group.Replica, move Move) {
@@ -69,7 +74,7 @@
 		planner.release(replica, "it lost a host while it drained")
 		return
 	}
-	if planner.working > planner.input.Wanted {
+	if planner.input.MayShrink && planner.working > planner.target {
 		planner.release(replica, "it lost a host and is not needed")
 		return
 	}
@@ -147,7 +152,7 @@
 }
 
 func (planner *planner) grow() {
-	for planner.working < planner.input.Wanted && planner.loading < planner.input.Policy.LoadsAtOnce {
+	for planner.working < planner.target && planner.loading < planner.input.Policy.LoadsAtOnce {
 		hosts, found := planner.bestDomain()
 		if !found {
 			return
@@ -204,7 +209,7 @@
 	if planner.input.Service.SpreadZones {
 		rank.zoneReplicas = planner.inZone(hosts[0].Zone)
 	}
-	if len(hosts) == size && planner.spares(hosts[0].Domain, 1) > 0 {
+	if len(hosts) == size && planner.spares(1) > 0 {
 		rank.noSpare = 1
 	}
 	return rank
@@ -231,7 +236,7 @@
 // carry the load.
 func (planner *planner) upgrade() {
 	service := planner.input.Service
-	if planner.loading > 0 || planner.draining() > 0 || planner.working < planner.input.Wanted {
+	if planner.loading > 0 || planner.draining() > 0 || planner.working < planner.target {
 		return
 	}
 	for _, replica := range planner.input.Replicas {
@@ -267,7 +272,7 @@
 			planner.drain(replica, "one of its hosts is leaving")
 		}
 	}
-	for planner.working > planner.input.Wanted {
+	for planner.input.MayShrink && planner.working > planner.target {
 		replica, found := planner.leastUseful()
 		if !found {
 			return
@@ -320,15 +325,19 @@
 }
 
 // handBack gives back hosts that no replica and no domain's spares need and
-// that have been idle for long enough.
+// that have been idle for long enough. While replicas are missing, only hosts
+// that are too few to form one go.
 func (planner *planner) handBack() {
-	if planner.working < planner.input.Wanted {
+	if !planner.input.MayShrink {
 		return
 	}
 	now := planner.input.Now
 	for _, domain := range sortedKeys(planner.free) {
 		hosts := planner.free[domain]
-		keep := planner.spares(domain, planner.replicasIn(domain))
+		keep := planner.spares(planner.replicasIn(domain))
+		if planner.working < planner.target {
+			keep += len(hosts) - len(hosts)%planner.input.Service.HostsPerReplica
+		}
 		for _, host := range hosts[min(keep, len(hosts)):] {
 			idleLong := now.Sub(host.IdleSince) >= planner.input.Policy.HandBackAfter
 			if !host.IdleSince.IsZero() && idleLong {
--- a/core/place/input.go
+++ b/core/place/input.go
@@ -27,7 +27,8 @@
 	Lost    []string
 }
 
-// Input is everything one decision rests on.
+// Input is everything one decision rests on; it may shrink once demand has been
+// remembered for long enough to know that it fell.
 type Input struct {
 	Now       time.Time
 	Policy    Policy
@@ -36,6 +37,7 @@
 	Replicas  []Replica
 	Hosts     []Host
 	Wanted    int
+	MayShrink bool
 }
 
 // Move is one change that placement wants: Form, Serve, Repair, Renew, Drain,
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -19,12 +19,12 @@
 // in minutes.
 func DefaultPolicy() Policy {
 	return Policy{
-		FailuresPerHostDay: 0.014,
+		FailuresPerHostDay: 0.05,
 		HostReturn:         40 * time.Minute,
 		LoadTime:           3 * time.Minute,
 		LostAfter:          4 * time.Second,
 		TargetLoad:         0.7,
-		ShrinkAfter:        10 * time.Minute,
+		ShrinkAfter:        26 * time.Hour,
 		HandBackAfter:      15 * time.Minute,
 		LoadsAtOnce:        8,
 	}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -97,13 +97,15 @@
 
 // claim is a lease that this node may hold, and the work under it.
 type claim struct {
-	lease   *lease.Claim
-	busy    bool
-	held    bool
-	heldAt  time.Time
-	moving  bool
-	stale   bool
-	staleAt time.Time
+	lease    *lease.Claim
+	busy     bool
+	held     bool
+	heldAt   time.Time
+	moving   bool
+	recalled bool
+	keepAt   time.Time
+	stale    bool
+	staleAt  time.Time
 }
 
 // NewControl makes the control of a node; it does nothing before Run.
@@ -217,6 +219,8 @@
 		control.takeMove(typed, now)
 	case ordered:
 		control.takeOrder(typed, now)
+	case demandRead:
+		control.takeDemand(typed, now)
 	case voided:
 		control.voiding = false
 	case warned:
@@ -236,6 +240,7 @@
 	control.beat(now)
 	control.probeAll(now)
 	control.holdLeases(now)
+	control.rememberAll(now)
 	control.placeAll(now)
 	control.orderAll(now)
 	control.publish(now)
--- a/io/node/leases.go
+++ b/io/node/leases.go
@@ -45,6 +45,8 @@
 	claim.held = held
 	if held {
 		claim.heldAt = now
+		claim.recalled = false
+		claim.keepAt = now
 		control.soon(group.PartHosts)
 		control.pollOf(group.PartHosts).read = false
 		control.event(event.LeaseTaken, zap.String("lease", name), zap.Int64("fence", fence))
--- a/io/node/placer.go
+++ b/io/node/placer.go
@@ -154,7 +154,7 @@
 		}
 	}
 	slices.SortFunc(input.Replicas, func(a, b place.Replica) int { return strings.Compare(a.Replica.ID, b.Replica.ID) })
-	input.Wanted = control.wanted(service, now)
+	input.Wanted, input.MayShrink = control.wanted(service, claim, now)
 	return input
 }
 
@@ -237,7 +237,7 @@
 	return now.Sub(since) >= drainSettle
 }
 
-func (control *Control) wanted(service intent.Service, now time.Time) int {
+func (control *Control) wanted(service intent.Service, claim *claim, now time.Time) (int, bool) {
 	demand, known := control.demands[service.Name]
 	if !known {
 		demand = place.NewDemand(control.settings.Place)
@@ -253,7 +253,7 @@
 		}
 	}
 	demand.Note(float64(streams), now)
-	return demand.Wanted(service, now)
+	return demand.Wanted(service, now), claim.recalled && demand.Whole(now)
 }
 
 // make commits one move under the lease's fencing number.
