--- a/core/relay/check.go
+++ b/core/relay/check.go
@@ -49,23 +49,62 @@
 	if bytes.Equal(payload, endMarker) {
 		return checker.end()
 	}
-	fields := gjson.GetManyBytes(payload, "id", "offset", "tokens", "usage", "choices.0.finish_reason")
-	id, offset, tokens, usage, reason := fields[0], fields[1], fields[2], fields[3], fields[4]
-	if id.Type != gjson.String {
+	fields := read(payload)
+	if fields.id.Type != gjson.String {
 		return Foreign, ErrMalformed
 	}
-	if id.Str != checker.Request {
+	if fields.id.Str != checker.Request {
 		checker.Foreign++
 		return Foreign, nil
 	}
-	if usage.IsObject() {
-		checker.count(usage)
+	if fields.usage.IsObject() {
+		checker.count(fields.usage)
 		return Tally, nil
 	}
-	if offset.Type != gjson.Number || tokens.Type != gjson.Number {
+	if !countable(fields.offset) || !countable(fields.tokens) {
 		return Foreign, ErrMalformed
 	}
-	return checker.advance(int(offset.Num), int(tokens.Num), reason.Str)
+	reason := fields.choices.Get("0.finish_reason").Str
+	return checker.advance(int(fields.offset.Num), int(fields.tokens.Num), reason)
+}
+
+// maxTokens is above the length of any answer.
+const maxTokens = 1 << 30
+
+// countable tells whether a value can be a number of tokens.
+func countable(value gjson.Result) bool {
+	return value.Type == gjson.Number && value.Num >= 0 && value.Num <= maxTokens
+}
+
+// chunk is the part of an engine's chunk that the checker judges by.
+type chunk struct {
+	id      gjson.Result
+	offset  gjson.Result
+	tokens  gjson.Result
+	usage   gjson.Result
+	choices gjson.Result
+}
+
+// read goes over the payload once; asking for each field by its path would go
+// over it as often as there are fields, for every token.
+func read(payload []byte) chunk {
+	var fields chunk
+	gjson.ParseBytes(payload).ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "id":
+			fields.id = value
+		case "offset":
+			fields.offset = value
+		case "tokens":
+			fields.tokens = value
+		case "usage":
+			fields.usage = value
+		case "choices":
+			fields.choices = value
+		}
+		return true
+	})
+	return fields
 }
 
 func (checker *Checker) advance(offset, tokens int, reason string) (Verdict, error) {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Request is what routing needs to know of a request; Prefix identifies the
 // start of its prompt, Salt is random, and Avoid names replicas that failed it.
@@ -24,66 +27,71 @@
 // that report, plus what this node has in flight now. Jitter parts the nodes
 // that would otherwise all run to one replica that looks idle.
 func (table *Table) Pick(request Request) int {
-	first, second := table.warm(request.Prefix)
-	best, lowest := None, time.Duration(0)
+	now := int64(request.Now.Sub(table.Start))
+	best, first, second := absent, absent, absent
 	for i := range table.Replicas {
-		if !table.eligible(i, request) {
-			continue
+		replica := &table.Replicas[i]
+		this := candidate{index: i, cost: never, weight: Mix(request.Prefix ^ replica.Hash)}
+		if replica.Cell.until.Load() > now && !avoided(request.Avoid, replica.ID) {
+			this.cost = table.cost(replica, request.Salt)
+		}
+		if this.cost < best.cost {
+			best = this
 		}
-		cost := table.cost(i, request.Salt)
-		switch i {
-		case first:
-			cost -= table.Policy.WarmPrefix
-		case second:
-			cost -= table.Policy.WarmPrefix / 2
+		if replica.Ejected || request.Prefix == 0 {
+			continue
 		}
-		if best == None || cost < lowest {
-			best, lowest = i, cost
+		switch {
+		case first.index == None || this.weight > first.weight:
+			first, second = this, first
+		case second.index == None || this.weight > second.weight:
+			second = this
 		}
 	}
-	return best
+	best = cheaper(best, first, table.Policy.WarmPrefix)
+	return cheaper(best, second, table.Policy.WarmPrefix/2).index
 }
 
-func (table *Table) eligible(index int, request Request) bool {
-	replica := &table.Replicas[index]
-	if !replica.Cell.Whole(table.Start, request.Now) {
-		return false
+// candidate is a replica with its cost and its rank for a prefix.
+type candidate struct {
+	index  int
+	cost   time.Duration
+	weight uint64
+}
+
+// never is the cost of a replica that may not be used.
+const never = time.Duration(math.MaxInt64)
+
+var absent = candidate{index: None, cost: never}
+
+// cheaper gives the cheaper of two candidates when the second has a bonus.
+func cheaper(plain, warm candidate, bonus time.Duration) candidate {
+	if warm.cost == never {
+		return plain
 	}
-	for _, avoided := range request.Avoid {
-		if avoided == replica.ID {
-			return false
-		}
+	warm.cost -= bonus
+	if warm.cost < plain.cost || warm.index == plain.index {
+		return warm
 	}
-	return true
+	return plain
 }
 
-func (table *Table) warm(prefix uint64) (int, int) {
-	if prefix == 0 {
-		return None, None
-	}
-	first, second := None, None
-	var high, next uint64
-	for i := range table.Replicas {
-		if table.Replicas[i].Ejected {
-			continue
-		}
-		weight := Mix(prefix ^ table.Replicas[i].Hash)
-		switch {
-		case first == None || weight > high:
-			second, next = first, high
-			first, high = i, weight
-		case second == None || weight > next:
-			second, next = i, weight
+func avoided(avoid []string, id string) bool {
+	for _, name := range avoid {
+		if name == id {
+			return true
 		}
 	}
-	return first, second
+	return false
 }
 
-func (table *Table) cost(index int, salt uint64) time.Duration {
-	replica := &table.Replicas[index]
+func (table *Table) cost(replica *Replica, salt uint64) time.Duration {
 	load := Load(replica)
 	streams := max(replica.Streams, 1)
-	cost := table.Policy.FullBatch * time.Duration(min(load, streams)) / time.Duration(streams)
+	cost := table.Policy.FullBatch
+	if load < streams {
+		cost = time.Duration(float64(cost) * float64(load) / float64(streams))
+	}
 	if load > streams {
 		cost += table.Policy.QueuedStream * time.Duration(load-streams)
 	}
@@ -102,12 +110,10 @@
 // ejectedCost keeps an ejected replica as the last resort.
 const ejectedCost = time.Hour
 
+// jitter scales 32 random bits to the policy's jitter without a division.
 func (table *Table) jitter(seed uint64) time.Duration {
-	if table.Policy.Jitter <= 0 {
-		return 0
-	}
-	jitter := time.Duration(Mix(seed) % uint64(table.Policy.Jitter))
-	return jitter
+	scaled := time.Duration(Mix(seed) >> 32 * uint64(table.Policy.Jitter) >> 32)
+	return scaled
 }
 
 // Load estimates the streams at a replica now.
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -58,10 +58,10 @@
 			continue
 		}
 		load, streams := route.Load(replica), replica.Streams
-		cost := table.Policy.FullBatch * time.Duration(min(load, streams)) / time.Duration(streams)
+		cost := time.Duration(float64(table.Policy.FullBatch) * float64(min(load, streams)) / float64(streams))
 		cost += table.Policy.QueuedStream * time.Duration(max(load-streams, 0))
 		cost += []time.Duration{0, table.Policy.OtherZone, table.Policy.OtherZone + table.Policy.OtherRegion}[replica.Distance]
-		cost += time.Duration(route.Mix(request.Salt^replica.Hash) % uint64(table.Policy.Jitter))
+		cost += time.Duration(route.Mix(request.Salt^replica.Hash) >> 32 * uint64(table.Policy.Jitter) >> 32)
 		if replica.Ejected {
 			cost += time.Hour
 		}
