Breaks: each mechanism broken once on purpose; two weak tests made strong

Cause: a test that cannot fail proves nothing.

Change: scripts/breaks.sh breaks 18 mechanisms, one at a time in a copy, and wants the named test to notice. The first run showed two tests that did not: the lease machine seldom got to hold a lease at all (it now has whole turns, and 3,000 runs), and nothing wanted a change under an old fencing number to be refused (the replica machine now does). Tests added for evidence of members, for versions that never fall, and for a drain that waits. Found under load, four copies of the node tests at once: the stand-in engine took two locks in two orders and hung; it takes them in one now.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The front door: what can be done with a checkout.
 
-.PHONY: build run run-muscat smoke test check bench slopes soak clean
+.PHONY: build run run-muscat smoke test check bench month slopes soak fuzz breaks clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -26,5 +26,9 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+# Breaks each mechanism in a copy and checks that a test notices.
+breaks:
+	scripts/breaks.sh
+
 clean:
 	rm -rf bin
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -237,3 +237,17 @@
 	plan, conflicts = config.Merge(base, current, []intent.Section{section("a", "2"), section("b", "1"), section("c", "1")})
 	assert.Equal(t, len(plan.Changes)+len(conflicts), 0, "the same change twice")
 }
+
+func TestHeldNeverGoesBack(t *testing.T) {
+	held := config.NewHeld(term)
+	row := func(version int64) []rows.Row {
+		return []rows.Row{{Key: config.SectionKey("team/x"), Version: version, Body: []byte(fmt.Sprint(version))}}
+	}
+	assert.Assert(t, held.Take(row(3)))
+	held.Confirm(5, time.Unix(50, 0))
+	assert.Assert(t, !held.Take(row(2)) && !held.Take(row(3)))
+	held.Confirm(4, time.Unix(60, 0))
+	assert.Equal(t, held.Head(), int64(5))
+	assert.Equal(t, held.Confirmed(), time.Unix(50, 0), "a look at an older head confirms nothing")
+	assert.Equal(t, string(held.Rows()[0].Body), "3")
+}
--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -90,15 +90,20 @@
 	m.read(l)
 }
 
-func (m *machine) commit(t *rapid.T, change group.Change, err error) {
+// commit tries a change; the store may take it only from the newest holder.
+func (m *machine) commit(t *rapid.T, l *leader, change group.Change, err error) {
 	if err != nil {
 		assert.Assert(t, errors.Is(err, group.ErrRule))
 		return
 	}
 	m.written++
 	m.store.SetFates(rapid.SampledFrom([]memory.Fate{memory.Answered, memory.AnswerLost, memory.Dropped, memory.Late}).Draw(t, "fate"))
-	m.store.Commit(context.Background(), rows.Txn{Write: fmt.Sprintf("w%d", m.written), Steps: change.Steps})
+	newest, _ := m.store.Get(context.Background(), lease.FenceKey("l"))
+	outcome := m.store.Commit(context.Background(), rows.Txn{Write: fmt.Sprintf("w%d", m.written), Steps: change.Steps})
 	m.store.SetFates()
+	if _, done := outcome.(rows.Done); done {
+		assert.Equal(t, l.fence, newest.Version, "a change under an old fencing number")
+	}
 }
 
 func (m *machine) land(*rapid.T) { m.store.Land() }
@@ -115,7 +120,7 @@
 		replica.Members = append(replica.Members, group.Member{Host: host.Name, Rank: rank, Incarnation: "1"})
 	}
 	change, err := group.Form(replica, hosts, l.authority())
-	m.commit(t, change, err)
+	m.commit(t, l, change, err)
 }
 
 func (m *machine) replica(t *rapid.T, l *leader) group.Replica {
@@ -128,7 +133,7 @@
 func (m *machine) serve(t *rapid.T) {
 	l := m.leader(t)
 	change, err := m.replica(t, l).Serve(l.authority())
-	m.commit(t, change, err)
+	m.commit(t, l, change, err)
 }
 
 func (m *machine) repair(t *rapid.T) {
@@ -137,13 +142,13 @@
 	spare := l.host(fmt.Sprintf("h%d", rapid.IntRange(0, hostCount-1).Draw(t, "spare")))
 	lost := replica.Members[rapid.IntRange(0, 1).Draw(t, "lost")].Host
 	change, err := replica.Repair(l.host(lost), spare, group.Member{Host: spare.Name, Incarnation: "1"}, l.authority())
-	m.commit(t, change, err)
+	m.commit(t, l, change, err)
 }
 
 func (m *machine) drain(t *rapid.T) {
 	l := m.leader(t)
 	change, err := m.replica(t, l).Drain(time.Unix(100, 0), l.authority())
-	m.commit(t, change, err)
+	m.commit(t, l, change, err)
 }
 
 func (m *machine) release(t *rapid.T) {
@@ -154,7 +159,7 @@
 		hosts = append(hosts, l.host(member.Host))
 	}
 	change, err := replica.Release(hosts, l.authority())
-	m.commit(t, change, err)
+	m.commit(t, l, change, err)
 }
 
 // check compares the rows with the promise: each host is in the one replica
--- a/core/lease/claim_test.go
+++ b/core/lease/claim_test.go
@@ -111,6 +111,25 @@
 	n.flying = nil
 }
 
+// turn is a whole undisturbed round of one node.
+func (m *machine) turn(t *rapid.T) {
+	n := m.awake(t)
+	if n.flying != nil {
+		t.Skip("own write under way")
+	}
+	row, _ := m.store.Get(context.Background(), rows.Key{Part: lease.Part, Sort: "l"})
+	fence, _ := m.store.Get(context.Background(), lease.FenceKey("l"))
+	assert.NilError(t, n.claim.Observe(row, fence, m.clock(n)))
+	m.written++
+	action := n.claim.Next(m.clock(n), 0, fmt.Sprintf("w-%d", m.written))
+	switch typed := action.(type) {
+	case lease.Renew:
+		n.claim.Resolve(action, m.store.Commit(context.Background(), typed.Txn), m.clock(n))
+	case lease.Take:
+		n.claim.Resolve(action, m.store.Commit(context.Background(), typed.Txn), m.clock(n))
+	}
+}
+
 func (m *machine) handOver(t *rapid.T) {
 	n := m.awake(t)
 	if n.flying != nil {
@@ -157,7 +176,7 @@
 		m := newMachine(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"pass": m.pass, "pause": m.pause, "read": m.read, "act": m.act,
-			"settle": m.settle, "hand over": m.handOver, "order": m.order, "": m.check,
+			"turn": m.turn, "turn again": m.turn, "settle": m.settle, "hand over": m.handOver, "order": m.order, "": m.check,
 		})
 	})
 }
--- a/core/lease/seed_test.go
+++ b/core/lease/seed_test.go
@@ -4,4 +4,7 @@
 
 // The seed is fixed, so that a run gives the same verdict each time; the
 // command line goes before it.
-func init() { _ = flag.Set("rapid.seed", "20261204") }
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "3000")
+}
--- a/io/fakes/batch.go
+++ b/io/fakes/batch.go
@@ -147,11 +147,13 @@
 // step admits what fits, gives each running stream a token, and says how long
 // that takes; zero means that there is nothing to do.
 func (batch *batch) step() time.Duration {
-	batch.mutex.Lock()
-	defer batch.mutex.Unlock()
+	// The engine's own lock is taken in here, so it has to come first: whoever
+	// holds it may ask for the batch's load.
 	if !batch.healthy() {
 		return batch.speed.StepBase
 	}
+	batch.mutex.Lock()
+	defer batch.mutex.Unlock()
 	prefill := batch.admit()
 	batch.running = batch.emit()
 	if len(batch.running) == 0 && len(batch.waiting) == 0 {
--- a/io/node/failure_test.go
+++ b/io/node/failure_test.go
@@ -219,3 +219,27 @@
 	c.platform.Table.SetFault(fakes.TableFault{})
 	c.eventually("the store is back", func() bool { return c.report(2).StoreUp })
 }
+
+// TestDrainWaitsForWhatRuns drains a replica under a long stream: the replica's
+// own stream ends on it, with nothing resumed elsewhere.
+func TestDrainWaitsForWhatRuns(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, true)
+	c.up(1, true)
+	replica := c.replicaOf(t)
+	done := make(chan answer)
+	go func() {
+		done <- c.call(0, http.MethodPost, "/v1/completions", `{"model":"m","prompt":"long","max_tokens":400}`, "X-Request-Id", "long")
+	}()
+	time.Sleep(300 * time.Millisecond)
+	assert.NilError(t, c.admin(0).Drain(t.Context(), admin.Drained{Kind: admin.KindEndpoint, Name: replica.Members[0].Host}))
+	got := <-done
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	explained, err := c.admin(0).Explain(t.Context(), "long")
+	assert.NilError(t, err)
+	assert.Equal(t, len(explained.Attempts), 1, "it was moved: %+v", explained.Attempts)
+	c.eventually("the drained replica is gone", func() bool {
+		_, still := c.memberNow(0, replica.ID, replica.Members[0].Host)
+		return !still
+	})
+}
--- /dev/null
+++ b/scripts/breaks.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Breaks one mechanism after the other in a copy of the tree and checks that
+# the test named beside it notices. A break that no test notices is a fault.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+missed=0
+
+# break NAME FILE OLD NEW PACKAGE TEST
+break_one() {
+	local name=$1 file=$2 old=$3 new=$4 package=$5 test=$6
+	rm -rf "$copy/tree"
+	mkdir "$copy/tree"
+	git ls-files -z | xargs -0 cp --parents -t "$copy/tree"
+	if ! OLD=$old NEW=$new perl -0pi -e 'BEGIN { $found = 0 } $found += s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { $? = !$found }' "$copy/tree/$file"; then
+		echo "$name: the code to break is not in $file"
+		missed=1
+		return
+	fi
+	if (cd "$copy/tree" && go build ./... >"$copy/log" 2>&1 && go test -count=1 -timeout 120s "$package" -run "$test" >"$copy/log" 2>&1); then
+		echo "$name: NOT NOTICED by $test"
+		missed=1
+	elif grep -q -e '^--- FAIL' -e '^panic: test timed out' "$copy/log"; then
+		echo "$name: noticed by $test"
+	else
+		echo "$name: the break does not build"
+		tail -n 5 "$copy/log"
+		missed=1
+	fi
+}
+
+break_one "a time-out read as a refusal" core/rows/settle.go 'case row.Version == put.Base:' 'case false:' ./core/rows TestSettleIsRightInEveryOrder
+break_one "a taker that does not wait a term" core/lease/claim.go 'claim.policy.Term+delay' 'delay' ./core/lease TestLeaseHasOneHolder
+break_one "a holder that counts from the answer" core/lease/claim.go 'claim.hold(claim.pending.sent)
+	claim.pending = pending{}' 'claim.hold(claim.pending.sent.Add(claim.policy.Term))
+	claim.pending = pending{}' ./core/lease TestLeaseHasOneHolder
+break_one "a change without the fencing number" core/group/group.go 'Steps: []rows.Step{authority.check(), replica.put()}}' 'Steps: []rows.Step{replica.put()}}' ./core/group 'TestHostIsInOneReplica|TestRulesOfAReplica'
+break_one "a replica formed without its host rows" core/group/group.go 'steps = append(steps, host.put(replica.ID))' '_ = host' ./core/group TestHostIsInOneReplica
+break_one "no warning before a change" core/config/held.go 'if version > held.head {' 'if false {' ./core/config 'TestNoNodeServesAnOldConfiguration|TestMayServe'
+break_one "a cut-off zone does not count" core/config/held.go 'if !heard[other] {' 'if false && !heard[other] {' ./core/config 'TestNoNodeServesAnOldConfiguration|TestMayServe'
+break_one "a section that goes back" core/config/held.go 'row.Version > held.sections[name].Version' 'row.Version != held.sections[name].Version' ./core/config TestHeldNeverGoesBack
+break_one "another request's chunk is passed on" core/relay/check.go 'if fields.id.Str != checker.Request {' 'if false {' ./core/relay 'TestAnswerIsWhole|TestChunkVerdicts'
+break_one "an end without a finish reason" core/relay/check.go 'if checker.Reason == "" {' 'if false {' ./core/relay 'TestAnswerIsWhole|TestChunkVerdicts'
+break_one "a replica routed to without evidence" core/route/pick.go 'replica.Cell.until.Load() > now' '(replica.Cell.until.Load() > now || true)' ./core/route 'TestNoReplicaOnceItsEvidenceLapses'
+break_one "a missing host that counts as there" core/watch/watch.go 'if !fresh || !Matches(sight.Status, replica, member) {' 'if !fresh {' ./core/watch TestWholeNeedsEveryMember
+break_one "a claim after the call" core/once/once.go 'return Busy{}, nil' 'return Run{Claim: claim(call, row, self, write)}, nil' ./io/front 'TestCallRunsAtMostOnce|TestRacingDuplicates'
+break_one "a lost answer read as not run" io/front/once.go 'trip.server.later.close(ctx, ending{claim: claim, state: once.StateInDoubt})' 'trip.server.later.close(ctx, ending{claim: claim, state: once.StateNotRun})' ./io/front 'TestCallRunsAtMostOnce|TestOutcomesOfACall'
+break_one "calls on a kept connection" io/engine/client.go 'DisableKeepAlives: true, ' '' ./io/front TestTransportDoesNotRepeatACall
+break_one "not run said without the record" io/front/server.go 'found.honest(r.Header.Get(headerKey))' '' ./io/front 'TestCallRunsAtMostOnce|TestOutcomesOfACall'
+break_one "a stream that is not resumed" io/front/generate.go 'if err == nil || !run.again(err, attempt) {' 'if true {' ./io/node 'TestHostDiesUnderStreams|TestAnswersAreWhole'
+break_one "a drain that does not wait" io/node/placer.go 'return now.Sub(since) >= drainSettle' 'return true' ./io/node TestDrainWaitsForWhatRuns
+
+[ "$missed" -eq 0 ] && echo "every break was noticed"
+exit "$missed"
