--- a/core/lease/claim_test.go
+++ b/core/lease/claim_test.go
@@ -75,9 +75,13 @@
 	if n.flying != nil {
 		t.Skip("own write under way")
 	}
+	m.observe(n)
+}
+
+func (m *machine) observe(n *node) {
 	row, _ := m.store.Get(context.Background(), rows.Key{Part: lease.Part, Sort: "l"})
 	fence, _ := m.store.Get(context.Background(), lease.FenceKey("l"))
-	assert.NilError(t, n.claim.Observe(row, fence, m.clock(n)))
+	assert.NilError(m.t, n.claim.Observe(row, fence, m.clock(n)))
 }
 
 func (m *machine) act(t *rapid.T) {
@@ -117,9 +121,7 @@
 	if n.flying != nil {
 		t.Skip("own write under way")
 	}
-	row, _ := m.store.Get(context.Background(), rows.Key{Part: lease.Part, Sort: "l"})
-	fence, _ := m.store.Get(context.Background(), lease.FenceKey("l"))
-	assert.NilError(t, n.claim.Observe(row, fence, m.clock(n)))
+	m.observe(n)
 	m.written++
 	action := n.claim.Next(m.clock(n), 0, fmt.Sprintf("w-%d", m.written))
 	switch typed := action.(type) {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -33,7 +33,7 @@
 		replica := &table.Replicas[i]
 		this := candidate{index: i, cost: never, weight: Mix(request.Prefix ^ replica.Hash)}
 		if replica.Cell.until.Load() > now && !avoided(request.Avoid, replica.ID) {
-			this.cost = table.cost(replica, request.Salt)
+			this.cost = cost(table.cost(replica, request.Salt))
 		}
 		if this.cost < best.cost {
 			best = this
@@ -55,12 +55,16 @@
 // candidate is a replica with its cost and its rank for a prefix.
 type candidate struct {
 	index  int
-	cost   time.Duration
+	cost   cost
 	weight uint64
 }
 
+// cost is an estimate of the time to the first token, less what speaks for a
+// replica; it orders replicas and may be negative.
+type cost time.Duration
+
 // never is the cost of a replica that may not be used.
-const never = time.Duration(math.MaxInt64)
+const never = cost(math.MaxInt64)
 
 var absent = candidate{index: None, cost: never}
 
@@ -69,7 +73,7 @@
 	if warm.cost == never {
 		return plain
 	}
-	warm.cost -= bonus
+	warm.cost -= cost(bonus)
 	if warm.cost < plain.cost || warm.index == plain.index {
 		return warm
 	}
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"hickorybend/core/roster"
 	"hickorybend/core/rows"
 	"hickorybend/io/admin"
 	"hickorybend/io/blobs"
@@ -45,51 +46,50 @@
 // Spread tells every node of changed rows and names those that confirmed.
 func (bridge *bridge) Spread(ctx context.Context, changed []rows.Row) ([]string, []string) {
 	bridge.control.tell(pushed{rows: changed})
-	told := []string{bridge.control.self.Name}
-	var untold []string
-	var mutex sync.Mutex
-	var calls sync.WaitGroup
-	for _, node := range bridge.control.mind.Load().nodes {
-		calls.Go(func() {
-			err := bridge.peers.Push(ctx, node.Control, changed)
-			mutex.Lock()
-			defer mutex.Unlock()
-			if err != nil {
-				untold = append(untold, node.Name)
-				return
-			}
-			told = append(told, node.Name)
-		})
-	}
-	calls.Wait()
-	return told, untold
+	told, untold := each(bridge.control.mind.Load().nodes, func(node roster.Node) error {
+		return bridge.peers.Push(ctx, node.Control, changed)
+	})
+	return append(told, bridge.control.self.Name), untold
 }
 
 // Warn tells every node of a change before it is tried, and names the nodes
 // that are alive by their rows and did not answer.
 func (bridge *bridge) Warn(ctx context.Context, id string, version int64, abort bool) []string {
 	warning := peers.Warning{ID: id, Version: version, Abort: abort}
+	warn := func(node roster.Node) error { return bridge.peers.Warn(ctx, node.Control, warning) }
 	known := bridge.control.mind.Load()
-	var deaf []string
-	var mutex sync.Mutex
-	var calls sync.WaitGroup
-	if err := (local{control: bridge.control}).Warn(ctx, warning); err != nil {
+	silent := make(chan struct{})
+	go func() {
+		each(known.silent, warn)
+		close(silent)
+	}()
+	_, deaf := each(known.nodes, warn)
+	<-silent
+	if (local{control: bridge.control}).Warn(ctx, warning) != nil {
 		deaf = append(deaf, bridge.control.self.Name)
 	}
-	for _, node := range known.nodes {
+	return deaf
+}
+
+// each calls all nodes at once and names those with and without an answer.
+func each(nodes []roster.Node, call func(node roster.Node) error) ([]string, []string) {
+	var answered, silent []string
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	for _, node := range nodes {
 		calls.Go(func() {
-			if bridge.peers.Warn(ctx, node.Control, warning) != nil {
-				mutex.Lock()
-				defer mutex.Unlock()
-				deaf = append(deaf, node.Name)
+			err := call(node)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil {
+				silent = append(silent, node.Name)
+				return
 			}
+			answered = append(answered, node.Name)
 		})
 	}
-	for _, node := range known.silent {
-		calls.Go(func() { _ = bridge.peers.Warn(ctx, node.Control, warning) })
-	}
 	calls.Wait()
-	return deaf
+	return answered, silent
 }
 
 // Explain tells why a request went where it did.
