Routing: the others' load smoothed over reports; a first-token signal taken out

What is left is the report: it is up to 1.3 s old, an answer takes 0.5 s, and all nodes act on the same one.

Change: a replica's load is the other nodes' part of its reports, smoothed with a weight of a fifth, plus what this node has there now, which is exact. Reverted: the recent time to the first token as a part of the load.

--- a/core/quota/gate.go
+++ b/core/quota/gate.go
@@ -114,13 +114,14 @@
 
 // overload applies the rules of a loaded service. While it is loaded, a team
 // that uses more than an even part of this node is turned away first, so that
-// a large team cannot starve a small one.
+// a large team cannot starve a small one; live answers are spared that.
 func (gate *Gate) overload(ask Ask, account *account) (Reason, bool) {
 	if ask.Load >= gate.limit(ask.Priority) {
 		return ReasonLoad, true
 	}
-	if ask.Load >= gate.policy.FairFrom && account.inFlight > gate.evenPart() {
-		return ReasonFairness, ask.Priority != intent.PriorityLive
+	loaded := ask.Load >= gate.policy.FairFrom && ask.Priority != intent.PriorityLive
+	if loaded && account.inFlight > gate.evenPart() {
+		return ReasonFairness, true
 	}
 	return "", false
 }
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -23,8 +23,8 @@
 // batch, its queue, its distance, less what a warm prefix saves. The two
 // replicas that rank highest for the prefix by rendezvous hashing count as
 // warm, so every node sends a prompt's start to the same places without a word
-// between them. Load is what was last reported, less this node's own part in
-// that report, plus what this node has in flight now. Jitter parts the nodes
+// between them. Load is what other nodes have there, smoothed over reports that
+// lag, plus what this node has in flight now. Jitter parts the nodes
 // that would otherwise all run to one replica that looks idle.
 func (table *Table) Pick(request Request) int {
 	now := int64(request.Now.Sub(table.Start))
@@ -122,8 +122,7 @@
 
 // Load estimates the streams at a replica now.
 func Load(replica *Replica) int {
-	others := max(replica.Reported-replica.OwnAtReport, 0)
-	return others + replica.Cell.InFlight()
+	return replica.Others + replica.Cell.InFlight()
 }
 
 // Mix spreads the bits of a number evenly, as the finalizer of SplitMix64 does.
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -12,8 +12,6 @@
 	WarmPrefix    time.Duration `json:"warm-prefix"`
 	Jitter        time.Duration `json:"jitter"`
 	ReportLag     time.Duration `json:"report-lag"`
-	FirstGoal     time.Duration `json:"first-goal"`
-	FirstHalfLife time.Duration `json:"first-half-life"`
 	EjectRatio    float64       `json:"eject-ratio"`
 	ReturnRatio   float64       `json:"return-ratio"`
 	EjectedShare  float64       `json:"ejected-share"`
@@ -30,8 +28,6 @@
 		WarmPrefix:    70 * time.Millisecond,
 		Jitter:        4 * time.Millisecond,
 		ReportLag:     250 * time.Millisecond,
-		FirstGoal:     430 * time.Millisecond,
-		FirstHalfLife: 2 * time.Second,
 		EjectRatio:    3,
 		ReturnRatio:   1.8,
 		EjectedShare:  0.2,
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -21,23 +21,21 @@
 	until     atomic.Int64
 	inFlight  atomic.Int64
 	firstTime atomic.Int64
-	firstAt   atomic.Int64
 	answers   atomic.Int64
 }
 
 // Replica is one candidate for a request.
 type Replica struct {
-	ID          string
-	Epoch       int64
-	Address     string
-	Zone        string
-	Distance    Distance
-	Hash        uint64
-	Streams     int
-	Reported    int
-	OwnAtReport int
-	Ejected     bool
-	Cell        *Cell
+	ID       string
+	Epoch    int64
+	Address  string
+	Zone     string
+	Distance Distance
+	Hash     uint64
+	Streams  int
+	Others   int
+	Ejected  bool
+	Cell     *Cell
 }
 
 // Table is an immutable list of a service's replicas; Start is the zero of the
@@ -79,11 +77,9 @@
 // firstTimeShift makes a new sample weigh an eighth.
 const firstTimeShift = 3
 
-// NoteFirst takes in the time that the replica needed to its first token, which
-// came at a moment counted from the table's start.
-func (cell *Cell) NoteFirst(took, at time.Duration) {
+// NoteFirst takes in the time that the replica needed to its first token.
+func (cell *Cell) NoteFirst(took time.Duration) {
 	cell.answers.Add(1)
-	cell.firstAt.Store(int64(at))
 	old := cell.firstTime.Load()
 	if old == 0 {
 		cell.firstTime.Store(int64(took))
@@ -98,18 +94,10 @@
 	return smoothed, cell.answers.Load()
 }
 
-// Pressure gives how loaded the whole replicas are, and how long a request
-// would queue; a negative load says that no replica is whole.
-//
-// The load is the larger of two: the streams over those that are batched, and
-// the recent time to the first token over its goal. The second sees what the
-// first does not, prompts that take long to read in. A time counts less the
-// longer ago it was measured, so that a service that turned all away is tried
-// again: with a goal of 430 ms and a last time of 1,720 ms the load is 4, a
-// half-life later 2, and after two, 1.
+// Pressure gives the streams at whole replicas over what they batch, and how
+// long a request would queue; a negative load says that no replica is whole.
 func (table *Table) Pressure(now time.Time) (float64, time.Duration) {
-	at := now.Sub(table.Start)
-	streams, load, whole, first := 0, 0, 0, time.Duration(0)
+	streams, load, whole := 0, 0, 0
 	for i := range table.Replicas {
 		replica := &table.Replicas[i]
 		if !replica.Cell.Whole(table.Start, now) {
@@ -118,25 +106,10 @@
 		whole++
 		streams += max(replica.Streams, 1)
 		load += Load(replica)
-		first += replica.Cell.recentFirst(at, table.Policy.FirstHalfLife)
 	}
 	if whole == 0 {
 		return -1, 0
 	}
 	queued := max(load-streams, 0) / whole
-	byStreams := float64(load) / float64(streams)
-	byFirst := float64(first) / float64(whole) / float64(table.Policy.FirstGoal)
-	return max(byStreams, byFirst), table.Policy.QueuedStream * time.Duration(queued)
+	return float64(load) / float64(streams), table.Policy.QueuedStream * time.Duration(queued)
 }
-
-// recentFirst gives the smoothed time to the first token, halved for each
-// half-life since it was last measured.
-func (cell *Cell) recentFirst(at, halfLife time.Duration) time.Duration {
-	age := at - time.Duration(cell.firstAt.Load())
-	halvings := min(max(int64(age/halfLife), 0), maxHalvings)
-	took := time.Duration(cell.firstTime.Load() >> halvings)
-	return took
-}
-
-// maxHalvings is enough to make any time nothing.
-const maxHalvings = 62
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -241,7 +241,7 @@
 		if !replica.Cell.Whole(model.Table.Start, now) {
 			return errMemberMissing
 		}
-		done, err := run.take(payload, stream, replica, model.Table.Start, now)
+		done, err := run.take(payload, stream, replica, now)
 		if err != nil || done {
 			return err
 		}
@@ -250,7 +250,7 @@
 }
 
 // take judges one chunk and hands it on if it is the caller's next.
-func (run *run) take(payload []byte, stream *engine.Stream, replica *route.Replica, start, now time.Time) (bool, error) {
+func (run *run) take(payload []byte, stream *engine.Stream, replica *route.Replica, now time.Time) (bool, error) {
 	before := run.checker.Next
 	verdict, err := run.checker.Chunk(payload)
 	if err != nil {
@@ -264,21 +264,21 @@
 		event.Log(run.server.log, event.ChunkForeign, zap.String("request", run.visit.id), zap.String("replica", replica.ID))
 		return false, nil
 	case relay.Pass:
-		run.time(before, replica, start, now)
+		run.time(before, replica, now)
 		return false, run.reply.chunk(payload, !stream.Buffered(), now)
 	default:
 		return false, nil
 	}
 }
 
-func (run *run) time(before int, replica *route.Replica, start, now time.Time) {
+func (run *run) time(before int, replica *route.Replica, now time.Time) {
 	took := now.Sub(run.last)
 	run.last = now
 	switch {
 	case before > 0 && run.checker.Next > before:
 		meter.Note(run.times.Between, took)
 	case run.checker.Next > 0:
-		replica.Cell.NoteFirst(took, now.Sub(start))
+		replica.Cell.NoteFirst(took)
 		meter.Note(run.times.First, now.Sub(run.visit.came))
 	}
 }
--- a/io/node/publish.go
+++ b/io/node/publish.go
@@ -179,8 +179,8 @@
 		Streams: service.ReplicaStreams, Cell: cell,
 	}
 	if lead, fresh := control.board.Of(replica.Members[0].Host, now); fresh {
-		candidate.Reported = lead.Status.Running + lead.Status.Waiting
-		candidate.OwnAtReport = control.sampleOf(replica).At(lead.At.Add(-control.settings.Route.ReportLag))
+		reported := lead.Status.Running + lead.Status.Waiting
+		candidate.Others = control.sampleOf(replica).Others(reported, lead.At, control.settings.Route.ReportLag)
 	}
 	return candidate
 }
