The time that a node adds to the first token, measured

Change: a benchmark sends 115 requests a second, half of ten times a node's share, of 20 tokens each, direct and through.

The tokens relayed are 2,300 a second, not the 50,000 that half the load has.

--- a/io/front/bench_test.go
+++ b/io/front/bench_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"hickorybend/core/intent"
 	"hickorybend/core/route"
 	"hickorybend/core/view"
@@ -173,3 +175,52 @@
 	})
 	return pointer
 }
+
+// BenchmarkFirstToken sends requests at half of ten times a node's share at the
+// target size and reports the time to the first event, direct and through.
+func BenchmarkFirstToken(b *testing.B) {
+	const perSecond, requests = 115, 800
+	back, door := relayDoor(b, scripted{tokens: 20})
+	for _, target := range []struct{ name, url string }{{"direct", back.URL}, {"through", door.URL}} {
+		b.Run(target.name, func(b *testing.B) {
+			for b.Loop() {
+				times := hdrhistogram.New(1, 10_000_000, 3)
+				var mutex sync.Mutex
+				var open sync.WaitGroup
+				begun := time.Now()
+				for i := range requests {
+					due := begun.Add(time.Duration(i) * time.Second / perSecond)
+					time.Sleep(time.Until(due))
+					open.Go(func() {
+						took := firstEvent(b, target.url)
+						mutex.Lock()
+						defer mutex.Unlock()
+						_ = times.RecordValue(took.Microseconds())
+					})
+				}
+				open.Wait()
+				b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-us")
+				b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-us")
+			}
+		})
+	}
+}
+
+func firstEvent(b *testing.B, url string) time.Duration {
+	begun := time.Now()
+	request, _ := http.NewRequest(http.MethodPost, url+"/v1/completions", strings.NewReader(benchBody))
+	request.Header.Set("Authorization", "Bearer key1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Error(err)
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	reader := bufio.NewReader(response.Body)
+	if _, err := reader.ReadString('\n'); err != nil {
+		b.Error(err)
+	}
+	took := time.Since(begun)
+	_, _ = io.Copy(io.Discard, reader)
+	return took
+}
