A replica drained by its name is released

Change: placement drains a replica that operators ordered to be emptied, as it does one on a leaving host; it is released when quiet and another takes its place. The test waited 30 s in vain before the change and passes after it.

--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -268,7 +268,12 @@
 // whose going empties a fabric domain soonest.
 func (planner *planner) shrink() {
 	for _, replica := range planner.input.Replicas {
-		if replica.Replica.State == group.StateServing && !planner.touched[replica.Replica.ID] && planner.onLeaving(replica.Replica) {
+		if replica.Replica.State != group.StateServing || planner.touched[replica.Replica.ID] {
+			continue
+		}
+		if replica.Emptied {
+			planner.drain(replica, "operators ordered it")
+		} else if planner.onLeaving(replica.Replica) {
 			planner.drain(replica, "one of its hosts is leaving")
 		}
 	}
--- a/core/place/input.go
+++ b/core/place/input.go
@@ -19,11 +19,13 @@
 	IdleSince   time.Time
 }
 
-// Replica is a replica with what is known of its members now.
+// Replica is a replica with what is known of its members now; Emptied says that
+// operators have ordered it to be drained.
 type Replica struct {
 	Replica group.Replica
 	Whole   bool
 	Quiet   bool
+	Emptied bool
 	Lost    []string
 }
 
--- a/io/node/failure_test.go
+++ b/io/node/failure_test.go
@@ -243,3 +243,18 @@
 		return !still
 	})
 }
+
+// TestDrainedReplicaIsReleased drains one replica by its name: it goes, and
+// another serves in its place.
+func TestDrainedReplicaIsReleased(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, true)
+	c.up(2, true)
+	replica := c.replicaOf(t)
+	assert.NilError(t, c.admin(0).Drain(t.Context(), admin.Drained{Kind: admin.KindReplica, Name: replica.ID}))
+	c.eventually("it is gone and another serves", func() bool {
+		_, still := c.memberNow(0, replica.ID, replica.Members[0].Host)
+		return !still && c.whole(0) == 2
+	})
+	assert.Assert(t, c.ask(0, "after", 3))
+}
--- a/io/node/placer.go
+++ b/io/node/placer.go
@@ -200,6 +200,7 @@
 		}
 	}
 	placed.Quiet = control.isQuiet(replica, now)
+	placed.Emptied = control.isDrained(admin.KindReplica, replica.ID)
 	return placed
 }
 
