Late answers in the stand-in, and a test that they are whole

Cause: the stand-in could cross, skip and cut answers but not make them late.

Change: a fault that holds a stream's first token back, alone and with chunks of another request; the test of whole answers has it.

--- a/io/fakes/chunk.go
+++ b/io/fakes/chunk.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // chunks writes a stream as server-sent events, with the faults asked for.
@@ -79,6 +80,9 @@
 
 func (chunks *chunks) token(stream *stream, token int) {
 	chunks.sent++
+	if chunks.sent == 1 {
+		time.Sleep(time.Duration(chunks.fault.LateMillis) * time.Millisecond)
+	}
 	if chunks.fault.Truncate > 0 && chunks.sent > chunks.fault.Truncate {
 		panic(http.ErrAbortHandler)
 	}
--- a/io/fakes/fault.go
+++ b/io/fakes/fault.go
@@ -24,6 +24,7 @@
 	Truncate    int     `json:"truncate"`
 	LoseAnswers int     `json:"lose-answers"`
 	PadBytes    int     `json:"pad-bytes"`
+	LateMillis  int64   `json:"late-ms"`
 }
 
 // FaultOrder sets faults by HTTP; Restart gives the endpoint a new incarnation.
--- a/io/node/failure_test.go
+++ b/io/node/failure_test.go
@@ -130,6 +130,7 @@
 	}
 	expectWhole("crossed", fakes.EndpointFault{CrossChunks: 5})
 	expectWhole("skipped", fakes.EndpointFault{SkipChunks: 4})
+	expectWhole("late", fakes.EndpointFault{LateMillis: 300, CrossChunks: 2})
 	expectWhole("truncated", fakes.EndpointFault{Truncate: 7})
 	expectWhole("straggling", fakes.EndpointFault{Slowdown: 4})
 }
