--- /dev/null
+++ b/cmd/hickorybend/edge.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"hickorybend/io/edge"
+	"hickorybend/io/logbuf"
+	"hickorybend/io/shell"
+)
+
+// logLimit bounds the writing of the last log lines at the end.
+const logLimit = 200 * time.Millisecond
+
+// edgeCommand runs a node on the users' platform.
+func edgeCommand(parent *ff.FlagSet) *ff.Command {
+	flags := ff.NewFlagSet("edge").SetParent(parent)
+	file := flags.StringLong("config", "/etc/hickorybend/settings.toml", "the node's settings there, JSON with comments")
+	return &ff.Command{
+		Name:      "edge",
+		Usage:     "hickorybend edge --config FILE [--check]",
+		ShortHelp: "run a node on the users' platform",
+		LongHelp:  "The platform's store holds the configuration and the list of endpoints.\nSIGTERM drains the node and ends it; SIGHUP reads the settings again.",
+		Flags:     flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return serveEdge(ctx, *file)
+		},
+	}
+}
+
+func serveEdge(ctx context.Context, file string) error {
+	settings, err := edge.Read(file)
+	if err != nil {
+		return shell.Exit{Code: shell.CodeUsage, Message: err.Error()}
+	}
+	lines := logbuf.New(os.Stdout)
+	defer lines.Close(logLimit)
+	log := shell.LogTo(lines)
+	return runApp(ctx, log, fx.Options(
+		fx.Supply(settings, edge.File(file)),
+		fx.StopTimeout(settings.Grace),
+		edge.Module(),
+	))
+}
+
+// runApp runs a node until a signal or its own failure ends it.
+func runApp(ctx context.Context, log *zap.Logger, options fx.Option) error {
+	app := fx.New(fx.Supply(log), fx.WithLogger(quietFx), options)
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	code := 0
+	select {
+	case <-ctx.Done():
+	case shutdown := <-app.Wait():
+		code = shutdown.ExitCode
+	}
+	if err := app.Stop(context.Background()); err != nil {
+		return err
+	}
+	if code != 0 {
+		return shell.Exit{Code: code, Message: "the node failed"}
+	}
+	return nil
+}
--- a/cmd/hickorybend/main.go
+++ b/cmd/hickorybend/main.go
@@ -19,11 +19,12 @@
 	settings := flags.StringLong("settings", "/etc/hickorybend/node.jsonc", "the node's settings, JSON with comments")
 	check := flags.BoolLong("check", "check the settings and exit")
 	shell.Main(&ff.Command{
-		Name:      "hickorybend",
-		Usage:     "hickorybend --settings FILE [--check]",
-		ShortHelp: "serve models that span several hosts",
-		LongHelp:  "Each flag can be given by the environment too: HICKORYBEND_SETTINGS=FILE.\nSIGTERM drains the node and ends it.",
-		Flags:     flags,
+		Name:        "hickorybend",
+		Usage:       "hickorybend --settings FILE [--check]\n  hickorybend edge --config FILE",
+		ShortHelp:   "serve models that span several hosts",
+		LongHelp:    "Each flag can be given by the environment too: HICKORYBEND_SETTINGS=FILE.\nSIGTERM drains the node and ends it.",
+		Flags:       flags,
+		Subcommands: []*ff.Command{edgeCommand(flags)},
 		Exec: func(ctx context.Context, _ []string) error {
 			return serve(ctx, *settings, *check)
 		},
@@ -43,28 +44,13 @@
 	if err != nil {
 		return err
 	}
-	app := fx.New(
-		fx.Supply(settings, log),
-		fx.WithLogger(func(log *zap.Logger) fxevent.Logger {
-			return &fxevent.ZapLogger{Logger: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
-		}),
+	return runApp(ctx, log, fx.Options(
+		fx.Supply(settings),
 		fx.StopTimeout(settings.Drain.Notice+2*settings.Drain.Limit),
 		node.Module(),
-	)
-	if err := app.Start(ctx); err != nil {
-		return err
-	}
-	code := 0
-	select {
-	case <-ctx.Done():
-	case shutdown := <-app.Wait():
-		code = shutdown.ExitCode
-	}
-	if err := app.Stop(context.Background()); err != nil {
-		return err
-	}
-	if code != 0 {
-		return shell.Exit{Code: code, Message: "the node failed"}
-	}
-	return nil
+	))
+}
+
+func quietFx(log *zap.Logger) fxevent.Logger {
+	return &fxevent.ZapLogger{Logger: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
 }
--- /dev/null
+++ b/core/fleet/adopt.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// adopt takes in replicas that another holder formed. One whose members are
+// all there is taken over as it is; one that lacks members after a grace ends.
+func (turn *turn) adopt() {
+	planner := turn.planner
+	strays := map[string][]Endpoint{}
+	for _, endpoint := range turn.Endpoints {
+		name := endpoint.Membership.Replica
+		if name == "" || planner.ended[name] || planner.replicas[name] != nil {
+			continue
+		}
+		if planner.memberOf(endpoint.ID) != nil {
+			continue // it shows its former replica still; a join is on its way
+		}
+		strays[name] = append(strays[name], endpoint)
+	}
+	for name := range planner.strays {
+		if strays[name] == nil {
+			delete(planner.strays, name)
+		}
+	}
+	for name, members := range strays {
+		turn.adoptOne(name, members)
+	}
+}
+
+func (turn *turn) adoptOne(name string, members []Endpoint) {
+	planner := turn.planner
+	first, seen := planner.strays[name]
+	if !seen {
+		first = turn.Now
+		planner.strays[name] = first
+	}
+	adopted := turn.take(name, members)
+	whole := adopted.model.Size > 0 && len(members) == adopted.model.Size && ranked(members)
+	if !whole && turn.Now.Before(first.Add(planner.policy.StrayGrace)) {
+		return
+	}
+	delete(planner.strays, name)
+	planner.replicas[name] = adopted
+	if !whole {
+		adopted.stage = stageEnding
+		return
+	}
+	switch members[0].Membership.Phase {
+	case PhaseOpen:
+		adopted.stage = stageServing
+	case PhaseClosing, PhaseBroken:
+		adopted.stage = stageEnding
+	default:
+		adopted.stage = stageForming
+		adopted.giveUpAt = turn.Now.Add(planner.policy.FormLimit)
+	}
+}
+
+// take makes the planner's record of a replica from its members' own words; an
+// open may have been sent by the holder before.
+func (turn *turn) take(name string, members []Endpoint) *replica {
+	slices.SortFunc(members, func(a, b Endpoint) int { return a.Membership.Rank - b.Membership.Rank })
+	model, _ := turn.Engine.Model(modelOf(name))
+	adopted := &replica{name: name, epoch: members[0].Membership.Epoch, model: model, born: map[string]time.Time{}, opened: true}
+	if members[0].Membership.Rank != 0 {
+		adopted.members = append(adopted.members, "")
+	}
+	for _, member := range members {
+		adopted.members = append(adopted.members, member.ID)
+		adopted.born[member.ID] = member.Born
+	}
+	return adopted
+}
+
+func ranked(members []Endpoint) bool {
+	for i, member := range members {
+		if member.Membership.Rank != i || member.Membership.Epoch != members[0].Membership.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// fault says why a replica can no longer serve.
+type fault string
+
+const (
+	faultNone     fault = ""
+	faultLost     fault = "member lost"
+	faultRestart  fault = "member restarted"
+	faultMoved    fault = "member in another replica"
+	faultBroken   fault = "first host broken"
+	faultDraining fault = "member draining"
+	faultLate     fault = "not whole in time"
+)
+
+// judge ends the replicas that can no longer serve. One that only drains is
+// retired: its work may finish first.
+func (turn *turn) judge() {
+	for _, replica := range turn.planner.replicas {
+		if replica.stage >= stageRetiring {
+			continue
+		}
+		switch fault := turn.faultOf(replica); {
+		case fault == faultNone:
+		case !replica.opened:
+			turn.planner.release(replica)
+		case fault == faultDraining:
+			replica.stage = stageRetiring
+			replica.retireBy = turn.Now.Add(turn.planner.policy.RetireLimit)
+		default:
+			replica.stage = stageEnding
+		}
+	}
+}
+
+func (turn *turn) faultOf(replica *replica) fault {
+	draining := false
+	for _, id := range replica.members {
+		endpoint, known := turn.known[id]
+		if !known || turn.Dead[id] {
+			return faultLost
+		}
+		if !endpoint.Born.Equal(replica.born[id]) {
+			return faultRestart
+		}
+		if replica.stage != stageForming && endpoint.Membership.Replica != replica.name {
+			return faultMoved
+		}
+		draining = draining || endpoint.Draining
+	}
+	switch {
+	case turn.known[replica.head()].Membership.Phase == PhaseBroken && turn.shows(replica, replica.head()):
+		return faultBroken
+	case draining:
+		return faultDraining
+	case replica.stage != stageServing && turn.Now.After(replica.giveUpAt):
+		return faultLate
+	default:
+		return faultNone
+	}
+}
+
+// shows tells whether an endpoint says that it belongs to the replica.
+func (turn *turn) shows(replica *replica, id string) bool {
+	endpoint, known := turn.known[id]
+	return known && endpoint.Membership.Replica == replica.name
+}
+
+// finish frees the members of replicas that end. A member may join elsewhere
+// only when the first host cannot serve any more: it has left, broken, started
+// anew or moved on. Nothing is heard of a dead one, so its members leave, which
+// breaks it, and wait until it must have noticed.
+func (turn *turn) finish() {
+	for _, replica := range turn.planner.replicas {
+		if replica.stage == stageRetiring && (turn.InFlight[replica.head()] == 0 || turn.Now.After(replica.retireBy)) {
+			replica.stage = stageEnding
+		}
+		if replica.stage == stageEnding {
+			turn.end(replica)
+		}
+	}
+}
+
+func (turn *turn) end(replica *replica) {
+	head, known := turn.known[replica.head()]
+	switch {
+	case known && !head.Born.Equal(replica.born[head.ID]),
+		known && head.Membership.Replica != replica.name,
+		known && head.Membership.Phase == PhaseBroken:
+		turn.planner.release(replica)
+	case known && !turn.Dead[head.ID]:
+		turn.send(head.ID, Leave{Replica: replica.name, Epoch: replica.epoch})
+	default:
+		turn.abandon(replica)
+	}
+}
+
+// abandon frees the members of a replica whose first host is silent.
+func (turn *turn) abandon(replica *replica) {
+	policy := turn.planner.policy
+	for _, id := range replica.members[1:] {
+		hand := turn.planner.hand(id)
+		hand.freeAt = turn.Now.Add(policy.Stall + policy.StallMargin)
+		if turn.shows(replica, id) && !turn.Dead[id] {
+			turn.send(id, Leave{Replica: replica.name, Epoch: replica.epoch})
+		}
+	}
+	turn.planner.hand(replica.head()).freeAt = turn.Now.Add(policy.Stall + policy.StallMargin)
+	turn.planner.release(replica)
+}
--- /dev/null
+++ b/core/fleet/form.go
@@ -0,0 +1,356 @@
+package fleet
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"hickorybend/core/site"
+)
+
+// advance opens the replicas whose members all say that they are ready, under
+// the name that stands for this epoch and list, and sends lost orders again.
+func (turn *turn) advance() {
+	for _, replica := range turn.planner.replicas {
+		switch replica.stage {
+		case stageForming:
+			turn.advanceForming(replica)
+		case stageOpening:
+			if turn.known[replica.head()].Membership.Phase == PhaseOpen {
+				replica.stage = stageServing
+				continue
+			}
+			turn.send(replica.head(), Open{Replica: replica.name, Epoch: replica.epoch})
+		}
+	}
+}
+
+func (turn *turn) advanceForming(replica *replica) {
+	for _, id := range replica.members {
+		if !turn.shows(replica, id) {
+			turn.send(id, Join{Replica: replica.name, Epoch: replica.epoch, Model: replica.model.Name, Members: replica.members})
+			return
+		}
+	}
+	for _, id := range replica.members {
+		if phase := turn.known[id].Membership.Phase; phase != PhaseReady && phase != PhaseOpen {
+			return
+		}
+	}
+	replica.opened = true
+	if turn.send(replica.head(), Open{Replica: replica.name, Epoch: replica.epoch}) {
+		replica.stage = stageOpening
+		replica.giveUpAt = turn.Now.Add(turn.planner.policy.FormLimit)
+	}
+}
+
+// readiness is how soon an endpoint could be a member of a replica of a model.
+type readiness int
+
+const (
+	readyAtOnce readiness = iota // the model of its last replica
+	readyWarm                    // the weights are on its host
+	readyStaging
+	readyCold
+)
+
+func (turn *turn) readinessOf(id string, model string) readiness {
+	hand := turn.planner.hand(id)
+	endpoint := turn.known[id]
+	switch {
+	case hand.lastModel == model && endpoint.Holds(model):
+		return readyAtOnce
+	case endpoint.Holds(model):
+		return readyWarm
+	case hand.staging == model:
+		return readyStaging
+	default:
+		return readyCold
+	}
+}
+
+// free lists the endpoints of a domain that may join a replica now.
+func (turn *turn) free() map[string][]string {
+	taken := map[string]bool{}
+	for _, replica := range turn.planner.replicas {
+		for _, id := range replica.members {
+			taken[id] = true
+		}
+	}
+	domains := map[string][]string{}
+	for _, endpoint := range turn.Endpoints {
+		hand := turn.planner.hand(endpoint.ID)
+		stray := endpoint.Membership.Replica != "" && !turn.planner.ended[endpoint.Membership.Replica]
+		if taken[endpoint.ID] || endpoint.Draining || turn.Dead[endpoint.ID] || stray || hand.pending || turn.Now.Before(hand.freeAt) {
+			continue
+		}
+		domains[endpoint.Domain] = append(domains[endpoint.Domain], endpoint.ID)
+	}
+	for _, ids := range domains {
+		sort.Strings(ids)
+	}
+	return domains
+}
+
+// need is how much a model lacks replicas.
+type need struct {
+	model    site.Model
+	replicas int
+	wanted   float64
+	load     float64 // part of its slots that are taken
+}
+
+// score is above 1 where a model lacks replicas.
+func (need need) score() float64 { return need.wanted / float64(need.replicas+1) }
+
+// needs works out how many replicas of each model the endpoints at hand should
+// form. Endpoints less the reserve are shared out by the work of each model,
+// at first as configured, then as measured: with 60 endpoints, 10 in reserve
+// and half of the work each, a model of 4 hosts wants 25/4 replicas and one of
+// 2 hosts 25/2.
+func (turn *turn) needs() []need {
+	work := turn.measured()
+	usable := float64(len(turn.Endpoints)) * (1 - turn.planner.policy.Reserve)
+	var needs []need
+	for _, model := range turn.Engine.Models {
+		share := model.Share
+		if work != nil {
+			keep := turn.planner.policy.ShareMemory
+			share = keep*model.Share + (1-keep)*work[model.Name]
+		}
+		found := need{model: model, wanted: usable * share / float64(max(model.Size, 1))}
+		inFlight := 0
+		for _, replica := range turn.planner.replicas {
+			if replica.model.Name == model.Name && replica.stage < stageRetiring {
+				found.replicas++
+				inFlight += turn.InFlight[replica.head()]
+			}
+		}
+		found.load = float64(inFlight) / float64(max(1, found.replicas*turn.Engine.Slots))
+		if found.load > turn.planner.policy.HighLoad {
+			found.wanted = max(found.wanted, float64(found.replicas)+1)
+		}
+		needs = append(needs, found)
+	}
+	return needs
+}
+
+// measured gives each model's part of the work in flight, in hosts; nil while
+// there is too little to go by.
+func (turn *turn) measured() map[string]float64 {
+	const least = 20 // requests in flight that make a measurement
+	total, requests := 0.0, 0
+	work := map[string]float64{}
+	for _, replica := range turn.planner.replicas {
+		inFlight := turn.InFlight[replica.head()]
+		requests += inFlight
+		hosts := float64(inFlight) * float64(replica.model.Size)
+		work[replica.model.Name] += hosts
+		total += hosts
+	}
+	if requests < least {
+		return nil
+	}
+	for name := range work {
+		work[name] /= total
+	}
+	return work
+}
+
+// form makes new replicas, the most wanting model first, each in the domain
+// that can make it soonest.
+func (turn *turn) form() {
+	if turn.Now.Before(turn.planner.newest.Add(turn.planner.policy.Settle)) && turn.Quiet {
+		return
+	}
+	domains := turn.free()
+	needs := turn.needs()
+	for {
+		slices.SortFunc(needs, func(a, b need) int { return compare(b.score(), a.score()) })
+		formed := false
+		for i := range needs {
+			if needs[i].score() < 1 {
+				break
+			}
+			if turn.formOne(needs[i].model, domains) {
+				needs[i].replicas++
+				formed = true
+				break
+			}
+		}
+		if !formed {
+			return
+		}
+	}
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// formOne forms a replica where enough endpoints are prepared for the model;
+// before the first caller they need not be.
+func (turn *turn) formOne(model site.Model, domains map[string][]string) bool {
+	limit := readyWarm
+	if turn.Quiet {
+		limit = readyCold
+	}
+	best, bestCost := "", 0
+	for domain, ids := range domains {
+		chosen, cost := turn.members(model, ids, limit)
+		if chosen == nil {
+			continue
+		}
+		// Fuller domains first, so that a large model still finds room.
+		cost = cost*100 - len(ids)
+		if best == "" || cost < bestCost || cost == bestCost && domain < best {
+			best, bestCost = domain, cost
+		}
+	}
+	if best == "" {
+		return false
+	}
+	chosen, _ := turn.members(model, domains[best], limit)
+	domains[best] = slices.DeleteFunc(domains[best], func(id string) bool { return slices.Contains(chosen, id) })
+	turn.start(model, chosen)
+	return true
+}
+
+// members picks the endpoints that are readiest for a model; cost is that of
+// the slowest of them.
+func (turn *turn) members(model site.Model, ids []string, limit readiness) ([]string, int) {
+	if len(ids) < model.Size || model.Size == 0 {
+		return nil, 0
+	}
+	sorted := slices.Clone(ids)
+	slices.SortStableFunc(sorted, func(a, b string) int {
+		return int(turn.readinessOf(a, model.Name)) - int(turn.readinessOf(b, model.Name))
+	})
+	chosen := sorted[:model.Size]
+	slowest := turn.readinessOf(chosen[model.Size-1], model.Name)
+	if slowest > limit {
+		return nil, 0
+	}
+	return chosen, int(slowest)
+}
+
+func (turn *turn) start(model site.Model, members []string) {
+	planner := turn.planner
+	epoch := planner.nextEpoch()
+	formed := &replica{name: nameOf(model.Name, epoch), epoch: epoch, model: model, members: members, born: map[string]time.Time{}}
+	limit := planner.policy.FormLimit
+	if turn.Quiet {
+		limit += model.LoadTime
+	}
+	formed.giveUpAt = turn.Now.Add(limit)
+	planner.replicas[formed.name] = formed
+	for _, id := range members {
+		formed.born[id] = turn.known[id].Born
+		planner.hand(id).retryAt = time.Time{}
+		turn.send(id, Join{Replica: formed.name, Epoch: epoch, Model: model.Name, Members: members})
+	}
+}
+
+// stage loads weights onto the hosts of spares, at less than the weight
+// store's rate: a spare with the right weights joins in a second or two, one
+// without in ten or more.
+func (turn *turn) stage() {
+	if turn.Quiet && turn.Now.Before(turn.planner.newest.Add(2*turn.planner.policy.Settle)) {
+		return
+	}
+	domains := turn.free()
+	names := make([]string, 0, len(domains))
+	for domain := range domains {
+		names = append(names, domain)
+	}
+	sort.Strings(names)
+	for _, domain := range names {
+		turn.stageDomain(domain, domains[domain])
+	}
+}
+
+func (turn *turn) stageDomain(domain string, ids []string) {
+	prepared := map[string]int{}
+	for _, id := range ids {
+		for _, model := range turn.Engine.Models {
+			if turn.readinessOf(id, model.Name) < readyCold {
+				prepared[model.Name]++
+			}
+		}
+	}
+	for _, id := range ids {
+		if !turn.unprepared(id) {
+			continue
+		}
+		model := turn.wantedStage(domain, prepared)
+		if !turn.mayLoad() {
+			return
+		}
+		if turn.send(id, Stage{Model: model.Name}) {
+			hand := turn.planner.hand(id)
+			hand.staging = model.Name
+			hand.stagedBy = turn.Now.Add(2 * model.LoadTime)
+			prepared[model.Name]++
+			turn.planner.loads = append(turn.planner.loads, turn.Now)
+		}
+	}
+}
+
+// unprepared tells whether an endpoint's host has no model's weights and gets
+// none.
+func (turn *turn) unprepared(id string) bool {
+	for _, model := range turn.Engine.Models {
+		if turn.readinessOf(id, model.Name) < readyCold {
+			return false
+		}
+	}
+	return true
+}
+
+// wantedStage picks the model that a domain's spares cover least: a model with
+// many hosts in the domain loses one more often.
+func (turn *turn) wantedStage(domain string, prepared map[string]int) site.Model {
+	hosts := map[string]int{}
+	for _, replica := range turn.planner.replicas {
+		if turn.known[replica.head()].Domain == domain {
+			hosts[replica.model.Name] += replica.model.Size
+		}
+	}
+	var best site.Model
+	bestScore := -1.0
+	for _, model := range turn.Engine.Models {
+		score := (float64(hosts[model.Name]) + model.Share) / float64(prepared[model.Name]+1)
+		if score > bestScore {
+			best, bestScore = model, score
+		}
+	}
+	return best
+}
+
+// mayLoad tells whether one more load may start now.
+func (turn *turn) mayLoad() bool {
+	if turn.Quiet {
+		return true
+	}
+	planner := turn.planner
+	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Time) bool { return turn.Now.Sub(at) > 20*time.Second })
+	recent, running := 0, 0
+	for _, at := range planner.loads {
+		if turn.Now.Sub(at) < time.Second {
+			recent++
+		}
+	}
+	for _, hand := range planner.hands {
+		if hand.staging != "" {
+			running++
+		}
+	}
+	return float64(recent) < max(1, planner.policy.LoadPace*turn.Engine.LoadsPerSec) && running < max(1, turn.Engine.LoadsAtOnce)
+}
--- /dev/null
+++ b/core/fleet/planner.go
@@ -0,0 +1,244 @@
+package fleet
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"hickorybend/core/site"
+)
+
+// Input is what one decision is made from.
+type Input struct {
+	Now       time.Time
+	Fence     int64 // of the lease; grows with each take-over
+	Engine    *site.Engine
+	Endpoints []Endpoint      // of one service
+	Dead      map[string]bool // endpoints that answer nothing
+	InFlight  map[string]int  // requests of all nodes at each first host
+	Quiet     bool            // no caller has come yet: loads are quick and free
+}
+
+// Planner holds one service's replicas for as long as the lease is held. What
+// it knows beyond the endpoints' own words is lost with it, and not missed.
+type Planner struct {
+	policy   Policy
+	service  string
+	fence    int64
+	count    int64
+	replicas map[string]*replica
+	ended    map[string]bool
+	strays   map[string]time.Time
+	hands    map[string]*hand
+	loads    []time.Time
+	newest   time.Time
+}
+
+// stage is a replica's place in the planner's hands.
+type stage int
+
+const (
+	stageForming stage = iota // joins are sent
+	stageOpening              // an open is sent
+	stageServing
+	stageRetiring // ends once its work is done
+	stageEnding   // its first host is told to leave
+)
+
+type replica struct {
+	name     string
+	epoch    int64
+	model    site.Model
+	members  []string
+	born     map[string]time.Time
+	stage    stage
+	opened   bool // an open was sent, heard or not
+	giveUpAt time.Time
+	retireBy time.Time
+}
+
+func (replica *replica) head() string { return replica.members[0] }
+
+// hand is what the planner has under way with one endpoint.
+type hand struct {
+	pending   bool
+	retryAt   time.Time
+	freeAt    time.Time
+	stagedBy  time.Time // when a load that was ordered is expected to end
+	staging   string
+	lastModel string
+	seen      bool
+}
+
+// NewPlanner makes a planner of a service that knows nothing yet.
+func NewPlanner(policy Policy, service string) *Planner {
+	return &Planner{
+		policy: policy, service: service, replicas: map[string]*replica{}, ended: map[string]bool{},
+		strays: map[string]time.Time{}, hands: map[string]*hand{},
+	}
+}
+
+// turn is one decision under way.
+type turn struct {
+	Input
+	planner  *Planner
+	known    map[string]Endpoint
+	commands []Command
+}
+
+// Plan gives the commands due now, in the order of the phases: what exists is
+// taken in, what is broken ends, what is whole opens, and only then is
+// something new formed or staged.
+func (planner *Planner) Plan(input Input) []Command {
+	if input.Engine == nil {
+		return nil
+	}
+	if input.Fence != planner.fence {
+		planner.fence = input.Fence
+		planner.count = 0
+	}
+	turn := &turn{Input: input, planner: planner, known: map[string]Endpoint{}}
+	for _, endpoint := range input.Endpoints {
+		turn.known[endpoint.ID] = endpoint
+		turn.meet(endpoint)
+	}
+	turn.adopt()
+	turn.judge()
+	turn.finish()
+	turn.advance()
+	turn.form()
+	turn.stage()
+	return turn.commands
+}
+
+// Resolve takes in what became of a command.
+func (planner *Planner) Resolve(now time.Time, command Command, reply Reply) {
+	hand := planner.hand(command.Endpoint)
+	hand.pending = false
+	if _, unheard := reply.(Unheard); unheard {
+		return
+	}
+	switch order := command.Order.(type) {
+	case Join:
+		planner.resolveJoin(now, order, reply)
+	case Leave:
+		planner.resolveLeave(order, command.Endpoint, reply)
+	case Stage:
+		if _, begun := reply.(Begun); !begun {
+			hand.staging, hand.stagedBy = "", time.Time{}
+		}
+	case Open:
+	}
+}
+
+func (planner *Planner) resolveJoin(now time.Time, order Join, reply Reply) {
+	found := planner.replicas[order.Replica]
+	if found == nil || found.stage != stageForming {
+		return
+	}
+	switch reply.(type) {
+	case Begun, Held:
+	default:
+		found.giveUpAt = now.Add(planner.policy.OrderRetry)
+	}
+}
+
+// resolveLeave releases the members of a replica whose first host has left.
+func (planner *Planner) resolveLeave(order Leave, endpoint string, reply Reply) {
+	found := planner.replicas[order.Replica]
+	if found == nil || found.stage != stageEnding || found.head() != endpoint {
+		return
+	}
+	switch reply.(type) {
+	case Begun, Held:
+		planner.release(found)
+	}
+}
+
+func (planner *Planner) hand(id string) *hand {
+	found := planner.hands[id]
+	if found == nil {
+		found = &hand{}
+		planner.hands[id] = found
+	}
+	return found
+}
+
+func (turn *turn) meet(endpoint Endpoint) {
+	hand := turn.planner.hand(endpoint.ID)
+	if !hand.seen {
+		hand.seen = true
+		turn.planner.newest = turn.Now
+	}
+	if hand.staging != "" && (endpoint.Holds(hand.staging) || turn.Now.After(hand.stagedBy)) {
+		hand.staging = ""
+	}
+	if name := endpoint.Membership.Replica; name != "" {
+		hand.lastModel = modelOf(name)
+	}
+}
+
+// send queues a command unless one is under way at the endpoint.
+func (turn *turn) send(id string, order Order) bool {
+	hand := turn.planner.hand(id)
+	if hand.pending || turn.Now.Before(hand.retryAt) {
+		return false
+	}
+	endpoint, known := turn.known[id]
+	if !known {
+		return false
+	}
+	hand.pending = true
+	hand.retryAt = turn.Now.Add(turn.planner.policy.OrderRetry)
+	command := Command{Endpoint: id, Address: endpoint.Address, Sequence: endpoint.Sequence, Order: order}
+	turn.commands = append(turn.commands, command)
+	return true
+}
+
+// nameOf makes a replica's name, from which every later holder reads its model
+// and epoch.
+func nameOf(model string, epoch int64) string {
+	return model + "." + strconv.FormatInt(epoch, 36)
+}
+
+func modelOf(name string) string {
+	model, _, _ := strings.Cut(name, ".")
+	return model
+}
+
+// epochsPerFence is how many replicas one holder may form before its epochs
+// would run into those of the next.
+const epochsPerFence = 1 << 20
+
+func (planner *Planner) nextEpoch() int64 {
+	planner.count++
+	return planner.fence*epochsPerFence + planner.count
+}
+
+func (planner *Planner) release(replica *replica) {
+	delete(planner.replicas, replica.name)
+	planner.ended[replica.name] = true
+}
+
+// memberOf gives the replica that the planner counts an endpoint to.
+func (planner *Planner) memberOf(id string) *replica {
+	for _, replica := range planner.replicas {
+		if slices.Contains(replica.members, id) {
+			return replica
+		}
+	}
+	return nil
+}
+
+// Replicas counts the planner's replicas that serve, and those on the way.
+func (planner *Planner) Replicas() (serving, underWay int) {
+	for _, replica := range planner.replicas {
+		if replica.stage == stageServing {
+			serving++
+		} else {
+			underWay++
+		}
+	}
+	return serving, underWay
+}
--- /dev/null
+++ b/core/reach/choose.go
@@ -0,0 +1,135 @@
+package reach
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Choose sends a request to the candidate with the least load, or refuses it
+// when even that one could not begin it in time.
+//
+// A candidate's load is the part of its slots that all nodes' requests take,
+// plus penalties for distance, failures and slowness. For example, of two
+// replicas with 17 slots one has 8 requests in this zone (0.47) and one has 6
+// in another (0.35 + 0.12 = 0.47): they are alike, and the random point
+// decides. Refusing is cheaper than waiting beyond the objective: a request
+// that waits takes a slot late and makes the next ones late too.
+func Choose(policy Policy, pool *Pool, wish Wish) Decision {
+	if pool == nil {
+		return Refuse{Reason: ReasonNoService, After: policy.RetryLeast}
+	}
+	candidates := pool.Plain
+	if pool.Engine != nil {
+		candidates = pool.Models[wish.Model]
+	}
+	best, score := pick(policy, candidates, wish)
+	if best == nil {
+		return Refuse{Reason: ReasonNoEndpoint, After: pauseOf(policy, candidates, wish)}
+	}
+	inFlight := best.Load.InFlight()
+	if score.taken > limitOf(policy, pool, wish) {
+		return Refuse{Reason: ReasonFull, After: pauseOf(policy, candidates, wish)}
+	}
+	return Send{Candidate: best, InFlight: inFlight}
+}
+
+// rating is a candidate's share of slots taken, and that with its penalties.
+type rating struct {
+	taken float64
+	total float64
+}
+
+// tieWidth is how much of a candidate's slots the random point may move it, so
+// that nodes with the same knowledge do not all choose the same one.
+const tieWidth = 0.06
+
+func pick(policy Policy, candidates []*Candidate, wish Wish) (*Candidate, rating) {
+	var best *Candidate
+	score := rating{total: math.Inf(1)}
+	usual := usualTime(candidates)
+	for i, candidate := range candidates {
+		if slices.Contains(wish.Tried, candidate.ID) || candidate.Load.Avoided(wish.Now) {
+			continue
+		}
+		if candidate.Most > 0 && candidate.Load.Own() >= candidate.Most {
+			continue
+		}
+		rated := rate(policy, candidate, usual)
+		rated.total += tieWidth * turned(wish.Point, i)
+		if rated.total < score.total {
+			best, score = candidate, rated
+		}
+	}
+	return best, score
+}
+
+func rate(policy Policy, candidate *Candidate, usual time.Duration) rating {
+	taken := float64(candidate.Load.InFlight()+1) / float64(max(candidate.Slots, 1))
+	total := taken + policy.FailPenalty*candidate.Load.Failure()
+	if !candidate.Near {
+		total += policy.FarPenalty
+	}
+	if took := candidate.Load.Took(); usual > 0 && took > usual {
+		total += policy.SlowPenalty * math.Log2(float64(took)/float64(usual))
+	}
+	return rating{taken: taken, total: total}
+}
+
+// turned spreads one random point over the candidates.
+func turned(point float64, i int) float64 {
+	_, part := math.Modf(point*float64(7+3*i) + 0.618*float64(i))
+	return part
+}
+
+// usualTime gives the least smoothed time of the candidates, that others are
+// measured by.
+func usualTime(candidates []*Candidate) time.Duration {
+	var sum time.Duration
+	count := 0
+	for _, candidate := range candidates {
+		if took := candidate.Load.Took(); took > 0 {
+			sum += took
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / time.Duration(count)
+}
+
+// usualPriority is the rank that gets no extra room.
+const usualPriority = 2
+
+func limitOf(policy Policy, pool *Pool, wish Wish) float64 {
+	if pool.Engine == nil {
+		return 1 + policy.PlainWaiting
+	}
+	limit := 1 + policy.Waiting
+	if wish.Back || wish.Resumed {
+		limit = 1 + policy.BackWaiting
+	}
+	return limit + policy.UrgentExtra*float64(max(0, usualPriority-wish.Priority))
+}
+
+// pauseOf tells when room is expected: after as much of a usual answer's time
+// as the requests over the slots take to end, spread so that not all return at
+// once.
+func pauseOf(policy Policy, candidates []*Candidate, wish Wish) time.Duration {
+	slots, inFlight := 0, 0
+	for _, candidate := range candidates {
+		slots += candidate.Slots
+		inFlight += candidate.Load.InFlight()
+	}
+	usual := usualTime(candidates)
+	if usual == 0 {
+		usual = policy.ServiceTime
+	}
+	over := 1.0
+	if slots > 0 {
+		over = math.Max(0, float64(inFlight)/float64(slots)-0.8)
+	}
+	pause := time.Duration(over * float64(usual) * (0.7 + 0.6*wish.Point))
+	return min(max(pause, policy.RetryLeast), policy.RetryMost)
+}
--- /dev/null
+++ b/core/reach/load.go
@@ -0,0 +1,72 @@
+package reach
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// Load is what is known of one endpoint's load and health on this node; it is
+// shared by the goroutines of all requests.
+type Load struct {
+	own     atomic.Int64
+	others  atomic.Int64
+	failure atomic.Uint64 // smoothed part of requests that failed, as float bits
+	took    atomic.Uint64 // smoothed seconds of an answer, as float bits
+	avoid   atomic.Int64  // unix nanoseconds until which nothing new is sent
+}
+
+const (
+	failureWeight = 0.15
+	tookWeight    = 0.1
+)
+
+// Begin counts a request that is sent.
+func (load *Load) Begin() { load.own.Add(1) }
+
+// End counts a request that is over.
+func (load *Load) End() { load.own.Add(-1) }
+
+// Own gives this node's requests in flight.
+func (load *Load) Own() int { return int(load.own.Load()) }
+
+// SetOthers takes in the other nodes' requests in flight.
+func (load *Load) SetOthers(count int) { load.others.Store(int64(count)) }
+
+// InFlight gives all nodes' requests in flight, as far as known.
+func (load *Load) InFlight() int { return int(load.own.Load() + load.others.Load()) }
+
+// Note takes in how a request ended and how long it took.
+func (load *Load) Note(failed bool, took time.Duration) {
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	} else {
+		smooth(&load.took, took.Seconds(), tookWeight)
+	}
+	smooth(&load.failure, outcome, failureWeight)
+}
+
+// Avoid keeps new requests away until a moment.
+func (load *Load) Avoid(until time.Time) { load.avoid.Store(until.UnixNano()) }
+
+// Avoided tells whether new requests are kept away.
+func (load *Load) Avoided(now time.Time) bool { return now.UnixNano() < load.avoid.Load() }
+
+// Failure gives the smoothed part of requests that failed.
+func (load *Load) Failure() float64 { return math.Float64frombits(load.failure.Load()) }
+
+// Took gives the smoothed time of an answer; 0 before the first.
+func (load *Load) Took() time.Duration {
+	return time.Duration(math.Float64frombits(load.took.Load()) * float64(time.Second))
+}
+
+// smooth moves a value towards a sample; a sample lost to a race does no harm.
+func smooth(bits *atomic.Uint64, sample, weight float64) {
+	old := math.Float64frombits(bits.Load())
+	if old == 0 && weight == tookWeight {
+		bits.Store(math.Float64bits(sample))
+		return
+	}
+	bits.Store(math.Float64bits(old + weight*(sample-old)))
+}
--- /dev/null
+++ b/core/reach/picture.go
@@ -0,0 +1,77 @@
+package reach
+
+import (
+	"time"
+
+	"hickorybend/core/site"
+)
+
+// Picture is what control publishes for traffic; it never changes.
+type Picture struct {
+	Index    *site.Index // nil while no configuration is known
+	Services map[string]*Pool
+	Nodes    int
+}
+
+// Pool is the endpoints of one service: replicas by model, or plain ones.
+type Pool struct {
+	Service string
+	Engine  *site.Engine
+	Models  map[string][]*Candidate
+	Plain   []*Candidate
+}
+
+// Candidate is an endpoint that takes requests: a plain one, or the first host
+// of a replica.
+type Candidate struct {
+	ID      string
+	Address string
+	Zone    string
+	Near    bool // in this node's zone
+	Slots   int
+	Most    int // requests that this node may have in flight there
+	Members []string
+	Load    *Load
+}
+
+// Wish is what matters of a request for the choice.
+type Wish struct {
+	Model    string
+	Now      time.Time
+	Deadline time.Time
+	Priority int  // 0 is the most urgent
+	Back     bool // it was turned away before and has come back
+	Resumed  bool // part of its answer was delivered
+	Tried    []string
+	Point    float64 // a random number in [0,1)
+}
+
+// Decision is where a request goes: Send or Refuse.
+type Decision interface {
+	decision()
+}
+
+// Send gives the request to a candidate.
+type Send struct {
+	Candidate *Candidate
+	InFlight  int // all nodes' requests there when it was chosen
+}
+
+// Refuse turns the request away at once; it may come back after a while.
+type Refuse struct {
+	Reason Reason
+	After  time.Duration
+}
+
+func (Send) decision()   {}
+func (Refuse) decision() {}
+
+// Reason says why a request is turned away.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoEndpoint Reason = "no-endpoint" // no whole replica, or no endpoint, is known
+	ReasonFull       Reason = "full"        // it would wait beyond its objective
+	ReasonNoService  Reason = "no-service"  // the configuration names no such service or model
+)
--- /dev/null
+++ b/core/site/config.go
@@ -0,0 +1,116 @@
+package site
+
+import "time"
+
+// Config is one version of the operators' configuration, whole.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+}
+
+// Call is what may be repeated of a route's requests: Safe, Once or Stream.
+type Call interface {
+	call()
+}
+
+// Safe requests are idempotent.
+type Safe struct{}
+
+// Once requests run at most once for each attempt of a caller.
+type Once struct{}
+
+// Stream requests are answered by a series of events; a resumable one may be
+// continued by another endpoint after the last event delivered.
+type Stream struct {
+	Resumable   bool
+	PauseTarget time.Duration
+}
+
+func (Safe) call()   {}
+func (Once) call()   {}
+func (Stream) call() {}
+
+// Repeatable tells whether a second endpoint may be asked after the first may
+// have run the request.
+func Repeatable(call Call) bool {
+	switch typed := call.(type) {
+	case Safe:
+		return true
+	case Stream:
+		return typed.Resumable
+	default:
+		return false
+	}
+}
+
+// Route sends the requests of a host below a path prefix to services.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Call     Call
+	Timeout  time.Duration // the longest time an answer may take
+	Target   time.Duration // the latency objective
+	Attempts int           // endpoints that one attempt of a caller may be sent to
+	Priority int           // 0 is the most urgent
+	Open     bool          // requests need no key
+	Targets  []Target
+}
+
+// Target is a service with its share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Service is a set of endpoints; one with models runs them on replicas.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int // of one endpoint, from all its callers together
+	Engine         *Engine
+}
+
+// Engine tells how a model service's endpoints batch, load and form replicas.
+type Engine struct {
+	Slots        int
+	Models       []Model
+	LoadsPerSec  float64 // starts of loads from the weight store
+	LoadsAtOnce  int     // loads beyond these slow each other down
+	FormTime     time.Duration
+	StepTime     time.Duration // one token step of an empty batch
+	StepPerSlot  time.Duration // added for each request in the batch
+	StepsPerPass int
+	ReadPerSec   float64 // prompt tokens
+	UsualPrompt  float64 // tokens
+	UsualAnswer  float64 // tokens
+}
+
+// Model is a model that replicas of Size endpoints serve.
+type Model struct {
+	Name     string
+	Size     int
+	Share    float64 // of all work, when traffic begins
+	Pace     float64 // factor on all times of a replica
+	LoadTime time.Duration
+	WarmTime time.Duration // to join where the host has the weights
+}
+
+// Team is a customer with its keys.
+type Team struct {
+	Name     string
+	Keys     []string
+	Priority int
+	Ranked   bool // Priority goes before the route's
+}
+
+// Limits bound what a caller may send and for how long it may stay idle.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
--- /dev/null
+++ b/io/edge/control.go
@@ -0,0 +1,189 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorybend/core/reach"
+	"hickorybend/core/rows"
+	"hickorybend/io/event"
+	"hickorybend/io/gossip"
+	"hickorybend/io/meter"
+	"hickorybend/platform"
+)
+
+const (
+	tickEvery   = 100 * time.Millisecond // between two walks through the phases
+	mostWaiting = 1024                   // messages that wait for control
+)
+
+// Control owns what a node believes. One goroutine takes in messages and walks
+// the parts in a fixed order; traffic reads the picture that it publishes.
+type Control struct {
+	settings  Settings
+	store     *platform.Store
+	engine    *platform.Engine
+	log       *zap.Logger
+	meter     *meter.Meter
+	visited   func() bool
+	lost      func(heads []string)
+	messages  chan message
+	picture   atomic.Pointer[reach.Picture]
+	digest    atomic.Pointer[gossip.Digest]
+	copies    [tableCount]atomic.Pointer[gossip.Table]
+	ready     atomic.Bool
+	started   time.Time
+	ctx       context.Context
+	operators operators
+	endpoints endpoints
+	peers     peers
+	placement placement
+	leaving   bool
+	changed   bool // the picture has to be drawn anew
+}
+
+// NewControl makes the control of a node; visited tells whether a caller has
+// come, and lost is called with the heads of replicas that cannot go on.
+func NewControl(settings Settings, store *platform.Store, engine *platform.Engine, log *zap.Logger, meter *meter.Meter) *Control {
+	control := &Control{
+		settings: settings, store: store, engine: engine, log: log, meter: meter,
+		visited: func() bool { return false }, lost: func([]string) {},
+		messages: make(chan message, mostWaiting),
+	}
+	control.endpoints = newEndpoints()
+	control.peers = newPeers(settings)
+	control.placement = newPlacement(settings)
+	control.picture.Store(&reach.Picture{Nodes: 1})
+	control.digest.Store(&gossip.Digest{Node: settings.Node})
+	return control
+}
+
+// Picture is what traffic reads.
+func (control *Control) Picture() *atomic.Pointer[reach.Picture] { return &control.picture }
+
+// Ready tells whether the node knows enough to serve.
+func (control *Control) Ready() bool { return control.ready.Load() }
+
+// Suspect asks whether an endpoint is alive; it never waits.
+func (control *Control) Suspect(endpoint string) {
+	select {
+	case control.messages <- suspected{endpoint: endpoint}:
+	default: // control is far behind; the next silence asks again
+	}
+}
+
+func (control *Control) tell(message message) {
+	select {
+	case control.messages <- message:
+	case <-control.ctx.Done():
+	}
+}
+
+// Run follows the platform and decides until the context ends.
+func (control *Control) Run(ctx context.Context) {
+	for table := range tableCount {
+		go control.follow(ctx, table)
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case message := <-control.messages:
+			control.learn(message)
+			control.drain()
+		case <-ticker.C:
+			control.tick(time.Now())
+		}
+		if control.changed {
+			control.changed = false
+			control.publish(time.Now())
+		}
+	}
+}
+
+// drain takes in what else waits, so that one picture serves for all of it.
+func (control *Control) drain() {
+	for range mostWaiting {
+		select {
+		case message := <-control.messages:
+			control.learn(message)
+		default:
+			return
+		}
+	}
+}
+
+func (control *Control) learn(message message) {
+	now := time.Now()
+	switch typed := message.(type) {
+	case tableChanged:
+		control.learnTable(typed, now)
+	case tableSilent:
+		control.learnSilence(typed, now)
+	case heard:
+		control.learnDigest(typed.digest, now)
+	case unheard:
+		control.peers.miss(typed.node, now)
+	case suspected:
+		control.probeReplica(typed.endpoint, now)
+	case probed:
+		control.learnProbe(typed, now)
+	case ordered:
+		control.learnOrder(typed, now)
+	case nodeWritten:
+		_, done := typed.outcome.(rows.Done)
+		control.peers.written, control.peers.writing = done, false
+	case claimed:
+		control.placement.claim.Resolve(typed.action, typed.outcome, now)
+		control.placement.claiming = false
+	case leave:
+		control.giveUp(typed, now)
+	}
+}
+
+func (control *Control) learnTable(change tableChanged, now time.Time) {
+	if change.from == fromStore {
+		control.regained(change.table, now)
+	}
+	switch change.table {
+	case tableConfig:
+		control.learnConfig(change, now)
+	case tableEndpoints:
+		control.learnEndpoints(change, now)
+	case tableOwn:
+		control.learnOwn(change, now)
+	}
+}
+
+func (control *Control) learnSilence(silence tableSilent, now time.Time) {
+	if control.operators.silentSince[silence.table].IsZero() {
+		control.operators.silentSince[silence.table] = now
+		event.Log(control.log, event.StoreDown, zap.String("table", tableNames[silence.table]), zap.Error(silence.cause))
+	}
+}
+
+func (control *Control) regained(table int, now time.Time) {
+	since := control.operators.silentSince[table]
+	if since.IsZero() {
+		return
+	}
+	control.operators.silentSince[table] = time.Time{}
+	control.operators.backAt[table] = now
+	event.Log(control.log, event.StoreBack, zap.String("table", tableNames[table]), zap.Duration("after", now.Sub(since)))
+}
+
+// tick walks the parts that act by themselves.
+func (control *Control) tick(now time.Time) {
+	control.expire(now)
+	control.gossipNow(now)
+	control.place(now)
+	ready := control.operators.index != nil && control.endpoints.known && !control.leaving
+	if control.ready.Swap(ready) != ready {
+		event.Log(control.log, event.ReadyChanged, zap.Bool("ready", ready))
+	}
+}
--- /dev/null
+++ b/io/edge/placement.go
@@ -0,0 +1,187 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"hickorybend/core/fleet"
+	"hickorybend/core/lease"
+	"hickorybend/core/rows"
+	"hickorybend/io/event"
+)
+
+const (
+	leaseName   = "placement"
+	takeJitter  = 400 * time.Millisecond // so that not all nodes take a free lease at once
+	quietLimit  = 30 * time.Second       // after the start, loads are no longer taken for free
+	reportPause = 400 * time.Millisecond // between two looks at a member that joins
+)
+
+// leasePolicy hands a dead holder's lease on within three seconds.
+func leasePolicy() lease.Policy {
+	return lease.Policy{RenewEvery: 800 * time.Millisecond, Term: 2500 * time.Millisecond, Margin: 300 * time.Millisecond}
+}
+
+// placement is the lease and, while it is held, the planners of all services.
+type placement struct {
+	claim    *lease.Claim
+	rowsRead bool
+	claiming bool
+	held     bool
+	fence    int64
+	row      rows.Row
+	fenceRow rows.Row
+	planners map[string]*fleet.Planner
+	policy   fleet.Policy
+	delay    time.Duration
+}
+
+func newPlacement(settings Settings) placement {
+	policy := fleet.DefaultPolicy()
+	policy.Stall = settings.Stall
+	return placement{
+		claim: lease.NewClaim(leasePolicy(), leaseName, settings.Node), policy: policy, delay: rand.N(takeJitter),
+		row: rows.Row{Key: rows.Key{Part: lease.Part, Sort: leaseName}}, fenceRow: rows.Row{Key: lease.FenceKey(leaseName)},
+		planners: map[string]*fleet.Planner{},
+	}
+}
+
+func (placement *placement) learnRow(row rows.Row) {
+	switch row.Key {
+	case placement.row.Key:
+		placement.row = row
+	case placement.fenceRow.Key:
+		placement.fenceRow = row
+	}
+}
+
+func (control *Control) observeLease(now time.Time) {
+	placement := &control.placement
+	if !placement.rowsRead {
+		return
+	}
+	if err := placement.claim.Observe(placement.row, placement.fenceRow, now); err != nil {
+		event.Log(control.log, event.RowUnreadable, zap.Error(err))
+	}
+}
+
+// place holds the lease and, while it is held, plans.
+func (control *Control) place(now time.Time) {
+	placement := &control.placement
+	control.claimNow(now)
+	fence, held := placement.claim.Held(now)
+	if held != placement.held {
+		placement.held = held
+		placement.planners = map[string]*fleet.Planner{}
+		noted := event.LeaseLost
+		if held {
+			noted = event.LeaseTaken
+		}
+		event.Log(control.log, noted, zap.Int64("fence", fence))
+	}
+	if !held || control.leaving || control.operators.index == nil || !control.endpoints.known {
+		return
+	}
+	placement.fence = fence
+	for i := range control.operators.index.Config.Services {
+		if service := &control.operators.index.Config.Services[i]; service.Engine != nil {
+			control.planService(service.Name, now)
+		}
+	}
+}
+
+func (control *Control) claimNow(now time.Time) {
+	placement := &control.placement
+	if placement.claiming || control.leaving || !placement.rowsRead {
+		return
+	}
+	action := placement.claim.Next(now, placement.delay, uuid.NewString())
+	var txn rows.Txn
+	switch typed := action.(type) {
+	case lease.Renew:
+		txn = typed.Txn
+	case lease.Take:
+		txn = typed.Txn
+	default:
+		return
+	}
+	placement.claiming = true
+	go func() {
+		control.tell(claimed{action: action, outcome: control.store.Commit(control.ctx, txn)})
+	}()
+}
+
+func (control *Control) planService(name string, now time.Time) {
+	placement := &control.placement
+	service, _ := control.operators.index.Service(name)
+	planner := placement.planners[name]
+	if planner == nil {
+		planner = fleet.NewPlanner(placement.policy, name)
+		placement.planners[name] = planner
+	}
+	input := fleet.Input{
+		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.endpoints.of(name),
+		Dead: map[string]bool{}, InFlight: map[string]int{}, Quiet: control.quiet(now),
+	}
+	for id := range control.endpoints.lost {
+		input.Dead[id] = true
+	}
+	for id, load := range control.endpoints.loads {
+		input.InFlight[id] = load.InFlight()
+	}
+	for _, command := range planner.Plan(input) {
+		control.send(name, command)
+	}
+}
+
+// quiet tells whether the whole system has just started and no caller has come.
+func (control *Control) quiet(now time.Time) bool {
+	return control.settings.FirstStart && now.Before(control.started.Add(quietLimit)) && !control.visited() && !control.anyVisited()
+}
+
+// send carries out a command if the lease still holds at the last moment.
+func (control *Control) send(service string, command fleet.Command) {
+	go func() {
+		reply := control.engine.Order(control.ctx, command)
+		control.tell(ordered{service: service, command: command, reply: reply})
+	}()
+}
+
+func (control *Control) learnOrder(done ordered, now time.Time) {
+	event.Log(control.log, event.OrderSent, zap.String("endpoint", done.command.Endpoint), zap.String("order", describe(done.command.Order)),
+		zap.Int64("sequence", done.command.Sequence), zap.String("reply", describeReply(done.reply)))
+	if planner := control.placement.planners[done.service]; planner != nil {
+		planner.Resolve(now, done.command, done.reply)
+	}
+	endpoint, found := control.endpoints.byID[done.command.Endpoint]
+	if !found {
+		return
+	}
+	switch done.reply.(type) {
+	case fleet.Begun:
+		if endpoint.Sequence == done.command.Sequence {
+			endpoint.Sequence++
+			control.endpoints.byID[endpoint.ID] = endpoint
+		}
+	case fleet.Unfit, fleet.Unheard:
+		control.probe(endpoint.ID, now)
+	}
+}
+
+// giveUp hands the lease to whoever is next.
+func (control *Control) giveUp(leave leave, now time.Time) {
+	control.leaving = true
+	txn, held := control.placement.claim.Release(now, uuid.NewString())
+	if !held {
+		close(leave.done)
+		return
+	}
+	go func() {
+		defer close(leave.done)
+		outcome := control.store.Commit(control.ctx, txn)
+		event.Log(control.log, event.LeaseReleased, zap.String("outcome", describeOutcome(outcome)))
+	}()
+}
--- /dev/null
+++ b/io/edge/settings.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hickorybend/core/jsonc"
+)
+
+// Settings are all that a node is told at its start.
+type Settings struct {
+	Node           string        `json:"node"`
+	Zone           string        `json:"zone"`
+	CallersAddress string        `json:"callers-address"`
+	ReadyAddress   string        `json:"ready-address"`
+	PeersAddress   string        `json:"peers-address"`
+	PeerKey        string        `json:"peer-key"`
+	StoreAddress   string        `json:"store-address"`
+	FirstStart     bool          `json:"first-start"`
+	MemoryMB       int           `json:"memory-mb"`
+	Grace          time.Duration `json:"grace"` // from SIGTERM to the end
+	Stall          time.Duration `json:"stall"` // before a replica that lost a member breaks
+	AddressReuse   time.Duration `json:"reuse"` // before an endpoint's address may be another's
+	DrainTime      time.Duration `json:"drain"` // in which a leaving endpoint may still get requests
+	Retry          Retry         `json:"retry"`
+	HeaderTime     time.Duration `json:"header-time"`
+	HeaderBytes    int           `json:"header-bytes"`
+}
+
+// Retry is the budget of second sends that all nodes share.
+type Retry struct {
+	Ratio  float64       `json:"ratio"`
+	Extra  float64       `json:"extra"`
+	Window time.Duration `json:"window"`
+}
+
+// ErrSettings says that the settings file cannot be read.
+var ErrSettings = errors.New("edge: the settings file cannot be read")
+
+// Defaults gives the settings that a file need not name.
+func Defaults() Settings {
+	return Settings{
+		MemoryMB: 256, Grace: 8 * time.Second, Stall: 6 * time.Second, AddressReuse: 2 * time.Second, DrainTime: 2 * time.Second,
+		Retry: Retry{Ratio: 0.1, Extra: 20, Window: 10 * time.Second}, HeaderTime: 10 * time.Second, HeaderBytes: 64 << 10,
+	}
+}
+
+// Read loads and checks a settings file.
+func Read(file string) (Settings, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Mark(errors.Wrap(err, "edge: reading"), ErrSettings)
+	}
+	return Parse(file, source)
+}
+
+// Parse checks the text of a settings file; the error is a jsonc.Faults.
+func Parse(file string, source []byte) (Settings, error) {
+	settings := Defaults()
+	doc := jsonc.Decode(file, source, &settings)
+	if doc.Err() != nil {
+		return settings, doc.Err()
+	}
+	for _, field := range []struct{ name, value string }{
+		{"node", settings.Node}, {"zone", settings.Zone}, {"callers-address", settings.CallersAddress},
+		{"ready-address", settings.ReadyAddress}, {"peers-address", settings.PeersAddress},
+		{"peer-key", settings.PeerKey}, {"store-address", settings.StoreAddress},
+	} {
+		if field.value == "" {
+			doc.Reject(field.name, "a value", "nothing")
+		}
+	}
+	if settings.Grace < time.Second {
+		doc.Reject("grace", "at least 1s", settings.Grace.String())
+	}
+	if settings.MemoryMB < 32 {
+		doc.Reject("memory-mb", "at least 32", "less")
+	}
+	return settings, doc.Err()
+}
--- /dev/null
+++ b/io/entry/policy.go
@@ -0,0 +1,24 @@
+package entry
+
+import "time"
+
+// Policy holds the times of passing requests on.
+type Policy struct {
+	ProbeAfter time.Duration // silence of a stream after which its replica is asked whether it lives
+	StallAfter time.Duration // silence after which a stream goes on elsewhere
+	SafeWait   time.Duration // for the head of an answer to a safe request, before another endpoint is asked
+	AvoidFull  time.Duration // an endpoint that had no room gets nothing new
+	AvoidLost  time.Duration // an endpoint that could not be reached gets nothing new
+	MostSends  int           // endpoints that one request is offered to
+	ReadLimit  time.Duration // to read a request's body
+	LeastLeft  time.Duration // a request with less time left is not sent on
+}
+
+// DefaultPolicy fits objectives of some hundred milliseconds.
+func DefaultPolicy() Policy {
+	return Policy{
+		ProbeAfter: 220 * time.Millisecond, StallAfter: 1500 * time.Millisecond, SafeWait: 700 * time.Millisecond,
+		AvoidFull: 150 * time.Millisecond, AvoidLost: time.Second, MostSends: 3, ReadLimit: 10 * time.Second,
+		LeastLeft: 20 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/io/entry/visit.go
@@ -0,0 +1,227 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"hickorybend/core/reach"
+	"hickorybend/core/site"
+	"hickorybend/io/event"
+	"hickorybend/io/pool"
+	"hickorybend/platform"
+)
+
+// visit is one request of a caller on its way through.
+type visit struct {
+	server   *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	picture  *reach.Picture
+	came     time.Time
+	deadline time.Time
+	ask      platform.Ask
+	route    *site.Route
+	team     string
+	priority int
+	service  string
+	body     []byte
+	tried    []string
+	ran      bool // some endpoint may have run it
+	status   int
+	endpoint string
+	outcome  string
+	first    time.Time // when the first event went to the caller
+}
+
+// admit checks the request before any endpoint hears of it.
+func (visit *visit) admit() bool {
+	if visit.picture == nil || visit.picture.Index == nil {
+		visit.refuse("no configuration known yet", visit.server.reach.RetryLeast)
+		return false
+	}
+	index := visit.picture.Index
+	visit.ask = platform.ReadAsk(visit.r.Header)
+	route, found := index.Route(visit.r.Host, visit.r.URL.EscapedPath())
+	if !found {
+		visit.fail(http.StatusNotFound, "no route for this host and path")
+		return false
+	}
+	visit.route = route
+	visit.priority = route.Priority
+	if !visit.authenticate(index) {
+		visit.fail(http.StatusUnauthorized, "the key is missing or unknown")
+		return false
+	}
+	limit := route.Timeout
+	if visit.ask.Left > 0 {
+		limit = min(limit, visit.ask.Left)
+	}
+	visit.deadline = visit.came.Add(limit)
+	return visit.read(index.Config.Limits.BodyBytes)
+}
+
+func (visit *visit) authenticate(index *site.Index) bool {
+	team, found := index.Team(visit.ask.Key)
+	if visit.ask.HasKey && found {
+		visit.team = team.Name
+		if team.Ranked {
+			visit.priority = team.Priority
+		}
+		return true
+	}
+	return visit.route.Open || !index.Keyed()
+}
+
+// read takes in the whole body, so that it can be sent again.
+func (visit *visit) read(most int64) bool {
+	if most > 0 {
+		visit.r.Body = http.MaxBytesReader(visit.w, visit.r.Body, most)
+	}
+	control := http.NewResponseController(visit.w)
+	_ = control.SetReadDeadline(visit.came.Add(visit.server.policy.ReadLimit))
+	body, err := io.ReadAll(visit.r.Body)
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		visit.body = body
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		visit.fail(http.StatusRequestEntityTooLarge, "the body is larger than the limit")
+		return false
+	}
+	visit.fail(http.StatusBadRequest, "the body did not come whole")
+	return false
+}
+
+// serve passes the request on by what may be repeated of it.
+func (visit *visit) serve() {
+	visit.service = visit.route.Pick(rand.Float64())
+	visit.server.earn(visit.service, visit.came)
+	ctx, cancel := context.WithDeadline(visit.r.Context(), visit.deadline)
+	defer cancel()
+	switch call := visit.route.Call.(type) {
+	case site.Stream:
+		visit.stream(ctx, call)
+	case site.Safe, site.Once:
+		visit.whole(ctx)
+	}
+}
+
+// choose picks an endpoint or says why there is none.
+func (visit *visit) choose(resumed bool) reach.Decision {
+	visit.picture = visit.server.picture.Load()
+	return reach.Choose(visit.server.reach, visit.picture.Services[visit.service], reach.Wish{
+		Model: visit.ask.Model, Now: time.Now(), Deadline: visit.deadline, Priority: visit.priority,
+		Back: visit.back(), Resumed: resumed, Tried: visit.tried, Point: rand.Float64(),
+	})
+}
+
+// backPart is the part of a route's time below which what is left tells that
+// the caller has been here before.
+const backPart = 0.93
+
+// back tells whether the caller was turned away before and has come back: it
+// has less time left than callers of its route begin with.
+func (visit *visit) back() bool {
+	return visit.ask.Left > 0 && float64(visit.ask.Left) < backPart*float64(visit.route.Timeout)
+}
+
+// usualRank is the rank that endpoints give to what says nothing.
+const usualRank = 4
+
+// requestTo makes the request for one endpoint.
+func (visit *visit) requestTo(candidate *reach.Candidate, lastEvent string) pool.Request {
+	header := make(http.Header, len(visit.r.Header)+4)
+	copyHeaders(header, visit.r.Header)
+	rank := usualRank + visit.priority
+	if lastEvent != "" || visit.back() {
+		rank -= 2
+	}
+	platform.SetPassing(header, platform.Passing{
+		Endpoint: candidate.ID, Team: visit.team, Left: time.Until(visit.deadline), Priority: rank, LastEvent: lastEvent,
+	})
+	return pool.Request{
+		Method: visit.r.Method, Target: visit.r.RequestURI, Host: visit.r.Host, Header: header, Body: visit.body,
+		Fresh: !site.Repeatable(visit.route.Call),
+	}
+}
+
+// mayTry tells whether another endpoint may be asked now; the first always may.
+func (visit *visit) mayTry() bool {
+	if len(visit.tried) == 0 {
+		return true
+	}
+	now := time.Now()
+	switch {
+	case visit.ran && (len(visit.tried) >= visit.route.Attempts || !site.Repeatable(visit.route.Call)):
+		return false
+	case len(visit.tried) >= visit.server.policy.MostSends, visit.deadline.Sub(now) < visit.server.policy.LeastLeft:
+		return false
+	default:
+		return visit.server.mayRepeat(visit.service, now, visit.picture.Nodes)
+	}
+}
+
+// gone ends a request whose caller has left; nothing of an answer may look
+// complete.
+func (visit *visit) gone() {
+	visit.outcome = "caller left"
+	panic(http.ErrAbortHandler)
+}
+
+// record writes the log line and the figures of a request that is over.
+func (visit *visit) record() {
+	took := time.Since(visit.came)
+	label := visit.service
+	if visit.route != nil {
+		label = visit.route.Name
+	}
+	visit.server.meter.Count("requests_"+statusLabel(visit.status), label)
+	times := visit.server.meter.TimesOf(label)
+	times.Whole.Update(took.Microseconds())
+	if !visit.first.IsZero() {
+		times.First.Update(visit.first.Sub(visit.came).Microseconds())
+	}
+	fields := []zap.Field{
+		zap.String("request", visit.ask.ID), zap.Int("status", visit.status), zap.String("outcome", visit.outcome),
+		zap.Duration("took", took),
+	}
+	if visit.route != nil {
+		fields = append(fields, zap.String("route", visit.route.Name), zap.String("team", visit.team),
+			zap.Strings("endpoints", visit.tried), zap.Int64("config", visit.picture.Index.Config.Version),
+			zap.Duration("left", visit.ask.Left), zap.String("model", visit.ask.Model))
+	}
+	event.Log(visit.server.log, event.RequestEnded, fields...)
+}
+
+func statusLabel(status int) string {
+	switch {
+	case status == 0:
+		return "cut"
+	case status < 400:
+		return "answered"
+	case status == http.StatusServiceUnavailable:
+		return "refused"
+	default:
+		return "failed"
+	}
+}
+
+func namedIn(lists []string, name string) bool {
+	for _, list := range lists {
+		for _, part := range strings.Split(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/entry/whole.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hickorybend/core/reach"
+	"hickorybend/core/site"
+	"hickorybend/io/pool"
+	"hickorybend/platform"
+)
+
+// maxWhole bounds an answer that is kept until it is whole.
+const maxWhole = 16 << 20
+
+// result is what became of one sending: answered, unsent, declined or broken.
+type result interface {
+	result()
+}
+
+// answered is an endpoint's whole answer.
+type answered struct {
+	response *http.Response
+	body     []byte
+	word     platform.Word
+}
+
+// unsent never left this node.
+type unsent struct{ cause error }
+
+// declined did not run, by the endpoint's own word.
+type declined struct{ word platform.Word }
+
+// broken may have run.
+type broken struct{ cause error }
+
+func (answered) result() {}
+func (unsent) result()   {}
+func (declined) result() {}
+func (broken) result()   {}
+
+// whole serves a request whose answer is handed back in one piece.
+func (visit *visit) whole(ctx context.Context) {
+	cause := "no endpoint took the request"
+	for visit.mayTry() {
+		decision := visit.choose(false)
+		refusal, refused := decision.(reach.Refuse)
+		if refused {
+			visit.giveUp(refusal, "turned away: "+string(refusal.Reason))
+			return
+		}
+		candidate := decision.(reach.Send).Candidate
+		visit.tried = append(visit.tried, candidate.ID)
+		switch result := visit.send(ctx, candidate).(type) {
+		case answered:
+			if visit.worthRepeat(result) {
+				visit.ran = true
+				if visit.mayTry() {
+					continue
+				}
+			}
+			visit.outcome = "answered"
+			visit.writeWhole(result.response, result.body, result.response.Header)
+			return
+		case declined:
+			cause = "the endpoints have no room"
+		case unsent:
+			cause = "the endpoints cannot be reached"
+		case broken:
+			visit.ran = true
+			cause = "the endpoint's answer did not come whole"
+		}
+		if visit.r.Context().Err() != nil {
+			visit.gone()
+		}
+	}
+	visit.giveUp(reach.Refuse{}, cause)
+}
+
+// worthRepeat tells whether a safe request's failure at one endpoint is worth
+// a second one.
+func (visit *visit) worthRepeat(result answered) bool {
+	_, safe := visit.route.Call.(site.Safe)
+	return safe && result.response.StatusCode >= http.StatusInternalServerError
+}
+
+// send passes the request to one endpoint and waits for its whole answer.
+func (visit *visit) send(ctx context.Context, candidate *reach.Candidate) result {
+	sent := time.Now()
+	if _, safe := visit.route.Call.(site.Safe); safe && len(visit.tried) < visit.route.Attempts {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, visit.server.policy.SafeWait)
+		defer cancel()
+	}
+	ctx, leave := visit.server.enter(ctx, candidate)
+	defer leave()
+	exchange, err := visit.server.channels.Send(ctx, candidate.Address, visit.requestTo(candidate, ""))
+	if err != nil {
+		return visit.failed(candidate, err, sent)
+	}
+	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxWhole))
+	if err != nil {
+		exchange.Drop()
+		return visit.failed(candidate, errors.Mark(err, pool.ErrBroken), sent)
+	}
+	return visit.judge(candidate, exchange, body, sent)
+}
+
+// judge tells whether an answer is this request's own and whole.
+func (visit *visit) judge(candidate *reach.Candidate, exchange *pool.Exchange, body []byte, sent time.Time) result {
+	word := platform.ReadWord(exchange.Response)
+	status := exchange.Response.StatusCode
+	switch {
+	case visit.ask.ID != "" && word.ID != visit.ask.ID:
+		exchange.Drop()
+		return visit.failed(candidate, errors.Mark(errors.New("entry: the answer is another request's"), pool.ErrBroken), sent)
+	case word.NotRun:
+		exchange.Keep()
+		visit.decline(candidate, word, status)
+		return declined{word: word}
+	case word.Unusable, status < http.StatusMultipleChoices && !word.Receipt, promises(status) && !site.Repeatable(visit.route.Call):
+		exchange.Drop()
+		return visit.failed(candidate, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrBroken), sent)
+	}
+	exchange.Keep()
+	candidate.Load.Note(status >= http.StatusInternalServerError, time.Since(sent))
+	return answered{response: exchange.Response, body: body, word: word}
+}
+
+// promises tells whether a status says that the request has not run, which an
+// endpoint says only with its own word for it.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// decline takes in that an endpoint had no room or is another one.
+func (visit *visit) decline(candidate *reach.Candidate, word platform.Word, status int) {
+	pause := visit.server.policy.AvoidFull
+	if status == http.StatusMisdirectedRequest || word.Fault != "" {
+		pause = visit.server.policy.AvoidLost
+		visit.server.suspect(candidate.ID)
+	}
+	candidate.Load.Avoid(time.Now().Add(pause))
+}
+
+// failed takes in that an endpoint did not answer. One that the caller left,
+// or that was cut off from here, is not at fault.
+func (visit *visit) failed(candidate *reach.Candidate, err error, sent time.Time) result {
+	if visit.r.Context().Err() == nil {
+		candidate.Load.Note(true, time.Since(sent))
+		visit.server.suspect(candidate.ID)
+	}
+	if errors.Is(err, pool.ErrUnsent) {
+		candidate.Load.Avoid(time.Now().Add(visit.server.policy.AvoidLost))
+		return unsent{cause: err}
+	}
+	return broken{cause: err}
+}
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -19,12 +19,17 @@
 	NodeDraining     = Event{102, "node draining", zap.InfoLevel}
 	NodeStopped      = Event{103, "node stopped", zap.InfoLevel}
 	NodeFailed       = Event{104, "node failed", zap.ErrorLevel}
+	LinesDropped     = Event{105, "log lines dropped", zap.WarnLevel}
+	SettingsRead     = Event{106, "settings read again", zap.InfoLevel}
+	ReadyChanged     = Event{107, "readiness changed", zap.InfoLevel}
+	DrainCut         = Event{108, "requests cut at the end of the drain", zap.WarnLevel}
 	StoreDown        = Event{201, "table service does not answer", zap.WarnLevel}
 	StoreBack        = Event{202, "table service answers again", zap.InfoLevel}
 	ListDown         = Event{203, "host list does not answer", zap.WarnLevel}
 	ListBack         = Event{204, "host list answers again", zap.InfoLevel}
 	OutcomeUnknown   = Event{205, "outcome of a transaction is not known", zap.WarnLevel}
 	RowUnreadable    = Event{206, "a stored row is not readable", zap.ErrorLevel}
+	PeerSilent       = Event{207, "another node does not answer", zap.WarnLevel}
 	LeaseTaken       = Event{301, "lease taken", zap.InfoLevel}
 	LeaseLost        = Event{302, "lease lost", zap.WarnLevel}
 	LeaseReleased    = Event{303, "lease released", zap.InfoLevel}
@@ -36,6 +41,10 @@
 	EndpointReturned = Event{406, "ejected replica returned", zap.InfoLevel}
 	HostHandedBack   = Event{407, "host handed back", zap.InfoLevel}
 	MoveRejected     = Event{408, "placement move breaks a rule", zap.ErrorLevel}
+	EndpointChanged  = Event{409, "endpoint changed", zap.InfoLevel}
+	EndpointGone     = Event{410, "endpoint gone from the list", zap.InfoLevel}
+	EndpointSilent   = Event{411, "endpoint answers nothing", zap.WarnLevel}
+	OrderSent        = Event{412, "order answered", zap.InfoLevel}
 	ConfigAccepted   = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce    = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict   = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -48,18 +57,20 @@
 	ChunkForeign     = Event{603, "chunk of another request dropped", zap.WarnLevel}
 	CallInDoubt      = Event{604, "outcome of a call is not known", zap.WarnLevel}
 	RecordLate       = Event{605, "outcome of a call not yet recorded", zap.WarnLevel}
+	RequestEnded     = Event{606, "request ended", zap.InfoLevel}
 )
 
 // All lists every event in the order of the numbers.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeDraining, NodeStopped, NodeFailed,
-		StoreDown, StoreBack, ListDown, ListBack, OutcomeUnknown, RowUnreadable,
+		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LinesDropped, SettingsRead, ReadyChanged, DrainCut,
+		StoreDown, StoreBack, ListDown, ListBack, OutcomeUnknown, RowUnreadable, PeerSilent,
 		LeaseTaken, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaRefused, OrderFailed, MemberLost, EndpointEjected,
 		EndpointReturned, HostHandedBack, MoveRejected,
+		EndpointChanged, EndpointGone, EndpointSilent, OrderSent,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigDoubt, ConfigSure, PeerRefused,
-		StreamResumed, AnswerBroken, ChunkForeign, CallInDoubt, RecordLate,
+		StreamResumed, AnswerBroken, ChunkForeign, CallInDoubt, RecordLate, RequestEnded,
 	}
 }
 
--- /dev/null
+++ b/io/gossip/gossip.go
@@ -0,0 +1,107 @@
+package gossip
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"hickorybend/io/wire"
+)
+
+const (
+	procedureTell  = "/hickorybend.gossip/tell"
+	procedureFetch = "/hickorybend.gossip/fetch"
+	tellLimit      = 500 * time.Millisecond // for an exchange; a round trip between zones takes 10 ms
+	fetchLimit     = 1500 * time.Millisecond
+)
+
+// ErrPeer says that another node did not answer.
+var ErrPeer = errors.New("gossip: a node did not answer")
+
+// Digest is what a node tells the others many times a second.
+type Digest struct {
+	Node     string         `cbor:"1,keyasint"`
+	Versions []int64        `cbor:"2,keyasint"` // of the tables that all nodes follow, in their order
+	InFlight map[string]int `cbor:"3,keyasint,omitempty"`
+	Lost     []string       `cbor:"4,keyasint,omitempty"` // endpoints that answer this node nothing
+	Visited  bool           `cbor:"5,keyasint,omitempty"` // a caller has come
+	Leaving  bool           `cbor:"6,keyasint,omitempty"`
+}
+
+// Entry is a row as the platform's store gave it.
+type Entry struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version int64  `cbor:"3,keyasint"`
+}
+
+// Table is a whole table as a node knows it.
+type Table struct {
+	Entries []Entry `cbor:"1,keyasint"`
+	Version int64   `cbor:"2,keyasint"`
+}
+
+// Local is the node that answers others.
+type Local interface {
+	Hear(digest Digest) Digest
+	Table(table int) Table
+}
+
+type fetchCall struct {
+	Table int `cbor:"1,keyasint"`
+}
+
+// Handler answers other nodes.
+func Handler(local Local, peerKey string) (string, http.Handler) {
+	options := wire.HandlerOptions([]wire.Key{{Name: "peer", SHA256: wire.Hash(peerKey)}})
+	routes := http.NewServeMux()
+	routes.Handle(procedureTell, connect.NewUnaryHandler(procedureTell, func(_ context.Context, request *connect.Request[Digest]) (*connect.Response[Digest], error) {
+		reply := local.Hear(*request.Msg)
+		return connect.NewResponse(&reply), nil
+	}, options...))
+	routes.Handle(procedureFetch, connect.NewUnaryHandler(procedureFetch, func(_ context.Context, request *connect.Request[fetchCall]) (*connect.Response[Table], error) {
+		table := local.Table(request.Msg.Table)
+		return connect.NewResponse(&table), nil
+	}, options...))
+	return "/hickorybend.gossip/", routes
+}
+
+// Client calls one other node.
+type Client struct {
+	tell  *connect.Client[Digest, Digest]
+	fetch *connect.Client[fetchCall, Table]
+}
+
+// NewClient makes a client of the node at an address.
+func NewClient(client *http.Client, address, peerKey string) *Client {
+	options := wire.ClientOptions(peerKey)
+	return &Client{
+		tell:  connect.NewClient[Digest, Digest](client, "http://"+address+procedureTell, options...),
+		fetch: connect.NewClient[fetchCall, Table](client, "http://"+address+procedureFetch, options...),
+	}
+}
+
+// Tell exchanges digests.
+func (client *Client) Tell(ctx context.Context, digest Digest) (Digest, error) {
+	ctx, cancel := context.WithTimeout(ctx, tellLimit)
+	defer cancel()
+	reply, err := client.tell.CallUnary(ctx, connect.NewRequest(&digest))
+	if err != nil {
+		return Digest{}, errors.Mark(errors.Wrap(err, "gossip: telling"), ErrPeer)
+	}
+	return *reply.Msg, nil
+}
+
+// Fetch gets a whole table.
+func (client *Client) Fetch(ctx context.Context, table int) (Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	reply, err := client.fetch.CallUnary(ctx, connect.NewRequest(&fetchCall{Table: table}))
+	if err != nil {
+		return Table{}, errors.Mark(errors.Wrap(err, "gossip: fetching"), ErrPeer)
+	}
+	return *reply.Msg, nil
+}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // The exit codes of every command.
@@ -78,3 +79,10 @@
 	log, err := config.Build()
 	return log, errors.Wrap(err, "shell: making the log")
 }
+
+// LogTo makes a log of JSON lines on a sink that takes each line whole.
+func LogTo(sink zapcore.WriteSyncer) *zap.Logger {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeDuration = zapcore.MillisDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), sink, zap.InfoLevel))
+}
