Orders conditioned on reports' counts; the lease survives late feeds

Cause: a row's sequence counts rows, a report's counts orders, so every order was refused; and a feed that brought a row which this node had replaced made it renew on an old version. Change: two fields, two meanings; older versions of a lease's rows are passed over.

--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -32,8 +32,10 @@
 	Domain     string
 	Slots      int
 	Draining   bool
-	Busy       bool // an order is under way
-	Sequence   int64
+	Busy       bool      // an order is under way
+	Beat       int64     // count of its rows in one life
+	Orders     int64     // count of the orders it accepted in one life
+	Counted    bool      // Orders is known
 	Born       time.Time // start of its present life
 	Staged     []string  // models on its host
 	Membership Membership
@@ -49,11 +51,11 @@
 	return false
 }
 
-// Newer tells whether what the endpoint says of itself is not older than what
-// was known before: it counts orders in one life and is born later in the next.
+// Newer tells whether a row is not older than the one known before: rows count
+// up in one life, and the next life is born later.
 func (endpoint Endpoint) Newer(known Endpoint) bool {
 	if !endpoint.Born.Equal(known.Born) {
 		return endpoint.Born.After(known.Born)
 	}
-	return endpoint.Sequence >= known.Sequence
+	return endpoint.Beat >= known.Beat
 }
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -40,7 +40,7 @@
 type Command struct {
 	Endpoint string
 	Address  string
-	Sequence int64
+	Orders   int64 // the orders that the endpoint is thought to have accepted
 	Order    Order
 }
 
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -186,12 +186,12 @@
 		return false
 	}
 	endpoint, known := turn.known[id]
-	if !known {
+	if !known || !endpoint.Counted {
 		return false
 	}
 	hand.pending = true
 	hand.retryAt = turn.Now.Add(turn.planner.policy.OrderRetry)
-	command := Command{Endpoint: id, Address: endpoint.Address, Sequence: endpoint.Sequence, Order: order}
+	command := Command{Endpoint: id, Address: endpoint.Address, Orders: endpoint.Orders, Order: order}
 	turn.commands = append(turn.commands, command)
 	return true
 }
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -139,8 +139,7 @@
 		_, done := typed.outcome.(rows.Done)
 		control.peers.written, control.peers.writing = done, false
 	case claimed:
-		control.placement.claim.Resolve(typed.action, typed.outcome, now)
-		control.placement.claiming = false
+		control.placement.learnClaim(typed, now)
 	case leave:
 		control.giveUp(typed, now)
 	}
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -14,31 +14,32 @@
 )
 
 const (
-	believeGone   = 2 * time.Second        // after the store's return, before a missing row is believed
-	probeLimit    = 200 * time.Millisecond // for an endpoint's report; it needs no slot
-	probeTries    = 2
-	probePause    = 350 * time.Millisecond // between two probes of one endpoint
-	lostProbe     = time.Second            // between two probes of an endpoint that was lost
-	staleDeadline = 2500 * time.Millisecond
+	believeGone = 2 * time.Second        // after the store's return, before a missing row is believed
+	probeLimit  = 200 * time.Millisecond // for an endpoint's report; it needs no slot
+	probeTries  = 2
+	probePause  = 350 * time.Millisecond // between two probes of one endpoint
+	lostProbe   = time.Second            // between two probes of an endpoint that was lost
+	reportLag   = 500 * time.Millisecond // how old a report's contents may be
 )
 
 // endpoints is what is known of the endpoints.
 type endpoints struct {
-	known    bool
-	byID     map[string]fleet.Endpoint
-	values   map[string]platform.Entry // as the store gave them, for other nodes
-	version  int64
-	missing  map[string]time.Time // rows that went while the store was away, with the deadline of belief
-	lost     map[string]time.Time // endpoints that answer nothing, with when to ask again
-	probedAt map[string]time.Time
-	probing  map[string]bool
-	loads    map[string]*reach.Load
+	known     bool
+	byID      map[string]fleet.Endpoint
+	values    map[string]platform.Entry // as the store gave them, for other nodes
+	version   int64
+	missing   map[string]time.Time // rows that went while the store was away, with the deadline of belief
+	lost      map[string]time.Time // endpoints that answer nothing, with when to ask again
+	changedAt map[string]time.Time // when the last row came
+	probedAt  map[string]time.Time
+	probing   map[string]bool
+	loads     map[string]*reach.Load
 }
 
 func newEndpoints() endpoints {
 	return endpoints{
 		byID: map[string]fleet.Endpoint{}, values: map[string]platform.Entry{}, missing: map[string]time.Time{},
-		lost: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
+		lost: map[string]time.Time{}, changedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
 
@@ -57,7 +58,7 @@
 			control.forget(entry.Key, now)
 			continue
 		}
-		control.learnEndpoint(entry)
+		control.learnEndpoint(entry, now)
 	}
 	if change.batch.Whole {
 		known.known = true
@@ -71,7 +72,7 @@
 	control.changed = true
 }
 
-func (control *Control) learnEndpoint(entry platform.Entry) {
+func (control *Control) learnEndpoint(entry platform.Entry, now time.Time) {
 	known := &control.endpoints
 	endpoint, err := platform.Endpoint(entry.Key, entry.Value)
 	if err != nil {
@@ -88,11 +89,15 @@
 		known.byID[entry.Key] = before
 		return
 	}
+	if had && endpoint.Born.Equal(before.Born) {
+		endpoint.Orders, endpoint.Counted = before.Orders, before.Counted
+	}
 	known.byID[entry.Key] = endpoint
+	known.changedAt[entry.Key] = now
 	if !had || endpoint.Draining != before.Draining || endpoint.Membership != before.Membership {
 		event.Log(control.log, event.EndpointChanged, zap.String("endpoint", entry.Key), zap.String("address", endpoint.Address),
 			zap.Bool("draining", endpoint.Draining), zap.String("replica", endpoint.Membership.Replica),
-			zap.String("phase", string(endpoint.Membership.Phase)), zap.Int64("sequence", endpoint.Sequence))
+			zap.String("phase", string(endpoint.Membership.Phase)), zap.Int64("beat", endpoint.Beat))
 	}
 }
 
@@ -117,6 +122,7 @@
 	delete(known.values, id)
 	delete(known.missing, id)
 	delete(known.lost, id)
+	delete(known.changedAt, id)
 	control.changed = true
 }
 
@@ -203,7 +209,7 @@
 	_, wasLost := known.lost[probe.id]
 	if probe.alive {
 		delete(known.lost, probe.id)
-		control.learnReport(before, probe.report)
+		control.learnReport(probe)
 		control.changed = control.changed || wasLost
 		return
 	}
@@ -219,14 +225,22 @@
 	}
 }
 
-// learnReport takes in what an endpoint said when it was asked.
-func (control *Control) learnReport(before, report fleet.Endpoint) {
-	if !report.Newer(before) {
+// learnReport takes in what an endpoint said when it was asked. A report is a
+// little old: a row that came shortly before it was asked for goes before it.
+func (control *Control) learnReport(probe probed) {
+	known := control.endpoints.byID[probe.id]
+	report := probe.report
+	newLife := report.Born.After(known.Born)
+	fresh := probe.asked.After(control.endpoints.changedAt[probe.id].Add(reportLag))
+	if !newLife && (!fresh || report.Orders < known.Orders) {
+		known.Counted = true
+		known.Orders = max(known.Orders, report.Orders)
+		control.endpoints.byID[probe.id] = known
 		return
 	}
-	report.Draining = before.Draining
-	control.endpoints.byID[before.ID] = report
-	if report.Membership != before.Membership {
+	report.Draining, report.Beat = known.Draining, known.Beat
+	control.endpoints.byID[probe.id] = report
+	if report.Membership != known.Membership {
 		control.changed = true
 	}
 }
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -49,15 +49,42 @@
 	}
 }
 
+// learnRow takes in a row of the lease; a feed may still bring one that this
+// node has itself replaced.
 func (placement *placement) learnRow(row rows.Row) {
-	switch row.Key {
-	case placement.row.Key:
+	switch {
+	case row.Key == placement.row.Key && row.Version >= placement.row.Version:
 		placement.row = row
-	case placement.fenceRow.Key:
+	case row.Key == placement.fenceRow.Key && row.Version >= placement.fenceRow.Version:
 		placement.fenceRow = row
 	}
 }
 
+// learnClaim takes in what became of a transaction on the lease.
+func (placement *placement) learnClaim(claimed claimed, now time.Time) {
+	placement.claiming = false
+	placement.claim.Resolve(claimed.action, claimed.outcome, now)
+	if _, done := claimed.outcome.(rows.Done); !done {
+		return
+	}
+	for _, step := range txnOf(claimed.action).Steps {
+		if put, ok := step.(rows.Put); ok {
+			placement.learnRow(rows.Apply(put, txnOf(claimed.action).Write))
+		}
+	}
+}
+
+func txnOf(action lease.Action) rows.Txn {
+	switch typed := action.(type) {
+	case lease.Renew:
+		return typed.Txn
+	case lease.Take:
+		return typed.Txn
+	default:
+		return rows.Txn{}
+	}
+}
+
 func (control *Control) observeLease(now time.Time) {
 	placement := &control.placement
 	if !placement.rowsRead {
@@ -99,13 +126,8 @@
 		return
 	}
 	action := placement.claim.Next(now, placement.delay, uuid.NewString())
-	var txn rows.Txn
-	switch typed := action.(type) {
-	case lease.Renew:
-		txn = typed.Txn
-	case lease.Take:
-		txn = typed.Txn
-	default:
+	txn := txnOf(action)
+	if len(txn.Steps) == 0 {
 		return
 	}
 	placement.claiming = true
@@ -126,6 +148,7 @@
 		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.endpoints.of(name),
 		Dead: map[string]bool{}, InFlight: map[string]int{}, Quiet: control.quiet(now),
 	}
+	control.countOrders(input.Endpoints, input.Quiet, now)
 	for id := range control.endpoints.lost {
 		input.Dead[id] = true
 	}
@@ -137,6 +160,21 @@
 	}
 }
 
+// countOrders finds out how many orders each endpoint has accepted, where it is
+// not known: an order is carried out only on the right count.
+func (control *Control) countOrders(listed []fleet.Endpoint, quiet bool, now time.Time) {
+	for i, endpoint := range listed {
+		switch {
+		case endpoint.Counted:
+		case quiet && endpoint.Membership.Replica == "":
+			listed[i].Counted = true // just started, and nobody has ordered anything
+			control.endpoints.byID[endpoint.ID] = listed[i]
+		default:
+			control.probe(endpoint.ID, now)
+		}
+	}
+}
+
 // quiet tells whether the whole system has just started and no caller has come.
 func (control *Control) quiet(now time.Time) bool {
 	return control.settings.FirstStart && now.Before(control.started.Add(quietLimit)) && !control.visited() && !control.anyVisited()
@@ -152,7 +190,7 @@
 
 func (control *Control) learnOrder(done ordered, now time.Time) {
 	event.Log(control.log, event.OrderSent, zap.String("endpoint", done.command.Endpoint), zap.String("order", describe(done.command.Order)),
-		zap.Int64("sequence", done.command.Sequence), zap.String("reply", describeReply(done.reply)))
+		zap.Int64("orders", done.command.Orders), zap.String("reply", describeReply(done.reply)))
 	if planner := control.placement.planners[done.service]; planner != nil {
 		planner.Resolve(now, done.command, done.reply)
 	}
@@ -162,8 +200,8 @@
 	}
 	switch done.reply.(type) {
 	case fleet.Begun:
-		if endpoint.Sequence == done.command.Sequence {
-			endpoint.Sequence++
+		if endpoint.Orders == done.command.Orders {
+			endpoint.Orders++
 			control.endpoints.byID[endpoint.ID] = endpoint
 		}
 	case fleet.Unfit, fleet.Unheard:
