A renewal shown by a read before its answer keeps the lease

Cause: Claim.Resolve took the term from the pending write, which the read had already settled, so the holder lost the lease every second, its planner forgot what it had under way, and repairs stood still.

--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -119,28 +119,18 @@
 	if _, unheard := reply.(Unheard); unheard {
 		return
 	}
+	if _, unfit := reply.(Unfit); unfit {
+		hand.retryAt = now.Add(planner.policy.RefusedRetry)
+	}
 	switch order := command.Order.(type) {
-	case Join:
-		planner.resolveJoin(now, order, reply)
 	case Leave:
 		planner.resolveLeave(order, command.Endpoint, reply)
 	case Stage:
 		if _, begun := reply.(Begun); !begun {
 			hand.staging, hand.stagedBy = "", time.Time{}
+			hand.retryAt = now.Add(planner.policy.StageRetry)
 		}
-	case Open:
-	}
-}
-
-func (planner *Planner) resolveJoin(now time.Time, order Join, reply Reply) {
-	found := planner.replicas[order.Replica]
-	if found == nil || found.stage != stageForming {
-		return
-	}
-	switch reply.(type) {
-	case Begun, Held:
-	default:
-		found.giveUpAt = now.Add(planner.policy.OrderRetry)
+	case Join, Open:
 	}
 }
 
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -4,24 +4,26 @@
 
 // Policy holds the times and weights of placement.
 type Policy struct {
-	Stall       time.Duration // a first host that lost a member stands still so long before it breaks
-	StallMargin time.Duration // added to it before its members are used elsewhere
-	Settle      time.Duration // endpoints that appear within this of one another are placed together
-	StrayGrace  time.Duration // members of an unknown replica may appear so far apart
-	OrderRetry  time.Duration // between two sends of the same order
-	FormLimit   time.Duration // a replica of prepared hosts that is not whole by then is given up
-	RetireLimit time.Duration // how long work under way holds back the end of a replica that loses a host
-	Reserve     float64       // part of the endpoints that stay spares while load is low
-	HighLoad    float64       // part of a model's slots above which spares are used too
-	LoadPace    float64       // part of the weight store's rate that is used
-	ShareMemory float64       // weight of the configured shares against the measured ones
+	Stall        time.Duration // a first host that lost a member stands still so long before it breaks
+	StallMargin  time.Duration // added to it before its members are used elsewhere
+	Settle       time.Duration // endpoints that appear within this of one another are placed together
+	StrayGrace   time.Duration // members of an unknown replica may appear so far apart
+	OrderRetry   time.Duration // between two sends of the same order
+	RefusedRetry time.Duration // after a refusal, until the endpoint has said what it counts
+	StageRetry   time.Duration // after a refused staging: the host is at another one
+	FormLimit    time.Duration // a replica of prepared hosts that is not whole by then is given up
+	RetireLimit  time.Duration // how long work under way holds back the end of a replica that loses a host
+	Reserve      float64       // part of the endpoints that stay spares while load is low
+	HighLoad     float64       // part of a model's slots above which spares are used too
+	LoadPace     float64       // part of the weight store's rate that is used
+	ShareMemory  float64       // weight of the configured shares against the measured ones
 }
 
 // DefaultPolicy repairs from staged spares within two seconds.
 func DefaultPolicy() Policy {
 	return Policy{
 		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, Settle: 600 * time.Millisecond,
-		StrayGrace: 3 * time.Second, OrderRetry: 1200 * time.Millisecond, FormLimit: 6 * time.Second,
+		StrayGrace: 3 * time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
 		RetireLimit: 1500 * time.Millisecond, Reserve: 0.17, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 0.5,
 	}
 }
--- a/core/lease/claim.go
+++ b/core/lease/claim.go
@@ -166,7 +166,12 @@
 	}
 }
 
+// advance takes in a write that took effect, unless a read has shown it before
+// its answer came.
 func (claim *Claim) advance(action Action) {
+	if claim.pending.write == "" {
+		return
+	}
 	switch typed := action.(type) {
 	case Renew:
 		claim.row = rows.Apply(typed.Txn.Steps[0].(rows.Put), typed.Txn.Write)
--- a/core/lease/claim_test.go
+++ b/core/lease/claim_test.go
@@ -71,11 +71,7 @@
 }
 
 func (m *machine) read(t *rapid.T) {
-	n := m.awake(t)
-	if n.flying != nil {
-		t.Skip("own write under way")
-	}
-	m.observe(n)
+	m.observe(m.awake(t))
 }
 
 func (m *machine) observe(n *node) {
--- /dev/null
+++ b/core/lease/early_test.go
@@ -0,0 +1,37 @@
+package lease_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickorybend/core/lease"
+	"hickorybend/core/memory"
+	"hickorybend/core/rows"
+)
+
+// TestRowSeenBeforeItsAnswer has a feed bring the row of a renewal before the
+// answer to that renewal is taken in: the lease stays held.
+func TestRowSeenBeforeItsAnswer(t *testing.T) {
+	store := memory.NewStore()
+	claim := lease.NewClaim(lease.DefaultPolicy(), "place", "node-1")
+	now := time.Unix(1000, 0)
+	read := func() {
+		row, _ := store.Get(context.Background(), rows.Key{Part: lease.Part, Sort: "place"})
+		fence, _ := store.Get(context.Background(), lease.FenceKey("place"))
+		row.Key, fence.Key = rows.Key{Part: lease.Part, Sort: "place"}, lease.FenceKey("place")
+		assert.NilError(t, claim.Observe(row, fence, now))
+	}
+	read()
+	take := claim.Next(now, 0, "write-1").(lease.Take)
+	claim.Resolve(take, store.Commit(context.Background(), take.Txn), now)
+	now = now.Add(3 * time.Second)
+	renew := claim.Next(now, 0, "write-2").(lease.Renew)
+	outcome := store.Commit(context.Background(), renew.Txn)
+	read()
+	claim.Resolve(renew, outcome, now)
+	_, held := claim.Held(now.Add(time.Second))
+	assert.Assert(t, held)
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -35,6 +35,7 @@
 	digest    atomic.Pointer[gossip.Digest]
 	copies    [tableCount]atomic.Pointer[gossip.Table]
 	ready     atomic.Bool
+	holding   atomic.Bool // the placement lease is held
 	started   time.Time
 	ctx       context.Context
 	operators operators
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -22,9 +22,14 @@
 // tableNames are the tables' names in the store; leases and nodes share one.
 var tableNames = [tableCount]string{platform.TableOperator, platform.TableEndpoints, lease.Part}
 
-// feedWaits are how long the store may hold a feed without news: a silent feed
-// of the configuration has to show within the time that a change may take.
-var feedWaits = [tableCount]time.Duration{time.Second, time.Second, 2 * time.Second}
+// feedWaits are how long the store may hold a feed without news. They bound
+// how late a channel that has gone silent shows; other nodes' versions show it
+// sooner, unless all channels go silent at once.
+var feedWaits = [tableCount]time.Duration{2 * time.Second, 2 * time.Second, 4 * time.Second}
+
+// feedPauses are how long a node lets changes gather before it asks for the
+// next ones; the one that places replicas takes them as they come.
+var feedPauses = [tableCount]time.Duration{0, 200 * time.Millisecond, 0}
 
 const (
 	retryLeast = 150 * time.Millisecond // after a call that failed
@@ -43,6 +48,9 @@
 			pause = retryLeast
 			whole, next = true, batch.Next
 			control.tell(tableChanged{table: table, batch: batch, from: fromStore})
+			if feedPauses[table] > 0 && !control.holding.Load() {
+				wait(ctx, feedPauses[table])
+			}
 			continue
 		case errors.Is(err, platform.ErrHistory):
 			whole = false
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -102,6 +102,7 @@
 	fence, held := placement.claim.Held(now)
 	if held != placement.held {
 		placement.held = held
+		control.holding.Store(held)
 		placement.planners = map[string]*fleet.Planner{}
 		noted := event.LeaseLost
 		if held {
@@ -198,12 +199,14 @@
 	if !found {
 		return
 	}
+	_, left := done.command.Order.(fleet.Leave)
+	_, held := done.reply.(fleet.Held)
+	_, begun := done.reply.(fleet.Begun)
+	if (begun || held && left) && endpoint.Orders == done.command.Orders {
+		endpoint.Orders++ // a leave is done at once, and counts
+		control.endpoints.byID[endpoint.ID] = endpoint
+	}
 	switch done.reply.(type) {
-	case fleet.Begun:
-		if endpoint.Orders == done.command.Orders {
-			endpoint.Orders++
-			control.endpoints.byID[endpoint.ID] = endpoint
-		}
 	case fleet.Unfit, fleet.Unheard:
 		control.probe(endpoint.ID, now)
 	}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -230,6 +230,11 @@
 }
 
 func (relay *relay) forward() error {
+	now := time.Now()
+	if visit := relay.visit; !visit.last.IsZero() {
+		visit.pause = max(visit.pause, now.Sub(visit.last))
+	}
+	relay.visit.last = now
 	if _, err := relay.visit.w.Write(relay.event.Bytes()); err != nil {
 		return errors.Wrap(err, "entry: writing to the caller")
 	}
--- a/io/entry/visit.go
+++ b/io/entry/visit.go
@@ -37,7 +37,9 @@
 	status   int
 	endpoint string
 	outcome  string
-	first    time.Time // when the first event went to the caller
+	first    time.Time     // when the first event went to the caller
+	last     time.Time     // when the last one did
+	pause    time.Duration // the longest time between two
 }
 
 // admit checks the request before any endpoint hears of it.
@@ -180,6 +182,10 @@
 // record writes the log line and the figures of a request that is over.
 func (visit *visit) record() {
 	took := time.Since(visit.came)
+	fields := []zap.Field{
+		zap.String("request", visit.ask.ID), zap.Int("status", visit.status), zap.String("outcome", visit.outcome),
+		zap.Duration("took", took),
+	}
 	label := visit.service
 	if visit.route != nil {
 		label = visit.route.Name
@@ -188,12 +194,9 @@
 	times := visit.server.meter.TimesOf(label)
 	times.Whole.Update(took.Microseconds())
 	if !visit.first.IsZero() {
+		fields = append(fields, zap.Duration("first", visit.first.Sub(visit.came)), zap.Duration("pause", visit.pause))
 		times.First.Update(visit.first.Sub(visit.came).Microseconds())
 	}
-	fields := []zap.Field{
-		zap.String("request", visit.ask.ID), zap.Int("status", visit.status), zap.String("outcome", visit.outcome),
-		zap.Duration("took", took),
-	}
 	if visit.route != nil {
 		fields = append(fields, zap.String("route", visit.route.Name), zap.String("team", visit.team),
 			zap.Strings("endpoints", visit.tried), zap.Int64("config", visit.picture.Index.Config.Version),
