Loads by value over all domains; prompts that wait count in the choice

Cause: idle hosts with the four-host model's weights lay in threes while spares for the small model stood beside them (log line 414). Change: a load that completes a wanted replica goes first, a spare covers the larger model first, weights change where the lack is much larger; work asked sets the shares.

--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -105,18 +105,21 @@
 
 // needs works out how many replicas of each model the endpoints at hand should
 // form. Endpoints less the reserve are shared out by the work of each model,
-// at first as configured, then as measured: with 60 endpoints, 10 in reserve
-// and half of the work each, a model of 4 hosts wants 25/4 replicas and one of
-// 2 hosts 25/2.
+// at first as configured, then as callers ask for it: with 60 endpoints, 10 in
+// reserve and half of the work each, a model of 4 hosts wants 25/4 replicas and
+// one of 2 hosts 25/2.
 func (turn *turn) needs() []need {
-	work := turn.measured()
+	total := 0.0
+	for _, work := range turn.Work {
+		total += work
+	}
 	usable := float64(len(turn.Endpoints)) * (1 - turn.planner.policy.Reserve)
 	var needs []need
 	for _, model := range turn.Engine.Models {
 		share := model.Share
-		if work != nil {
+		if total > 0 {
 			keep := turn.planner.policy.ShareMemory
-			share = keep*model.Share + (1-keep)*work[model.Name]
+			share = keep*model.Share + (1-keep)*turn.Work[model.Name]/total
 		}
 		found := need{model: model, wanted: usable * share / float64(max(model.Size, 1))}
 		inFlight := 0
@@ -135,28 +138,6 @@
 	return needs
 }
 
-// measured gives each model's part of the work in flight, in hosts; nil while
-// there is too little to go by.
-func (turn *turn) measured() map[string]float64 {
-	const least = 20 // requests in flight that make a measurement
-	total, requests := 0.0, 0
-	work := map[string]float64{}
-	for _, replica := range turn.planner.replicas {
-		inFlight := turn.InFlight[replica.head()]
-		requests += inFlight
-		hosts := float64(inFlight) * float64(replica.model.Size)
-		work[replica.model.Name] += hosts
-		total += hosts
-	}
-	if requests < least {
-		return nil
-	}
-	for name := range work {
-		work[name] /= total
-	}
-	return work
-}
-
 // form makes new replicas, the most wanting model first, each in the domain
 // that can make it soonest.
 func (turn *turn) form() {
@@ -265,73 +246,137 @@
 	if turn.Quiet && turn.Now.Before(turn.planner.newest.Add(2*turn.planner.policy.Settle)) {
 		return
 	}
+	supplies := map[string]supply{}
 	domains := turn.free()
-	names := make([]string, 0, len(domains))
-	for domain := range domains {
-		names = append(names, domain)
+	for domain, ids := range domains {
+		supplies[domain] = turn.supplyOf(domain, ids)
 	}
-	sort.Strings(names)
-	for _, domain := range names {
-		turn.stageDomain(domain, domains[domain])
+	for turn.mayLoad() && turn.stageBest(domains, supplies) {
 	}
 }
 
-func (turn *turn) stageDomain(domain string, ids []string) {
-	prepared := map[string]int{}
-	for _, id := range ids {
-		for _, model := range turn.Engine.Models {
-			if turn.readinessOf(id, model.Name) < readyCold {
-				prepared[model.Name]++
+// stageBest starts the most valuable load of all domains, if there is one.
+func (turn *turn) stageBest(domains map[string][]string, supplies map[string]supply) bool {
+	var chosen string
+	var best site.Model
+	bestValue := 0.0
+	for domain, ids := range domains {
+		for _, id := range ids {
+			hand := turn.planner.hand(id)
+			if hand.staging != "" || hand.pending || turn.Now.Before(hand.retryAt) || !turn.known[id].Counted {
+				continue
+			}
+			model, value := turn.bestStage(supplies[domain], turn.preparedFor(id))
+			if value > bestValue || value == bestValue && value > 0 && id < chosen {
+				chosen, best, bestValue = id, model, value
 			}
 		}
 	}
+	if chosen == "" {
+		return false
+	}
+	supply := supplies[turn.known[chosen].Domain]
+	supply.prepared[turn.preparedFor(chosen)]--
+	supply.prepared[best.Name]++
+	turn.send(chosen, Stage{Model: best.Name})
+	hand := turn.planner.hand(chosen)
+	hand.staging = best.Name
+	hand.stagedBy = turn.Now.Add(2 * best.LoadTime)
+	turn.planner.loads = append(turn.planner.loads, turn.Now)
+	return true
+}
+
+// supply is what a domain has of each model, by the model's name.
+type supply struct {
+	prepared map[string]int // free endpoints with the weights, or about to have them
+	hosts    map[string]int // in replicas
+	needs    map[string]float64
+}
+
+func (turn *turn) supplyOf(domain string, ids []string) supply {
+	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, needs: map[string]float64{}}
 	for _, id := range ids {
-		if !turn.unprepared(id) {
-			continue
-		}
-		model := turn.wantedStage(domain, prepared)
-		if !turn.mayLoad() {
-			return
-		}
-		if turn.send(id, Stage{Model: model.Name}) {
-			hand := turn.planner.hand(id)
-			hand.staging = model.Name
-			hand.stagedBy = turn.Now.Add(2 * model.LoadTime)
-			prepared[model.Name]++
-			turn.planner.loads = append(turn.planner.loads, turn.Now)
+		supply.prepared[turn.preparedFor(id)]++
+	}
+	for _, replica := range turn.planner.replicas {
+		if turn.known[replica.head()].Domain == domain {
+			supply.hosts[replica.model.Name] += replica.model.Size
 		}
 	}
+	for _, need := range turn.needs() {
+		supply.needs[need.model.Name] = need.score()
+	}
+	return supply
 }
 
-// unprepared tells whether an endpoint's host has no model's weights and gets
-// none.
-func (turn *turn) unprepared(id string) bool {
+// preparedFor gives the model whose weights an endpoint's host has or is about
+// to have; "" for none.
+func (turn *turn) preparedFor(id string) string {
 	for _, model := range turn.Engine.Models {
 		if turn.readinessOf(id, model.Name) < readyCold {
-			return false
+			return model.Name
 		}
 	}
-	return true
+	return ""
 }
 
-// wantedStage picks the model that a domain's spares cover least: a model with
-// many hosts in the domain loses one more often.
-func (turn *turn) wantedStage(domain string, prepared map[string]int) site.Model {
-	hosts := map[string]int{}
-	for _, replica := range turn.planner.replicas {
-		if turn.known[replica.head()].Domain == domain {
-			hosts[replica.model.Name] += replica.model.Size
-		}
-	}
+// bestStage picks the model that a free endpoint should get the weights of. An
+// endpoint that has some already changes only to complete a replica, and only
+// if it is itself of no use where it is.
+func (turn *turn) bestStage(supply supply, from string) (site.Model, float64) {
 	var best site.Model
-	bestScore := -1.0
+	bestValue := 0.0
 	for _, model := range turn.Engine.Models {
-		score := (float64(hosts[model.Name]) + model.Share) / float64(prepared[model.Name]+1)
-		if score > bestScore {
-			best, bestScore = model, score
+		if model.Name == from || model.Size == 0 {
+			continue
 		}
+		value := supply.value(model)
+		if from != "" {
+			value = supply.swapValue(model, from)
+		}
+		if value > bestValue {
+			best, bestValue = model, value
+		}
+	}
+	return best, bestValue
+}
+
+// coverPart scales the worth of a spare for later against that of a host that
+// is wanted now.
+const coverPart = 0.05
+
+// value rates one more prepared endpoint. Where the model lacks replicas, three
+// free hosts of a broken replica of four are worth nothing until a fourth
+// comes: completing them counts most. Where it does not, a spare covers the
+// replicas of the domain, a large one's more, since its loss strands more
+// hosts: one replica of 4 beside two of 2 gives 4*4 against 4*2, so the first
+// spare is for the large model and the second, at 4*4/4 against 4*2, for the
+// small one.
+func (supply supply) value(model site.Model) float64 {
+	prepared := supply.prepared[model.Name]
+	need := supply.needs[model.Name]
+	if need >= 1 {
+		lacking := model.Size - prepared%model.Size
+		return 1 + need/float64(lacking)
+	}
+	cover := float64(supply.hosts[model.Name]*model.Size) / float64((1+prepared)*(1+prepared))
+	return coverPart * cover
+}
+
+const (
+	mostSwapped = 2   // endpoints that may get new weights to complete a replica
+	swapNeed    = 1.4 // how much more the new model has to lack replicas than the old one
+)
+
+// swapValue rates new weights for an endpoint that has others: it must be to
+// spare where it is, and complete a replica that is wanted.
+func (supply supply) swapValue(model site.Model, from string) float64 {
+	spare := supply.prepared[from] > 1 || supply.hosts[from] == 0
+	lacking := model.Size - supply.prepared[model.Name]%model.Size
+	if supply.needs[model.Name] < 1 || supply.needs[model.Name] < swapNeed*supply.needs[from] || lacking > mostSwapped || !spare {
+		return 0
 	}
-	return best
+	return supply.needs[model.Name] / float64(lacking)
 }
 
 // mayLoad tells whether one more load may start now.
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -14,10 +14,11 @@
 	Now       time.Time
 	Fence     int64 // of the lease; grows with each take-over
 	Engine    *site.Engine
-	Endpoints []Endpoint      // of one service
-	Dead      map[string]bool // endpoints that answer nothing
-	InFlight  map[string]int  // requests of all nodes at each first host
-	Quiet     bool            // no caller has come yet: loads are quick and free
+	Endpoints []Endpoint         // of one service
+	Dead      map[string]bool    // endpoints that answer nothing
+	InFlight  map[string]int     // requests of all nodes at each first host
+	Work      map[string]float64 // hosts' time that callers lately asked of each model
+	Quiet     bool               // no caller has come yet: loads are quick and free
 }
 
 // Planner holds one service's replicas for as long as the lease is held. What
@@ -221,14 +222,43 @@
 	return nil
 }
 
-// Replicas counts the planner's replicas that serve, and those on the way.
-func (planner *Planner) Replicas() (serving, underWay int) {
+// Census is how the endpoints of a service are used.
+type Census struct {
+	Endpoints int
+	Serving   map[string]int // replicas of each model
+	UnderWay  map[string]int // replicas that form or end
+	Prepared  map[string]int // free endpoints by the model on their hosts
+	Staging   int
+	Held      int // endpoints that wait until a silent first host must have broken
+}
+
+// Census counts what the last plan left.
+func (planner *Planner) Census(input Input) Census {
+	census := Census{Endpoints: len(input.Endpoints), Serving: map[string]int{}, UnderWay: map[string]int{}, Prepared: map[string]int{}}
+	taken := map[string]bool{}
 	for _, replica := range planner.replicas {
+		counted := census.UnderWay
 		if replica.stage == stageServing {
-			serving++
-		} else {
-			underWay++
+			counted = census.Serving
+		}
+		counted[replica.model.Name]++
+		for _, id := range replica.members {
+			taken[id] = true
+		}
+	}
+	for _, endpoint := range input.Endpoints {
+		hand := planner.hand(endpoint.ID)
+		switch {
+		case taken[endpoint.ID] || endpoint.Draining || input.Dead[endpoint.ID]:
+		case input.Now.Before(hand.freeAt):
+			census.Held++
+		case hand.staging != "":
+			census.Staging++
+		case len(endpoint.Staged) > 0:
+			census.Prepared[endpoint.Staged[0]]++
+		default:
+			census.Prepared["none"]++
 		}
 	}
-	return serving, underWay
+	return census
 }
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -12,8 +12,9 @@
 // A candidate's load is the part of its slots that all nodes' requests take,
 // plus penalties for distance, failures and slowness. For example, of two
 // replicas with 17 slots one has 8 requests in this zone (0.47) and one has 6
-// in another (0.35 + 0.12 = 0.47): they are alike, and the random point
-// decides. Refusing is cheaper than waiting beyond the objective: a request
+// in another (0.35 + 0.12 = 0.47): they are alike, and the node's fixed offset
+// to each decides, so that nodes with the same stale knowledge part. Prompts
+// that are still to be read count by the part of the objective they will take. Refusing is cheaper than waiting beyond the objective: a request
 // that waits takes a slot late and makes the next ones late too.
 func Choose(policy Policy, pool *Pool, wish Wish) Decision {
 	if pool == nil {
@@ -40,23 +41,18 @@
 	total float64
 }
 
-// tieWidth is how much of a candidate's slots the random point may move it, so
-// that nodes with the same knowledge do not all choose the same one.
-const tieWidth = 0.06
-
 func pick(policy Policy, candidates []*Candidate, wish Wish) (*Candidate, rating) {
 	var best *Candidate
 	score := rating{total: math.Inf(1)}
 	usual := usualTime(candidates)
-	for i, candidate := range candidates {
+	for _, candidate := range candidates {
 		if slices.Contains(wish.Tried, candidate.ID) || candidate.Load.Avoided(wish.Now) {
 			continue
 		}
 		if candidate.Most > 0 && candidate.Load.Own() >= candidate.Most {
 			continue
 		}
-		rated := rate(policy, candidate, usual)
-		rated.total += tieWidth * turned(wish.Point, i)
+		rated := rate(policy, candidate, wish, usual)
 		if rated.total < score.total {
 			best, score = candidate, rated
 		}
@@ -64,9 +60,12 @@
 	return best, score
 }
 
-func rate(policy Policy, candidate *Candidate, usual time.Duration) rating {
+func rate(policy Policy, candidate *Candidate, wish Wish, usual time.Duration) rating {
 	taken := float64(candidate.Load.InFlight()+1) / float64(max(candidate.Slots, 1))
-	total := taken + policy.FailPenalty*candidate.Load.Failure()
+	total := taken + policy.FailPenalty*candidate.Load.Failure() + policy.TieWidth*candidate.Offset
+	if candidate.Read > 0 && wish.Target > 0 {
+		total += policy.PromptWeight * float64(candidate.Load.Unread()) / candidate.Read / wish.Target.Seconds()
+	}
 	if !candidate.Near {
 		total += policy.FarPenalty
 	}
@@ -76,13 +75,7 @@
 	return rating{taken: taken, total: total}
 }
 
-// turned spreads one random point over the candidates.
-func turned(point float64, i int) float64 {
-	_, part := math.Modf(point*float64(7+3*i) + 0.618*float64(i))
-	return part
-}
-
-// usualTime gives the least smoothed time of the candidates, that others are
+// usualTime gives the mean smoothed time of the candidates, that others are
 // measured by.
 func usualTime(candidates []*Candidate) time.Duration {
 	var sum time.Duration
--- a/core/reach/load.go
+++ b/core/reach/load.go
@@ -11,6 +11,8 @@
 type Load struct {
 	own     atomic.Int64
 	others  atomic.Int64
+	prompts atomic.Int64  // tokens of this node's prompts that are not answered yet
+	unread  atomic.Int64  // the same of the other nodes
 	failure atomic.Uint64 // smoothed part of requests that failed, as float bits
 	took    atomic.Uint64 // smoothed seconds of an answer, as float bits
 	avoid   atomic.Int64  // unix nanoseconds until which nothing new is sent
@@ -27,11 +29,25 @@
 // End counts a request that is over.
 func (load *Load) End() { load.own.Add(-1) }
 
+// Await counts the tokens of a prompt until its first event, which takes them
+// off again.
+func (load *Load) Await(tokens int) { load.prompts.Add(int64(tokens)) }
+
+// Prompts gives the tokens of this node's prompts that are not answered yet.
+func (load *Load) Prompts() int { return int(load.prompts.Load()) }
+
+// Unread gives the tokens of all nodes' prompts that are not answered yet.
+func (load *Load) Unread() int { return int(load.prompts.Load() + load.unread.Load()) }
+
 // Own gives this node's requests in flight.
 func (load *Load) Own() int { return int(load.own.Load()) }
 
-// SetOthers takes in the other nodes' requests in flight.
-func (load *Load) SetOthers(count int) { load.others.Store(int64(count)) }
+// SetOthers takes in the other nodes' requests in flight, and the tokens of
+// their prompts that are not answered yet.
+func (load *Load) SetOthers(count, tokens int) {
+	load.others.Store(int64(count))
+	load.unread.Store(int64(tokens))
+}
 
 // InFlight gives all nodes' requests in flight, as far as known.
 func (load *Load) InFlight() int { return int(load.own.Load() + load.others.Load()) }
--- a/core/reach/picture.go
+++ b/core/reach/picture.go
@@ -31,6 +31,8 @@
 	Slots   int
 	Most    int // requests that this node may have in flight there
 	Members []string
+	Read    float64 // prompt tokens a second; 0 where there are no prompts
+	Offset  float64 // in [0,1), fixed by node and endpoint
 	Load    *Load
 }
 
@@ -39,6 +41,8 @@
 	Model    string
 	Now      time.Time
 	Deadline time.Time
+	Target   time.Duration
+	Tokens   int  // of its prompt
 	Priority int  // 0 is the most urgent
 	Back     bool // it was turned away before and has come back
 	Resumed  bool // part of its answer was delivered
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -29,6 +29,7 @@
 	log       *zap.Logger
 	meter     *meter.Meter
 	visited   func() bool
+	asked     func() map[string]time.Duration
 	lost      func(heads []string)
 	messages  chan message
 	picture   atomic.Pointer[reach.Picture]
@@ -42,6 +43,8 @@
 	endpoints endpoints
 	peers     peers
 	placement placement
+	demand    demand
+	serving   map[string]int // replicas of each model, as last logged
 	leaving   bool
 	changed   bool // the picture has to be drawn anew
 }
@@ -51,12 +54,13 @@
 func NewControl(settings Settings, store *platform.Store, engine *platform.Engine, log *zap.Logger, meter *meter.Meter) *Control {
 	control := &Control{
 		settings: settings, store: store, engine: engine, log: log, meter: meter,
-		visited: func() bool { return false }, lost: func([]string) {},
-		messages: make(chan message, mostWaiting),
+		visited: func() bool { return false }, asked: func() map[string]time.Duration { return nil }, lost: func([]string) {},
+		messages: make(chan message, mostWaiting), serving: map[string]int{},
 	}
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
 	control.placement = newPlacement(settings)
+	control.demand = demand{before: map[string]map[string]int64{}, lately: map[string]float64{}}
 	control.picture.Store(&reach.Picture{Nodes: 1})
 	control.digest.Store(&gossip.Digest{Node: settings.Node})
 	return control
@@ -181,6 +185,7 @@
 func (control *Control) tick(now time.Time) {
 	control.expire(now)
 	control.gossipNow(now)
+	control.learnDemand(now)
 	control.place(now)
 	ready := control.operators.index != nil && control.endpoints.known && !control.leaving
 	if control.ready.Swap(ready) != ready {
--- /dev/null
+++ b/io/edge/demand.go
@@ -0,0 +1,50 @@
+package edge
+
+import "time"
+
+const (
+	demandEvery  = time.Second // between two looks at what callers ask
+	demandWeight = 0.3         // of the latest look
+)
+
+// demand is the work that callers of all nodes lately asked of each model.
+type demand struct {
+	before map[string]map[string]int64 // by node and model, at the last look
+	lately map[string]float64          // hosts' time in each second, smoothed
+	nextAt time.Time
+}
+
+// learnDemand compares what each node has counted with what it had before.
+func (control *Control) learnDemand(now time.Time) {
+	demand := &control.demand
+	if now.Before(demand.nextAt) {
+		return
+	}
+	demand.nextAt = now.Add(demandEvery)
+	sums := map[string]float64{}
+	demand.add(control.settings.Node, control.digest.Load().Asked, sums)
+	for name, peer := range control.peers.nodes {
+		demand.add(name, peer.digest.Asked, sums)
+	}
+	for model, sum := range sums {
+		demand.lately[model] += demandWeight * (sum - demand.lately[model])
+	}
+}
+
+// add counts what a node was asked since the last look; a node that started
+// anew counts from nothing.
+func (demand *demand) add(node string, asked map[string]int64, sums map[string]float64) {
+	before := demand.before[node]
+	for model, work := range asked {
+		since := work
+		if work >= before[model] {
+			since -= before[model]
+		}
+		if before != nil {
+			sums[model] += time.Duration(since).Seconds()
+		}
+	}
+	if asked != nil {
+		demand.before[node] = asked
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -54,6 +54,7 @@
 		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect),
 		entry.WithBudget(spend.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, Keep: budgetKeep}))
 	control.visited = server.Visited
+	control.asked = server.Asked
 	control.lost = server.Lost
 	return server
 }
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -174,11 +174,18 @@
 }
 
 func (control *Control) refreshDigest() {
-	digest := &gossip.Digest{Node: control.settings.Node, InFlight: map[string]int{}, Visited: control.visited() || control.anyVisited(), Leaving: control.leaving}
+	digest := &gossip.Digest{Node: control.settings.Node, InFlight: map[string]int{}, Prompts: map[string]int{}, Visited: control.visited() || control.anyVisited(), Leaving: control.leaving}
 	for id, load := range control.endpoints.loads {
 		if own := load.Own(); own > 0 {
 			digest.InFlight[id] = own
 		}
+		if tokens := load.Prompts(); tokens > 0 {
+			digest.Prompts[id] = tokens
+		}
+	}
+	digest.Asked = map[string]int64{}
+	for model, work := range control.asked() {
+		digest.Asked[model] = int64(work)
 	}
 	for id := range control.endpoints.lost {
 		digest.Lost = append(digest.Lost, id)
@@ -239,7 +246,7 @@
 
 // shareLoads gives each endpoint the other nodes' requests in flight.
 func (control *Control) shareLoads(now time.Time) {
-	others := map[string]int{}
+	others, prompts := map[string]int{}, map[string]int{}
 	for _, found := range control.peers.nodes {
 		if now.After(found.heardAt.Add(digestTerm)) {
 			continue
@@ -247,9 +254,12 @@
 		for id, count := range found.digest.InFlight {
 			others[id] += count
 		}
+		for id, tokens := range found.digest.Prompts {
+			prompts[id] += tokens
+		}
 	}
 	for id, load := range control.endpoints.loads {
-		load.SetOthers(others[id])
+		load.SetOthers(others[id], prompts[id])
 	}
 }
 
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -17,7 +17,7 @@
 	leaseName   = "placement"
 	takeJitter  = 400 * time.Millisecond // so that not all nodes take a free lease at once
 	quietLimit  = 30 * time.Second       // after the start, loads are no longer taken for free
-	reportPause = 400 * time.Millisecond // between two looks at a member that joins
+	censusEvery = time.Second            // between two log lines about the state
 )
 
 // leasePolicy hands a dead holder's lease on within three seconds.
@@ -37,6 +37,7 @@
 	planners map[string]*fleet.Planner
 	policy   fleet.Policy
 	delay    time.Duration
+	censusAt time.Time // when the state is logged next
 }
 
 func newPlacement(settings Settings) placement {
@@ -148,6 +149,7 @@
 	input := fleet.Input{
 		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.endpoints.of(name),
 		Dead: map[string]bool{}, InFlight: map[string]int{}, Quiet: control.quiet(now),
+		Work: control.demand.lately,
 	}
 	control.countOrders(input.Endpoints, input.Quiet, now)
 	for id := range control.endpoints.lost {
@@ -159,6 +161,13 @@
 	for _, command := range planner.Plan(input) {
 		control.send(name, command)
 	}
+	if now.After(placement.censusAt) {
+		placement.censusAt = now.Add(censusEvery)
+		census := planner.Census(input)
+		event.Log(control.log, event.PlacementState, zap.String("service", name), zap.Int("endpoints", census.Endpoints),
+			zap.Any("serving", census.Serving), zap.Any("under-way", census.UnderWay), zap.Any("prepared", census.Prepared),
+			zap.Int("staging", census.Staging), zap.Int("held", census.Held))
+	}
 }
 
 // countOrders finds out how many orders each endpoint has accepted, where it is
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -3,9 +3,13 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
 	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
+	"hickorybend/io/event"
 )
 
 func (control *Control) service(name string) (*site.Service, bool) {
@@ -25,6 +29,21 @@
 		}
 	}
 	control.picture.Store(picture)
+	control.noteReplicas(picture)
+}
+
+// noteReplicas logs how many replicas of each model serve, when that changes.
+func (control *Control) noteReplicas(picture *reach.Picture) {
+	for _, pool := range picture.Services {
+		for model, candidates := range pool.Models {
+			if control.serving[model] == len(candidates) {
+				continue
+			}
+			control.serving[model] = len(candidates)
+			control.meter.Gauge("replicas_serving_"+model, float64(len(candidates)))
+			event.Log(control.log, event.ReplicasServing, zap.String("service", pool.Service), zap.String("model", model), zap.Int("replicas", len(candidates)))
+		}
+	}
 }
 
 func (control *Control) pool(service *site.Service, nodes int) *reach.Pool {
@@ -38,10 +57,16 @@
 		}
 		return pool
 	}
+	for _, model := range service.Engine.Models {
+		pool.Models[model.Name] = nil
+	}
 	for _, replica := range fleet.Whole(service.Engine, listed, control.endpoints.isLost) {
 		candidate := control.candidate(service, replica.Head, nodes)
 		candidate.Slots = service.Engine.Slots
 		candidate.Members = replica.Members
+		if model, found := service.Engine.Model(replica.Model); found && model.Pace > 0 {
+			candidate.Read = service.Engine.ReadPerSec / model.Pace
+		}
 		pool.Models[replica.Model] = append(pool.Models[replica.Model], candidate)
 	}
 	return pool
@@ -56,5 +81,6 @@
 	return &reach.Candidate{
 		ID: endpoint.ID, Address: endpoint.Address, Zone: endpoint.Zone, Near: endpoint.Zone == control.settings.Zone,
 		Slots: endpoint.Slots, Most: max(2, service.MaxConnections/max(1, nodes)), Load: control.endpoints.load(endpoint.ID),
+		Offset: float64(xxhash.Sum64String(control.settings.Node+"/"+endpoint.ID)>>11) / (1 << 53),
 	}
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -36,6 +37,7 @@
 	mutex    sync.Mutex
 	budgets  map[string]*spend.Budget
 	flows    map[string]map[*flow]bool
+	asked    map[string]time.Duration
 }
 
 // flow is one request at one endpoint.
@@ -72,6 +74,7 @@
 		policy: DefaultPolicy(), reach: reach.DefaultPolicy(), channels: channels, picture: picture,
 		spend: spend.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, Keep: 0.8}, suspect: func(string) {},
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*spend.Budget{}, flows: map[string]map[*flow]bool{},
+		asked: map[string]time.Duration{},
 	}
 	for _, option := range options {
 		option(server)
@@ -122,6 +125,20 @@
 	}
 }
 
+// Asked gives the hosts' time that callers have asked of each model since the
+// start.
+func (server *Server) Asked() map[string]time.Duration {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return maps.Clone(server.asked)
+}
+
+func (server *Server) ask(model string, work time.Duration) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.asked[model] += work
+}
+
 func (server *Server) earn(service string, now time.Time) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -94,6 +95,9 @@
 	defer probe.Stop()
 	stall := time.AfterFunc(policy.StallAfter, func() { cancel(errStalled) })
 	defer stall.Stop()
+	candidate.Load.Await(visit.ask.PromptTokens)
+	read := sync.OnceFunc(func() { candidate.Load.Await(-visit.ask.PromptTokens) })
+	defer read()
 	exchange, err := visit.server.channels.Send(ctx, candidate.Address, visit.requestTo(candidate, relay.last))
 	if err != nil {
 		return visit.failed(candidate, causeOf(ctx, err), sent)
@@ -107,6 +111,7 @@
 		return visit.failed(candidate, errors.Mark(errors.New("entry: the stream is another request's or bears no receipt"), pool.ErrBroken), sent)
 	}
 	err = relay.events(exchange, func() {
+		read()
 		probe.Reset(policy.ProbeAfter)
 		stall.Reset(policy.StallAfter)
 	})
--- a/io/entry/visit.go
+++ b/io/entry/visit.go
@@ -107,6 +107,7 @@
 func (visit *visit) serve() {
 	visit.service = visit.route.Pick(rand.Float64())
 	visit.server.earn(visit.service, visit.came)
+	visit.noteWork()
 	ctx, cancel := context.WithDeadline(visit.r.Context(), visit.deadline)
 	defer cancel()
 	switch call := visit.route.Call.(type) {
@@ -117,11 +118,22 @@
 	}
 }
 
+// noteWork counts what the request asks of its model, served or not.
+func (visit *visit) noteWork() {
+	service, found := visit.picture.Index.Service(visit.service)
+	if !found || service.Engine == nil {
+		return
+	}
+	if model, found := service.Engine.Model(visit.ask.Model); found {
+		visit.server.ask(model.Name, service.Engine.Work(model, visit.ask.PromptTokens, visit.ask.AnswerTokens))
+	}
+}
+
 // choose picks an endpoint or says why there is none.
 func (visit *visit) choose(resumed bool) reach.Decision {
 	visit.picture = visit.server.picture.Load()
 	return reach.Choose(visit.server.reach, visit.picture.Services[visit.service], reach.Wish{
-		Model: visit.ask.Model, Now: time.Now(), Deadline: visit.deadline, Priority: visit.priority,
+		Model: visit.ask.Model, Now: time.Now(), Deadline: visit.deadline, Target: visit.route.Target, Tokens: visit.ask.PromptTokens, Priority: visit.priority,
 		Back: visit.back(), Resumed: resumed, Tried: visit.tried, Point: rand.Float64(),
 	})
 }
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -45,6 +45,8 @@
 	EndpointGone     = Event{410, "endpoint gone from the list", zap.InfoLevel}
 	EndpointSilent   = Event{411, "endpoint answers nothing", zap.WarnLevel}
 	OrderSent        = Event{412, "order answered", zap.InfoLevel}
+	ReplicasServing  = Event{413, "replicas that serve", zap.InfoLevel}
+	PlacementState   = Event{414, "state of placement", zap.InfoLevel}
 	ConfigAccepted   = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce    = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict   = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -68,7 +70,7 @@
 		LeaseTaken, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaRefused, OrderFailed, MemberLost, EndpointEjected,
 		EndpointReturned, HostHandedBack, MoveRejected,
-		EndpointChanged, EndpointGone, EndpointSilent, OrderSent,
+		EndpointChanged, EndpointGone, EndpointSilent, OrderSent, ReplicasServing, PlacementState,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigDoubt, ConfigSure, PeerRefused,
 		StreamResumed, AnswerBroken, ChunkForeign, CallInDoubt, RecordLate, RequestEnded,
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -23,12 +23,14 @@
 
 // Digest is what a node tells the others many times a second.
 type Digest struct {
-	Node     string         `cbor:"1,keyasint"`
-	Versions []int64        `cbor:"2,keyasint"` // of the tables that all nodes follow, in their order
-	InFlight map[string]int `cbor:"3,keyasint,omitempty"`
-	Lost     []string       `cbor:"4,keyasint,omitempty"` // endpoints that answer this node nothing
-	Visited  bool           `cbor:"5,keyasint,omitempty"` // a caller has come
-	Leaving  bool           `cbor:"6,keyasint,omitempty"`
+	Node     string           `cbor:"1,keyasint"`
+	Versions []int64          `cbor:"2,keyasint"` // of the tables that all nodes follow, in their order
+	InFlight map[string]int   `cbor:"3,keyasint,omitempty"`
+	Prompts  map[string]int   `cbor:"7,keyasint,omitempty"` // tokens not answered yet
+	Asked    map[string]int64 `cbor:"8,keyasint,omitempty"` // nanoseconds of hosts' time asked of each model since the start
+	Lost     []string         `cbor:"4,keyasint,omitempty"` // endpoints that answer this node nothing
+	Visited  bool             `cbor:"5,keyasint,omitempty"` // a caller has come
+	Leaving  bool             `cbor:"6,keyasint,omitempty"`
 }
 
 // Entry is a row as the platform's store gave it.
