Both models ready on every host; hosts change model where one lacks replicas

Cause: a host that has been in a replica joins that model again at once, whatever weights its host keeps, so keeping spares with one model's weights wasted both; broken replicas of four waited for a fourth host. Change: no spares before the first caller, the other model's weights on every host of a replica, replicas close to complete another model's where that lacks more.

--- a/core/fleet/adopt.go
+++ b/core/fleet/adopt.go
@@ -100,7 +100,7 @@
 // judge ends the replicas that can no longer serve. One that only drains is
 // retired: its work may finish first.
 func (turn *turn) judge() {
-	for _, replica := range turn.planner.replicas {
+	for _, replica := range turn.planner.sorted() {
 		if replica.stage >= stageRetiring {
 			continue
 		}
@@ -155,8 +155,12 @@
 // anew or moved on. Nothing is heard of a dead one, so its members leave, which
 // breaks it, and wait until it must have noticed.
 func (turn *turn) finish() {
-	for _, replica := range turn.planner.replicas {
-		if replica.stage == stageRetiring && (turn.InFlight[replica.head()] == 0 || turn.Now.After(replica.retireBy)) {
+	for _, replica := range turn.planner.sorted() {
+		if replica.stage == stageRetiring && replica.closing {
+			turn.send(replica.head(), Close{Replica: replica.name, Epoch: replica.epoch})
+			replica.closing = turn.known[replica.head()].Membership.Phase == PhaseOpen
+		}
+		if replica.stage == stageRetiring && !replica.closing && (turn.InFlight[replica.head()] == 0 || turn.Now.After(replica.retireBy)) {
 			replica.stage = stageEnding
 		}
 		if replica.stage == stageEnding {
--- /dev/null
+++ b/core/fleet/convert.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"hickorybend/core/site"
+)
+
+// promise keeps a domain's free endpoints for a model until hosts of another
+// model's replica there are free as well.
+type promise struct {
+	model string
+	until time.Time
+}
+
+// convert gives the hosts of a replica to another model that lacks replicas
+// more, where that completes one. For example, a broken replica of four left
+// three hosts, and nothing is to spare in the domain; of a replica of two
+// there, whose hosts have the other weights too, one completes the four.
+func (turn *turn) convert() {
+	for domain, promise := range turn.planner.promised {
+		if turn.Now.After(promise.until) {
+			delete(turn.planner.promised, domain)
+		}
+	}
+	needs := turn.needs()
+	slices.SortFunc(needs, func(a, b need) int { return compare(b.score(), a.score()) })
+	domains := turn.free()
+	for _, to := range needs {
+		if to.score() < 1 || len(turn.planner.promised) > 0 {
+			return // one at a time, so that needs are worked out anew
+		}
+		turn.convertTo(to, needs, domains)
+	}
+}
+
+// convertTo closes the replicas of one domain that complete one of the model.
+func (turn *turn) convertTo(to need, needs []need, domains map[string][]string) {
+	var best []*replica
+	bestDomain := ""
+	for domain := range turn.domains() {
+		given := turn.giving(to, needs, domain, turn.preparedIn(domains[domain], to.model))
+		if given != nil && (best == nil || len(given) < len(best) || len(given) == len(best) && domain < bestDomain) {
+			best, bestDomain = given, domain
+		}
+	}
+	for _, replica := range best {
+		replica.stage = stageRetiring
+		replica.closing = true
+		replica.retireBy = turn.Now.Add(turn.planner.policy.ConvertLimit)
+	}
+	if best != nil {
+		until := turn.Now.Add(turn.planner.policy.ConvertLimit + turn.planner.policy.OrderRetry)
+		turn.planner.promised[bestDomain] = promise{model: to.model.Name, until: until}
+	}
+}
+
+func (turn *turn) domains() map[string]bool {
+	domains := map[string]bool{}
+	for _, endpoint := range turn.Endpoints {
+		domains[endpoint.Domain] = true
+	}
+	return domains
+}
+
+func (turn *turn) preparedIn(ids []string, model site.Model) int {
+	count := 0
+	for _, id := range ids {
+		if turn.readinessOf(id, model.Name) <= readyWarm {
+			count++
+		}
+	}
+	return count
+}
+
+// giving lists the replicas of a domain that would give enough hosts, the ones
+// with the least work first; nil where there are none that can be spared.
+func (turn *turn) giving(to need, needs []need, domain string, free int) []*replica {
+	lacking := to.model.Size - free
+	if lacking <= 0 || free == 0 {
+		return nil
+	}
+	var given []*replica
+	for _, candidate := range turn.donors(to, needs, domain) {
+		if lacking <= 0 {
+			break
+		}
+		given = append(given, candidate)
+		lacking -= candidate.model.Size
+	}
+	if lacking > 0 || len(given) > mostGiving {
+		return nil
+	}
+	return given
+}
+
+// mostGiving is how many replicas may end for one other.
+const mostGiving = 1
+
+// donors lists a domain's replicas whose model can better spare them and whose
+// hosts have the other weights.
+func (turn *turn) donors(to need, needs []need, domain string) []*replica {
+	var donors []*replica
+	for _, replica := range turn.planner.sorted() {
+		if replica.stage != stageServing || replica.model.Name == to.model.Name || turn.known[replica.head()].Domain != domain {
+			continue
+		}
+		from := needOf(needs, replica.model.Name)
+		if to.score() < turn.planner.policy.ConvertNeed*from.wanted/float64(max(1, from.replicas)) || !turn.allReady(replica, to.model) {
+			continue
+		}
+		donors = append(donors, replica)
+	}
+	slices.SortStableFunc(donors, func(a, b *replica) int { return turn.InFlight[a.head()] - turn.InFlight[b.head()] })
+	return donors
+}
+
+func (turn *turn) allReady(replica *replica, model site.Model) bool {
+	for _, id := range replica.members {
+		if turn.readinessOf(id, model.Name) > readyWarm {
+			return false
+		}
+	}
+	return true
+}
+
+func needOf(needs []need, model string) need {
+	for _, need := range needs {
+		if need.model.Name == model {
+			return need
+		}
+	}
+	return need{}
+}
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -11,7 +11,7 @@
 // advance opens the replicas whose members all say that they are ready, under
 // the name that stands for this epoch and list, and sends lost orders again.
 func (turn *turn) advance() {
-	for _, replica := range turn.planner.replicas {
+	for _, replica := range turn.planner.sorted() {
 		switch replica.stage {
 		case stageForming:
 			turn.advanceForming(replica)
@@ -58,7 +58,7 @@
 	hand := turn.planner.hand(id)
 	endpoint := turn.known[id]
 	switch {
-	case hand.lastModel == model && endpoint.Holds(model):
+	case hand.lastModel == model:
 		return readyAtOnce
 	case endpoint.Holds(model):
 		return readyWarm
@@ -72,7 +72,7 @@
 // free lists the endpoints of a domain that may join a replica now.
 func (turn *turn) free() map[string][]string {
 	taken := map[string]bool{}
-	for _, replica := range turn.planner.replicas {
+	for _, replica := range turn.planner.sorted() {
 		for _, id := range replica.members {
 			taken[id] = true
 		}
@@ -123,7 +123,7 @@
 		}
 		found := need{model: model, wanted: usable * share / float64(max(model.Size, 1))}
 		inFlight := 0
-		for _, replica := range turn.planner.replicas {
+		for _, replica := range turn.planner.sorted() {
 			if replica.model.Name == model.Name && replica.stage < stageRetiring {
 				found.replicas++
 				inFlight += turn.InFlight[replica.head()]
@@ -139,7 +139,9 @@
 }
 
 // form makes new replicas, the most wanting model first, each in the domain
-// that can make it soonest.
+// that can make it soonest. Before the first caller no endpoint stays spare: one
+// that has been in a replica is ready for that model at once, and its host can
+// get another model's weights, so that it repairs replicas of both.
 func (turn *turn) form() {
 	if turn.Now.Before(turn.planner.newest.Add(turn.planner.policy.Settle)) && turn.Quiet {
 		return
@@ -150,7 +152,7 @@
 		slices.SortFunc(needs, func(a, b need) int { return compare(b.score(), a.score()) })
 		formed := false
 		for i := range needs {
-			if needs[i].score() < 1 {
+			if needs[i].score() < 1 && !turn.Quiet {
 				break
 			}
 			if turn.formOne(needs[i].model, domains) {
@@ -186,7 +188,8 @@
 	best, bestCost := "", 0
 	for domain, ids := range domains {
 		chosen, cost := turn.members(model, ids, limit)
-		if chosen == nil {
+		promise, promised := turn.planner.promised[domain]
+		if chosen == nil || promised && promise.model != model.Name {
 			continue
 		}
 		// Fuller domains first, so that a large model still finds room.
@@ -200,6 +203,7 @@
 	}
 	chosen, _ := turn.members(model, domains[best], limit)
 	domains[best] = slices.DeleteFunc(domains[best], func(id string) bool { return slices.Contains(chosen, id) })
+	delete(turn.planner.promised, best)
 	turn.start(model, chosen)
 	return true
 }
@@ -260,24 +264,34 @@
 	var chosen string
 	var best site.Model
 	bestValue := 0.0
+	consider := func(id string, model site.Model, value float64) {
+		if value > bestValue || value == bestValue && value > 0 && id < chosen {
+			chosen, best, bestValue = id, model, value
+		}
+	}
 	for domain, ids := range domains {
 		for _, id := range ids {
-			hand := turn.planner.hand(id)
-			if hand.staging != "" || hand.pending || turn.Now.Before(hand.retryAt) || !turn.known[id].Counted {
-				continue
+			if turn.mayStage(id) {
+				model, value := turn.bestStage(supplies[domain], id)
+				consider(id, model, value)
 			}
-			model, value := turn.bestStage(supplies[domain], turn.preparedFor(id))
-			if value > bestValue || value == bestValue && value > 0 && id < chosen {
-				chosen, best, bestValue = id, model, value
+		}
+	}
+	for _, replica := range turn.planner.sorted() {
+		if replica.stage != stageServing {
+			continue
+		}
+		for _, id := range replica.members {
+			if turn.mayStage(id) {
+				model, value := turn.secondStage(turn.supply(supplies, id), id)
+				consider(id, model, value)
 			}
 		}
 	}
 	if chosen == "" {
 		return false
 	}
-	supply := supplies[turn.known[chosen].Domain]
-	supply.prepared[turn.preparedFor(chosen)]--
-	supply.prepared[best.Name]++
+	turn.countStage(turn.supply(supplies, chosen), chosen, best)
 	turn.send(chosen, Stage{Model: best.Name})
 	hand := turn.planner.hand(chosen)
 	hand.staging = best.Name
@@ -286,6 +300,52 @@
 	return true
 }
 
+func (turn *turn) supply(supplies map[string]supply, id string) supply {
+	domain := turn.known[id].Domain
+	if _, found := supplies[domain]; !found {
+		supplies[domain] = turn.supplyOf(domain, nil)
+	}
+	return supplies[domain]
+}
+
+func (turn *turn) countStage(supply supply, id string, model site.Model) {
+	if from := turn.preparedFor(id); turn.planner.hand(id).lastModel == "" {
+		supply.prepared[from]--
+	}
+	supply.prepared[model.Name]++
+}
+
+func (turn *turn) mayStage(id string) bool {
+	hand := turn.planner.hand(id)
+	endpoint := turn.known[id]
+	return hand.staging == "" && !hand.pending && !turn.Now.Before(hand.retryAt) && endpoint.Counted && !endpoint.Draining && !turn.Dead[id]
+}
+
+// secondValue rates the weights of a second model on a host that is ready for
+// one; below all loads that are wanted now.
+const secondValue = 0.1
+
+// secondStage picks the weights for the host of an endpoint that joins its last
+// model's replicas at once without them: those of another model make it ready
+// for both.
+func (turn *turn) secondStage(supply supply, id string) (site.Model, float64) {
+	last := turn.planner.hand(id).lastModel
+	var best site.Model
+	bestValue := 0.0
+	for _, model := range turn.Engine.Models {
+		if last == "" || model.Name == last || turn.known[id].Holds(model.Name) {
+			continue
+		}
+		if value := secondValue * (1 + supply.needs[model.Name]) * float64(model.Size); value > bestValue {
+			best, bestValue = model, value
+		}
+	}
+	if len(turn.Engine.Models) > 2 && len(turn.known[id].Staged) > 0 && !turn.known[id].Holds(last) {
+		return site.Model{}, 0 // it has a second one already
+	}
+	return best, min(bestValue, 1)
+}
+
 // supply is what a domain has of each model, by the model's name.
 type supply struct {
 	prepared map[string]int // free endpoints with the weights, or about to have them
@@ -296,9 +356,13 @@
 func (turn *turn) supplyOf(domain string, ids []string) supply {
 	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, needs: map[string]float64{}}
 	for _, id := range ids {
-		supply.prepared[turn.preparedFor(id)]++
+		for _, model := range turn.Engine.Models {
+			if turn.readinessOf(id, model.Name) < readyCold {
+				supply.prepared[model.Name]++
+			}
+		}
 	}
-	for _, replica := range turn.planner.replicas {
+	for _, replica := range turn.planner.sorted() {
 		if turn.known[replica.head()].Domain == domain {
 			supply.hosts[replica.model.Name] += replica.model.Size
 		}
@@ -323,7 +387,11 @@
 // bestStage picks the model that a free endpoint should get the weights of. An
 // endpoint that has some already changes only to complete a replica, and only
 // if it is itself of no use where it is.
-func (turn *turn) bestStage(supply supply, from string) (site.Model, float64) {
+func (turn *turn) bestStage(supply supply, id string) (site.Model, float64) {
+	if turn.planner.hand(id).lastModel != "" {
+		return turn.secondStage(supply, id)
+	}
+	from := turn.preparedFor(id)
 	var best site.Model
 	bestValue := 0.0
 	for _, model := range turn.Engine.Models {
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -1,6 +1,6 @@
 package fleet
 
-// Order is what an endpoint is told: Join, Open, Leave or Stage.
+// Order is what an endpoint is told: Join, Open, Close, Leave or Stage.
 type Order interface {
 	order()
 }
@@ -19,6 +19,12 @@
 	Epoch   int64
 }
 
+// Close lets a replica's first host finish its work and take no more.
+type Close struct {
+	Replica string
+	Epoch   int64
+}
+
 // Leave ends an endpoint's membership at once.
 type Leave struct {
 	Replica string
@@ -32,6 +38,7 @@
 
 func (Join) order()  {}
 func (Open) order()  {}
+func (Close) order() {}
 func (Leave) order() {}
 func (Stage) order() {}
 
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -33,6 +33,7 @@
 	strays   map[string]time.Time
 	hands    map[string]*hand
 	loads    []time.Time
+	promised map[string]promise // by domain
 	newest   time.Time
 }
 
@@ -43,7 +44,7 @@
 	stageForming stage = iota // joins are sent
 	stageOpening              // an open is sent
 	stageServing
-	stageRetiring // ends once its work is done
+	stageRetiring // ends once its work is done; its first host takes no more
 	stageEnding   // its first host is told to leave
 )
 
@@ -57,6 +58,7 @@
 	opened   bool // an open was sent, heard or not
 	giveUpAt time.Time
 	retireBy time.Time
+	closing  bool // its first host is told to take no more
 }
 
 func (replica *replica) head() string { return replica.members[0] }
@@ -68,7 +70,8 @@
 	freeAt    time.Time
 	stagedBy  time.Time // when a load that was ordered is expected to end
 	staging   string
-	lastModel string
+	lastModel string // of its last replica in this life: it joins that one again at once
+	born      time.Time
 	seen      bool
 }
 
@@ -76,7 +79,7 @@
 func NewPlanner(policy Policy, service string) *Planner {
 	return &Planner{
 		policy: policy, service: service, replicas: map[string]*replica{}, ended: map[string]bool{},
-		strays: map[string]time.Time{}, hands: map[string]*hand{},
+		strays: map[string]time.Time{}, hands: map[string]*hand{}, promised: map[string]promise{},
 	}
 }
 
@@ -109,6 +112,7 @@
 	turn.finish()
 	turn.advance()
 	turn.form()
+	turn.convert()
 	turn.stage()
 	return turn.commands
 }
@@ -131,7 +135,7 @@
 			hand.staging, hand.stagedBy = "", time.Time{}
 			hand.retryAt = now.Add(planner.policy.StageRetry)
 		}
-	case Join, Open:
+	case Join, Open, Close:
 	}
 }
 
@@ -165,6 +169,9 @@
 	if hand.staging != "" && (endpoint.Holds(hand.staging) || turn.Now.After(hand.stagedBy)) {
 		hand.staging = ""
 	}
+	if !endpoint.Born.Equal(hand.born) {
+		hand.born, hand.lastModel = endpoint.Born, ""
+	}
 	if name := endpoint.Membership.Replica; name != "" {
 		hand.lastModel = modelOf(name)
 	}
@@ -212,6 +219,21 @@
 	planner.ended[replica.name] = true
 }
 
+// sorted lists the replicas in the order of their names, so that equal inputs
+// give equal plans.
+func (planner *Planner) sorted() []*replica {
+	names := make([]string, 0, len(planner.replicas))
+	for name := range planner.replicas {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	all := make([]*replica, len(names))
+	for i, name := range names {
+		all[i] = planner.replicas[name]
+	}
+	return all
+}
+
 // memberOf gives the replica that the planner counts an endpoint to.
 func (planner *Planner) memberOf(id string) *replica {
 	for _, replica := range planner.replicas {
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -14,6 +14,8 @@
 	FormLimit    time.Duration // a replica of prepared hosts that is not whole by then is given up
 	RetireLimit  time.Duration // how long work under way holds back the end of a replica that loses a host
 	Reserve      float64       // part of the endpoints that stay spares while load is low
+	ConvertLimit time.Duration // for the work under way at a replica that gives its hosts to another model
+	ConvertNeed  float64       // how much more that other model has to lack replicas
 	HighLoad     float64       // part of a model's slots above which spares are used too
 	LoadPace     float64       // part of the weight store's rate that is used
 	ShareMemory  float64       // weight of the configured shares against the measured ones
@@ -24,6 +26,6 @@
 	return Policy{
 		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, Settle: 600 * time.Millisecond,
 		StrayGrace: 3 * time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
-		RetireLimit: 1500 * time.Millisecond, Reserve: 0.17, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 0.5,
+		RetireLimit: 1500 * time.Millisecond, Reserve: 0.03, ConvertLimit: 2500 * time.Millisecond, ConvertNeed: 1.15, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 0.5,
 	}
 }
--- a/io/edge/describe.go
+++ b/io/edge/describe.go
@@ -14,6 +14,8 @@
 		return fmt.Sprintf("join %s epoch %d members %s", order.Replica, order.Epoch, strings.Join(order.Members, ","))
 	case fleet.Open:
 		return fmt.Sprintf("open %s epoch %d", order.Replica, order.Epoch)
+	case fleet.Close:
+		return fmt.Sprintf("close %s epoch %d", order.Replica, order.Epoch)
 	case fleet.Leave:
 		return fmt.Sprintf("leave %s epoch %d", order.Replica, order.Epoch)
 	case fleet.Stage:
