Members of a silent first host wait for a confirmed leave, whoever holds the lease

Cause: the model test found members that joined elsewhere while their cut-off first host still served: after a leave that nobody confirmed, after an open that landed late, and after a change of the holder. Change: the wait starts at the confirmed leave, an unanswered open is waited for before it, a new holder waits for hosts that may have been told to leave; hosts left over serve as what they can.

--- a/core/fleet/adopt.go
+++ b/core/fleet/adopt.go
@@ -44,6 +44,7 @@
 	}
 	delete(planner.strays, name)
 	planner.replicas[name] = adopted
+	adopted.lateBy = turn.Now.Add(planner.policy.LateOrder) // of the holder before
 	if !whole {
 		adopted.stage = stageEnding
 		return
@@ -51,11 +52,8 @@
 	switch members[0].Membership.Phase {
 	case PhaseOpen:
 		adopted.stage = stageServing
-	case PhaseClosing, PhaseBroken:
-		adopted.stage = stageEnding
 	default:
-		adopted.stage = stageForming
-		adopted.giveUpAt = turn.Now.Add(planner.policy.FormLimit)
+		adopted.stage = stageEnding // formed again under this holder's epoch
 	}
 }
 
@@ -177,22 +175,34 @@
 		known && head.Membership.Phase == PhaseBroken:
 		turn.planner.release(replica)
 	case known && !turn.Dead[head.ID]:
+		replica.brokenAt = time.Time{}
 		turn.send(head.ID, Leave{Replica: replica.name, Epoch: replica.epoch})
+	case !replica.brokenAt.IsZero():
+		if turn.Now.After(replica.brokenAt) {
+			turn.planner.release(replica)
+		}
 	default:
 		turn.abandon(replica)
 	}
 }
 
-// abandon frees the members of a replica whose first host is silent.
+// abandon asks the members of a replica whose first host is silent to leave.
+// Once one has confirmed, the first host stands still wherever it is, and
+// breaks after a known time; until then its members join nothing else. An open
+// that may still be carried out is waited for first: while the members stay,
+// every later holder sees from them that something is to be waited for.
 func (turn *turn) abandon(replica *replica) {
-	policy := turn.planner.policy
+	if turn.Now.Before(replica.lateBy) {
+		return
+	}
+	asked := false
 	for _, id := range replica.members[1:] {
-		hand := turn.planner.hand(id)
-		hand.freeAt = turn.Now.Add(policy.Stall + policy.StallMargin)
-		if turn.shows(replica, id) && !turn.Dead[id] {
+		if _, known := turn.known[id]; known && !turn.Dead[id] {
+			asked = true
 			turn.send(id, Leave{Replica: replica.name, Epoch: replica.epoch})
 		}
 	}
-	turn.planner.hand(replica.head()).freeAt = turn.Now.Add(policy.Stall + policy.StallMargin)
-	turn.planner.release(replica)
+	if !asked {
+		delete(turn.planner.replicas, replica.name) // members that come back are taken in anew
+	}
 }
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -18,6 +18,7 @@
 		case stageOpening:
 			if turn.known[replica.head()].Membership.Phase == PhaseOpen {
 				replica.stage = stageServing
+				replica.lateBy = time.Time{}
 				continue
 			}
 			turn.send(replica.head(), Open{Replica: replica.name, Epoch: replica.epoch})
@@ -81,7 +82,8 @@
 	for _, endpoint := range turn.Endpoints {
 		hand := turn.planner.hand(endpoint.ID)
 		stray := endpoint.Membership.Replica != "" && !turn.planner.ended[endpoint.Membership.Replica]
-		if taken[endpoint.ID] || endpoint.Draining || turn.Dead[endpoint.ID] || stray || hand.pending || turn.Now.Before(hand.freeAt) {
+		unsure := hand.unsure && turn.Now.Before(turn.planner.sureAt)
+		if taken[endpoint.ID] || endpoint.Draining || turn.Dead[endpoint.ID] || stray || unsure || hand.pending {
 			continue
 		}
 		domains[endpoint.Domain] = append(domains[endpoint.Domain], endpoint.ID)
@@ -139,20 +141,32 @@
 }
 
 // form makes new replicas, the most wanting model first, each in the domain
-// that can make it soonest. Before the first caller no endpoint stays spare: one
-// that has been in a replica is ready for that model at once, and its host can
-// get another model's weights, so that it repairs replicas of both.
+// that can make it soonest. What is left over then serves as what it can: an
+// endpoint that has been in a replica is ready for that model at once, and its
+// host can get another model's weights, so that it repairs replicas of both.
 func (turn *turn) form() {
 	if turn.Now.Before(turn.planner.newest.Add(turn.planner.policy.Settle)) && turn.Quiet {
 		return
 	}
 	domains := turn.free()
 	needs := turn.needs()
-	for {
+	turn.formWhile(needs, domains, true)
+	for domain, ids := range domains {
+		if turn.waited(needs, ids) {
+			delete(domains, domain)
+		}
+	}
+	turn.formWhile(needs, domains, false)
+}
+
+// formWhile forms replicas for as long as it can; wanting limits it to models
+// that lack some.
+func (turn *turn) formWhile(needs []need, domains map[string][]string, wanting bool) {
+	for formed := true; formed; {
+		formed = false
 		slices.SortFunc(needs, func(a, b need) int { return compare(b.score(), a.score()) })
-		formed := false
 		for i := range needs {
-			if needs[i].score() < 1 && !turn.Quiet {
+			if wanting && needs[i].score() < 1 {
 				break
 			}
 			if turn.formOne(needs[i].model, domains) {
@@ -161,10 +175,18 @@
 				break
 			}
 		}
-		if !formed {
-			return
+	}
+}
+
+// waited tells whether endpoints wait for one more host to complete a replica
+// that is wanted.
+func (turn *turn) waited(needs []need, ids []string) bool {
+	for _, need := range needs {
+		if need.score() >= 1 && need.model.Size > 2 && turn.preparedIn(ids, need.model) == need.model.Size-1 {
+			return true
 		}
 	}
+	return false
 }
 
 func compare(a, b float64) int {
@@ -400,7 +422,8 @@
 		}
 		value := supply.value(model)
 		if from != "" {
-			value = supply.swapValue(model, from)
+			old, _ := turn.Engine.Model(from)
+			value = supply.swapValue(model, old)
 		}
 		if value > bestValue {
 			best, bestValue = model, value
@@ -436,15 +459,19 @@
 	swapNeed    = 1.4 // how much more the new model has to lack replicas than the old one
 )
 
-// swapValue rates new weights for an endpoint that has others: it must be to
-// spare where it is, and complete a replica that is wanted.
-func (supply supply) swapValue(model site.Model, from string) float64 {
-	spare := supply.prepared[from] > 1 || supply.hosts[from] == 0
+// swapValue rates new weights for an endpoint that has others: it must complete
+// a replica that is wanted, and be to spare where it is. One alone, that makes
+// no replica of its own model, always is.
+func (supply supply) swapValue(model, old site.Model) float64 {
+	prepared := supply.prepared[old.Name]
 	lacking := model.Size - supply.prepared[model.Name]%model.Size
-	if supply.needs[model.Name] < 1 || supply.needs[model.Name] < swapNeed*supply.needs[from] || lacking > mostSwapped || !spare {
+	need := supply.needs[model.Name]
+	alone := lacking == 1 && prepared%max(old.Size, 1) == 1
+	spare := need >= swapNeed*supply.needs[old.Name] && (prepared > 1 || supply.hosts[old.Name] == 0)
+	if need < 1 || lacking > mostSwapped || !alone && !spare {
 		return 0
 	}
-	return supply.needs[model.Name] / float64(lacking)
+	return need / float64(lacking)
 }
 
 // mayLoad tells whether one more load may start now.
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -35,6 +35,7 @@
 	loads    []time.Time
 	promised map[string]promise // by domain
 	newest   time.Time
+	sureAt   time.Time // when a silent first host whose members the holder before told to leave must have broken
 }
 
 // stage is a replica's place in the planner's hands.
@@ -58,7 +59,9 @@
 	opened   bool // an open was sent, heard or not
 	giveUpAt time.Time
 	retireBy time.Time
-	closing  bool // its first host is told to take no more
+	lateBy   time.Time // until when an open that nobody answered may still be carried out
+	brokenAt time.Time // when a silent first host must have broken; zero until a member has left
+	closing  bool      // its first host is told to take no more
 }
 
 func (replica *replica) head() string { return replica.members[0] }
@@ -67,12 +70,12 @@
 type hand struct {
 	pending   bool
 	retryAt   time.Time
-	freeAt    time.Time
 	stagedBy  time.Time // when a load that was ordered is expected to end
 	staging   string
 	lastModel string // of its last replica in this life: it joins that one again at once
 	born      time.Time
 	seen      bool
+	unsure    bool // it belonged to nothing when first seen, and may have been told to leave shortly before
 }
 
 // NewPlanner makes a planner of a service that knows nothing yet.
@@ -101,6 +104,7 @@
 	if input.Fence != planner.fence {
 		planner.fence = input.Fence
 		planner.count = 0
+		planner.sureAt = input.Now.Add(planner.policy.Stall + planner.policy.StallMargin)
 	}
 	turn := &turn{Input: input, planner: planner, known: map[string]Endpoint{}}
 	for _, endpoint := range input.Endpoints {
@@ -122,6 +126,7 @@
 	hand := planner.hand(command.Endpoint)
 	hand.pending = false
 	if _, unheard := reply.(Unheard); unheard {
+		planner.noteUnheard(now, command.Order)
 		return
 	}
 	if _, unfit := reply.(Unfit); unfit {
@@ -129,7 +134,7 @@
 	}
 	switch order := command.Order.(type) {
 	case Leave:
-		planner.resolveLeave(order, command.Endpoint, reply)
+		planner.resolveLeave(now, order, command.Endpoint, reply)
 	case Stage:
 		if _, begun := reply.(Begun); !begun {
 			hand.staging, hand.stagedBy = "", time.Time{}
@@ -139,15 +144,35 @@
 	}
 }
 
-// resolveLeave releases the members of a replica whose first host has left.
-func (planner *Planner) resolveLeave(order Leave, endpoint string, reply Reply) {
+// noteUnheard takes in that an open may be carried out later: a silent first
+// host might begin to serve only then.
+func (planner *Planner) noteUnheard(now time.Time, order Order) {
+	open, ok := order.(Open)
+	if !ok {
+		return
+	}
+	if found := planner.replicas[open.Replica]; found != nil {
+		found.lateBy = now.Add(planner.policy.LateOrder)
+	}
+}
+
+// resolveLeave releases the members of a replica whose first host has left, or
+// starts the wait for a silent one to break.
+func (planner *Planner) resolveLeave(now time.Time, order Leave, endpoint string, reply Reply) {
 	found := planner.replicas[order.Replica]
-	if found == nil || found.stage != stageEnding || found.head() != endpoint {
+	if found == nil || found.stage != stageEnding {
 		return
 	}
 	switch reply.(type) {
 	case Begun, Held:
+	default:
+		return
+	}
+	switch {
+	case found.head() == endpoint:
 		planner.release(found)
+	case found.brokenAt.IsZero():
+		found.brokenAt = now.Add(planner.policy.Stall + planner.policy.StallMargin)
 	}
 }
 
@@ -164,12 +189,14 @@
 	hand := turn.planner.hand(endpoint.ID)
 	if !hand.seen {
 		hand.seen = true
+		hand.unsure = endpoint.Membership.Replica == "" && (endpoint.Orders > 0 || !endpoint.Counted) && !turn.Quiet
 		turn.planner.newest = turn.Now
 	}
 	if hand.staging != "" && (endpoint.Holds(hand.staging) || turn.Now.After(hand.stagedBy)) {
 		hand.staging = ""
 	}
 	if !endpoint.Born.Equal(hand.born) {
+		hand.unsure = hand.unsure && hand.born.IsZero()
 		hand.born, hand.lastModel = endpoint.Born, ""
 	}
 	if name := endpoint.Membership.Replica; name != "" {
@@ -251,7 +278,7 @@
 	UnderWay  map[string]int // replicas that form or end
 	Prepared  map[string]int // free endpoints by the model on their hosts
 	Staging   int
-	Held      int // endpoints that wait until a silent first host must have broken
+	Held      int // replicas whose members wait until a silent first host must have broken
 }
 
 // Census counts what the last plan left.
@@ -264,6 +291,9 @@
 			counted = census.Serving
 		}
 		counted[replica.model.Name]++
+		if !replica.brokenAt.IsZero() {
+			census.Held++
+		}
 		for _, id := range replica.members {
 			taken[id] = true
 		}
@@ -272,8 +302,6 @@
 		hand := planner.hand(endpoint.ID)
 		switch {
 		case taken[endpoint.ID] || endpoint.Draining || input.Dead[endpoint.ID]:
-		case input.Now.Before(hand.freeAt):
-			census.Held++
 		case hand.staging != "":
 			census.Staging++
 		case len(endpoint.Staged) > 0:
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -6,6 +6,7 @@
 type Policy struct {
 	Stall        time.Duration // a first host that lost a member stands still so long before it breaks
 	StallMargin  time.Duration // added to it before its members are used elsewhere
+	LateOrder    time.Duration // an order that nobody answered may be carried out so late
 	Settle       time.Duration // endpoints that appear within this of one another are placed together
 	StrayGrace   time.Duration // members of an unknown replica may appear so far apart
 	OrderRetry   time.Duration // between two sends of the same order
@@ -24,7 +25,7 @@
 // DefaultPolicy repairs from staged spares within two seconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, Settle: 600 * time.Millisecond,
+		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, LateOrder: 12500 * time.Millisecond, Settle: 600 * time.Millisecond,
 		StrayGrace: 3 * time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
 		RetireLimit: 1500 * time.Millisecond, Reserve: 0.03, ConvertLimit: 2500 * time.Millisecond, ConvertNeed: 1.15, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 0.5,
 	}
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -18,7 +18,7 @@
 // that waits takes a slot late and makes the next ones late too.
 func Choose(policy Policy, pool *Pool, wish Wish) Decision {
 	if pool == nil {
-		return Refuse{Reason: ReasonNoService, After: policy.RetryLeast}
+		return Refuse{Reason: ReasonNoService, ReturnAt: wish.Now.Add(policy.RetryLeast)}
 	}
 	candidates := pool.Plain
 	if pool.Engine != nil {
@@ -26,11 +26,11 @@
 	}
 	best, score := pick(policy, candidates, wish)
 	if best == nil {
-		return Refuse{Reason: ReasonNoEndpoint, After: pauseOf(policy, candidates, wish)}
+		return Refuse{Reason: ReasonNoEndpoint, ReturnAt: wish.Now.Add(pauseOf(policy, candidates, wish))}
 	}
 	inFlight := best.Load.InFlight()
 	if score.taken > limitOf(policy, pool, wish) {
-		return Refuse{Reason: ReasonFull, After: pauseOf(policy, candidates, wish)}
+		return Refuse{Reason: ReasonFull, ReturnAt: wish.Now.Add(pauseOf(policy, candidates, wish))}
 	}
 	return Send{Candidate: best, InFlight: inFlight}
 }
@@ -63,8 +63,9 @@
 func rate(policy Policy, candidate *Candidate, wish Wish, usual time.Duration) rating {
 	taken := float64(candidate.Load.InFlight()+1) / float64(max(candidate.Slots, 1))
 	total := taken + policy.FailPenalty*candidate.Load.Failure() + policy.TieWidth*candidate.Offset
-	if candidate.Read > 0 && wish.Target > 0 {
-		total += policy.PromptWeight * float64(candidate.Load.Unread()) / candidate.Read / wish.Target.Seconds()
+	if candidate.Read > 0 {
+		left := max(wish.DueBy.Sub(wish.Now), policy.LeastDue)
+		total += policy.PromptWeight * float64(candidate.Load.Unread()) / candidate.Read / left.Seconds()
 	}
 	if !candidate.Near {
 		total += policy.FarPenalty
--- a/core/reach/load.go
+++ b/core/reach/load.go
@@ -74,7 +74,9 @@
 
 // Took gives the smoothed time of an answer; 0 before the first.
 func (load *Load) Took() time.Duration {
-	return time.Duration(math.Float64frombits(load.took.Load()) * float64(time.Second))
+	seconds := math.Float64frombits(load.took.Load())
+	took := time.Duration(seconds * float64(time.Second))
+	return took
 }
 
 // smooth moves a value towards a sample; a sample lost to a race does no harm.
--- a/core/reach/picture.go
+++ b/core/reach/picture.go
@@ -41,11 +41,11 @@
 	Model    string
 	Now      time.Time
 	Deadline time.Time
-	Target   time.Duration
-	Tokens   int  // of its prompt
-	Priority int  // 0 is the most urgent
-	Back     bool // it was turned away before and has come back
-	Resumed  bool // part of its answer was delivered
+	DueBy    time.Time // when its answer should begin, by the objective
+	Tokens   int       // of its prompt
+	Priority int       // 0 is the most urgent
+	Back     bool      // it was turned away before and has come back
+	Resumed  bool      // part of its answer was delivered
 	Tried    []string
 	Point    float64 // a random number in [0,1)
 }
@@ -63,8 +63,8 @@
 
 // Refuse turns the request away at once; it may come back after a while.
 type Refuse struct {
-	Reason Reason
-	After  time.Duration
+	Reason   Reason
+	ReturnAt time.Time // when room is expected
 }
 
 func (Send) decision()   {}
--- a/core/reach/policy.go
+++ b/core/reach/policy.go
@@ -7,6 +7,7 @@
 	FarPenalty   float64       // added to the load of an endpoint in another zone, as part of its slots
 	SlowPenalty  float64       // added for each doubling of an endpoint's time against its peers
 	PromptWeight float64       // of the time that waiting prompts take, as part of the objective
+	LeastDue     time.Duration // the least that prompts are measured by, where the objective is near or past
 	TieWidth     float64       // how far a node's fixed offsets move like candidates apart
 	Waiting      float64       // requests beyond a replica's slots, as part of the slots, that still meet the objective
 	BackWaiting  float64       // the same for a request that was turned away before
@@ -21,7 +22,7 @@
 // DefaultPolicy fits objectives of some hundred milliseconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		FarPenalty: 0.12, SlowPenalty: 0.3, PromptWeight: 1, TieWidth: 0.06, Waiting: 0.06, BackWaiting: 0.3, UrgentExtra: 0.03,
+		FarPenalty: 0.12, SlowPenalty: 0.3, PromptWeight: 1, LeastDue: 100 * time.Millisecond, TieWidth: 0.06, Waiting: 0.06, BackWaiting: 0.3, UrgentExtra: 0.03,
 		PlainWaiting: 1.0, FailPenalty: 3, RetryLeast: 300 * time.Millisecond, RetryMost: 2 * time.Second,
 		ServiceTime: 1500 * time.Millisecond,
 	}
--- a/core/site/work.go
+++ b/core/site/work.go
@@ -13,5 +13,6 @@
 	read := float64(prompt) / engine.ReadPerSec * float64(time.Second)
 	step := float64(engine.StepTime) + float64(engine.Slots)*float64(engine.StepPerSlot)
 	write := float64(answer) * step / float64(engine.Slots)
-	return time.Duration((read + write) * model.Pace * float64(model.Size))
+	work := time.Duration((read + write) * model.Pace * float64(model.Size))
+	return work
 }
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -39,13 +38,12 @@
 
 // peer is another node.
 type peer struct {
-	address  string
-	client   *gossip.Client
-	digest   gossip.Digest
-	heardAt  time.Time
-	nextAt   time.Time
-	talking  bool
-	answered bool
+	address string
+	client  *gossip.Client
+	digest  gossip.Digest
+	heardAt time.Time
+	nextAt  time.Time
+	talking bool
 }
 
 // nodeRow is a node's row in the store.
@@ -306,6 +304,3 @@
 	}
 	control.tell(tableChanged{table: table, batch: batch, from: fromPeer})
 }
-
-// closeIdle ends the peers' idle connections.
-func (control *Control) closeIdle(context.Context) { control.peers.http.CloseIdleConnections() }
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -27,7 +27,7 @@
 func (visit *visit) giveUp(refusal reach.Refuse, cause string) {
 	switch {
 	case !visit.ran:
-		visit.refuse(cause, max(refusal.After, visit.server.reach.RetryLeast))
+		visit.refuse(cause, max(time.Until(refusal.ReturnAt), visit.server.reach.RetryLeast))
 	case !time.Now().Before(visit.deadline):
 		visit.fail(http.StatusGatewayTimeout, "no answer within the time limit")
 	default:
--- a/io/entry/visit.go
+++ b/io/entry/visit.go
@@ -35,7 +35,6 @@
 	tried    []string
 	ran      bool // some endpoint may have run it
 	status   int
-	endpoint string
 	outcome  string
 	first    time.Time     // when the first event went to the caller
 	last     time.Time     // when the last one did
@@ -133,7 +132,7 @@
 func (visit *visit) choose(resumed bool) reach.Decision {
 	visit.picture = visit.server.picture.Load()
 	return reach.Choose(visit.server.reach, visit.picture.Services[visit.service], reach.Wish{
-		Model: visit.ask.Model, Now: time.Now(), Deadline: visit.deadline, Target: visit.route.Target, Tokens: visit.ask.PromptTokens, Priority: visit.priority,
+		Model: visit.ask.Model, Now: time.Now(), Deadline: visit.deadline, DueBy: visit.came.Add(visit.route.Target), Tokens: visit.ask.PromptTokens, Priority: visit.priority,
 		Back: visit.back(), Resumed: resumed, Tried: visit.tried, Point: rand.Float64(),
 	})
 }
