A leaving node turns away what it cannot finish; a starting one asks its seeds

A node that started while the store was away had no text, and no peers to ask, since these stood in the store. Change: near its end a node refuses what would not end in time; seeds give tables and peers; a node whose host was suspended drops its lease.

--- a/core/lease/claim.go
+++ b/core/lease/claim.go
@@ -185,6 +185,10 @@
 	claim.pending = pending{}
 }
 
+// Drop stops holding the lease until it is taken or renewed again: the clock
+// that its term is measured by has stood still.
+func (claim *Claim) Drop() { claim.until = time.Time{} }
+
 // Release gives the transaction that frees a held lease for the next node, and
 // stops holding it at once.
 func (claim *Claim) Release(now time.Time, write string) (rows.Txn, bool) {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -45,6 +45,7 @@
 	placement placement
 	demand    demand
 	serving   map[string]int // replicas of each model, as last logged
+	slept     time.Duration  // how far the clock that counts suspensions was ahead at the last tick
 	leaving   bool
 	changed   bool // the picture has to be drawn anew
 }
@@ -92,6 +93,7 @@
 	for table := range tableCount {
 		go control.follow(ctx, table)
 	}
+	go control.askSeeds(ctx)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -183,6 +185,7 @@
 
 // tick walks the parts that act by themselves.
 func (control *Control) tick(now time.Time) {
+	control.wake(now)
 	control.expire(now)
 	control.gossipNow(now)
 	control.learnDemand(now)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -83,7 +84,7 @@
 	peers := &http.Server{Handler: internal(parts), ReadHeaderTimeout: headerLimit, IdleTimeout: internalIdle}
 	ctx, cancel := context.WithCancel(context.Background())
 	parts.Control.ctx = ctx
-	parts.Control.started = time.Now()
+	parts.Control.start(time.Now())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			for _, one := range []struct {
@@ -179,7 +180,7 @@
 			return
 		case <-signals:
 			settings, err := Read(string(parts.File))
-			event.Log(parts.Log, event.SettingsRead, zap.Error(err), zap.Bool("same", settings == parts.Settings))
+			event.Log(parts.Log, event.SettingsRead, zap.Error(err), zap.Bool("same", reflect.DeepEqual(settings, parts.Settings)))
 		}
 	}
 }
@@ -196,11 +197,11 @@
 func drain(parts parts, callers *http.Server) {
 	began := time.Now()
 	event.Log(parts.Log, event.NodeDraining, zap.Int64("open", parts.Entry.Open()))
-	parts.Entry.Leave()
+	end := began.Add(parts.Settings.Grace - lastMargin)
+	parts.Entry.Leave(end)
 	done := make(chan struct{})
 	parts.Control.tell(leave{done: done})
 	time.Sleep(noticeTime)
-	end := began.Add(parts.Settings.Grace - lastMargin)
 	for parts.Entry.Open() > 0 && time.Now().Before(end) {
 		time.Sleep(idlePause)
 	}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -31,6 +31,7 @@
 	key     string
 	http    *http.Client
 	nodes   map[string]*peer
+	rows    map[string]platform.Entry // of nodes, as the store gave them
 	written bool
 	writing bool
 	behind  [tableCount]time.Time // since when a peer has known more
@@ -55,7 +56,7 @@
 func newPeers(settings Settings) peers {
 	dialer := &net.Dialer{Timeout: peerDialLimit}
 	return peers{
-		self: settings.Node, key: settings.PeerKey, nodes: map[string]*peer{},
+		self: settings.Node, key: settings.PeerKey, nodes: map[string]*peer{}, rows: map[string]platform.Entry{},
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdle, DisableCompression: true}},
 	}
 }
@@ -72,7 +73,7 @@
 
 // learnOwn takes in the rows of leases and nodes.
 func (control *Control) learnOwn(change tableChanged, now time.Time) {
-	if change.batch.Whole {
+	if change.batch.Whole && change.from == fromStore {
 		control.placement.rowsRead = true
 	}
 	for _, entry := range change.batch.Entries {
@@ -84,9 +85,12 @@
 		name, isNode := strings.CutPrefix(entry.Key, nodePrefix)
 		if isNode {
 			control.learnNode(name, row)
+			control.copyOwn(entry)
 			continue
 		}
-		control.placement.learnRow(row)
+		if change.from == fromStore {
+			control.placement.learnRow(row)
+		}
 	}
 	control.observeLease(now)
 	control.writeSelf()
@@ -298,6 +302,9 @@
 		event.Log(control.log, event.PeerSilent, zap.Error(err))
 		return
 	}
+	if len(fetched.Entries) == 0 {
+		return // it knows nothing itself
+	}
 	batch := platform.Batch{Next: fetched.Version, Whole: true}
 	for _, entry := range fetched.Entries {
 		batch.Entries = append(batch.Entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version})
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -18,6 +18,7 @@
 	PeersAddress   string        `json:"peers-address"`
 	PeerKey        string        `json:"peer-key"`
 	StoreAddress   string        `json:"store-address"`
+	Seeds          []string      `json:"seeds"` // addresses of some hosts with nodes; the port is not looked at
 	FirstStart     bool          `json:"first-start"`
 	MemoryMB       int           `json:"memory-mb"`
 	Grace          time.Duration `json:"grace"` // from SIGTERM to the end
--- a/io/entry/policy.go
+++ b/io/entry/policy.go
@@ -11,6 +11,8 @@
 	AvoidLost  time.Duration // an endpoint that could not be reached gets nothing new
 	MostSends  int           // endpoints that one request is offered to
 	ReadLimit  time.Duration // to read a request's body
+	StreamTime time.Duration // in which nearly all streams end; a node that ends sooner takes no new ones
+	WholeTime  time.Duration // the same of other requests
 	LeastLeft  time.Duration // a request with less time left is not sent on
 }
 
@@ -19,6 +21,6 @@
 	return Policy{
 		ProbeAfter: 220 * time.Millisecond, StallAfter: 1500 * time.Millisecond, SafeWait: 700 * time.Millisecond,
 		AvoidFull: 150 * time.Millisecond, AvoidLost: time.Second, MostSends: 3, ReadLimit: 10 * time.Second,
-		LeastLeft: 20 * time.Millisecond,
+		StreamTime: 3500 * time.Millisecond, WholeTime: time.Second, LeastLeft: 20 * time.Millisecond,
 	}
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"hickorybend/core/reach"
+	"hickorybend/core/site"
 	"hickorybend/core/spend"
 	"hickorybend/io/meter"
 	"hickorybend/io/pool"
@@ -31,7 +32,7 @@
 	suspect  func(endpoint string)
 	log      *zap.Logger
 	meter    *meter.Meter
-	leaving  atomic.Bool
+	endsAt   atomic.Pointer[time.Time] // when this node ends; nil while it stays
 	open     atomic.Int64
 	visited  atomic.Bool
 	mutex    sync.Mutex
@@ -82,8 +83,24 @@
 	return server
 }
 
-// Leave makes every answer the last of its channel.
-func (server *Server) Leave() { server.leaving.Store(true) }
+// Leave makes every answer the last of its channel, and turns away requests
+// that would hardly be answered before the node ends.
+func (server *Server) Leave(endsAt time.Time) { server.endsAt.Store(&endsAt) }
+
+// tooLate tells whether the node ends before a request of a kind is answered.
+// The balancer sends requests to a node that is not ready where too few others
+// are.
+func (server *Server) tooLate(call site.Call, now time.Time) bool {
+	endsAt := server.endsAt.Load()
+	if endsAt == nil {
+		return false
+	}
+	needed := server.policy.WholeTime
+	if _, stream := call.(site.Stream); stream {
+		needed = server.policy.StreamTime
+	}
+	return endsAt.Sub(now) < needed
+}
 
 // Open counts the requests under way.
 func (server *Server) Open() int64 { return server.open.Load() }
@@ -167,7 +184,7 @@
 	server.visited.Store(true)
 	visit := &visit{server: server, w: w, r: r, came: time.Now(), picture: server.picture.Load()}
 	defer visit.record()
-	if server.leaving.Load() {
+	if server.endsAt.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if !visit.admit() {
--- a/io/entry/visit.go
+++ b/io/entry/visit.go
@@ -60,6 +60,10 @@
 		visit.fail(http.StatusUnauthorized, "the key is missing or unknown")
 		return false
 	}
+	if visit.server.tooLate(route.Call, visit.came) {
+		visit.refuse("this node is leaving", visit.server.reach.RetryLeast)
+		return false
+	}
 	limit := route.Timeout
 	if visit.ask.Left > 0 {
 		limit = min(limit, visit.ask.Left)
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -23,6 +23,7 @@
 	SettingsRead     = Event{106, "settings read again", zap.InfoLevel}
 	ReadyChanged     = Event{107, "readiness changed", zap.InfoLevel}
 	DrainCut         = Event{108, "requests cut at the end of the drain", zap.WarnLevel}
+	HostSlept        = Event{109, "host was suspended", zap.WarnLevel}
 	StoreDown        = Event{201, "table service does not answer", zap.WarnLevel}
 	StoreBack        = Event{202, "table service answers again", zap.InfoLevel}
 	ListDown         = Event{203, "host list does not answer", zap.WarnLevel}
@@ -65,7 +66,7 @@
 // All lists every event in the order of the numbers.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LinesDropped, SettingsRead, ReadyChanged, DrainCut,
+		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LinesDropped, SettingsRead, ReadyChanged, DrainCut, HostSlept,
 		StoreDown, StoreBack, ListDown, ListBack, OutcomeUnknown, RowUnreadable, PeerSilent,
 		LeaseTaken, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaRefused, OrderFailed, MemberLost, EndpointEjected,
