Tests of whole nodes on a stand-in of the platform

Found on the way: endpoints of a fleet too small to want a replica never got weights (fixed: hosts without any have a least worth). The drain's notice is a setting.

--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -436,6 +436,9 @@
 // is wanted now.
 const coverPart = 0.05
 
+// idlePart is the least worth of weights on a host that has none.
+const idlePart = 0.01
+
 // value rates one more prepared endpoint. Where the model lacks replicas, three
 // free hosts of a broken replica of four are worth nothing until a fourth
 // comes: completing them counts most. Where it does not, a spare covers the
@@ -451,7 +454,7 @@
 		return 1 + need/float64(lacking)
 	}
 	cover := float64(supply.hosts[model.Name]*model.Size) / float64((1+prepared)*(1+prepared))
-	return coverPart * cover
+	return coverPart*cover + idlePart*need
 }
 
 const (
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -186,8 +186,7 @@
 }
 
 const (
-	noticeTime = 3200 * time.Millisecond // for the balancer to miss readiness twice
-	lastMargin = 500 * time.Millisecond  // before the platform kills the process
+	lastMargin = 500 * time.Millisecond // before the platform kills the process
 	idlePause  = 50 * time.Millisecond
 )
 
@@ -201,7 +200,7 @@
 	parts.Entry.Leave(end)
 	done := make(chan struct{})
 	parts.Control.tell(leave{done: done})
-	time.Sleep(noticeTime)
+	time.Sleep(parts.Settings.Notice)
 	for parts.Entry.Open() > 0 && time.Now().Before(end) {
 		time.Sleep(idlePause)
 	}
--- /dev/null
+++ b/io/edge/node_test.go
@@ -0,0 +1,448 @@
+package edge_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"hickorybend/io/edge"
+	"hickorybend/platform/fakes"
+)
+
+const configText = `{"version":%d,"routes":[
+	{"name":"talk","hostname":"site.example","prefix":"/talk/","type":"streaming","timeout_ms":8000,"target_latency_ms":400,"priority":1,"service":"llm","max_attempts":2,"resumable":true,"gap_aim_ms":300},
+	{"name":"book","hostname":"site.example","prefix":"/book/","type":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"app","max_attempts":1},
+	{"name":"look","hostname":"site.example","prefix":"/book/look/","type":"safe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"app","max_attempts":2}%s],
+	"services":[{"name":"llm","health_path":"/health","max_connections":300,"engine":{"slots":8,"models":[{"name":"large","size":2,"share":1,"pace":1,"load_s":0.2,"warm_s":0.1}],"step_ms":7.8,"per_seq_ms":0.1,"read_per_s":45900,"loads_per_s":5,"loads_at_once":7,"stride":5}},
+	{"name":"app","health_path":"/health","max_connections":100}],
+	"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+	"tenants":[{"name":"school","api_keys":["key-1"],"priority":1}%s]}`
+
+// site is a stand-in platform with runners and nodes.
+type site struct {
+	t       *testing.T
+	store   *fakes.Store
+	models  []*fakes.Runner
+	plains  []*fakes.Runner
+	nodes   []*node
+	seeds   []string
+	callers *http.Client
+}
+
+type node struct {
+	app     *fx.App
+	callers string
+	ready   string
+}
+
+func newSite(t *testing.T, models, plains, nodes int) *site {
+	s := &site{t: t, store: fakes.NewStore(), callers: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	t.Cleanup(s.store.Close)
+	s.configure(1, "", "")
+	for i := range models {
+		s.models = append(s.models, fakes.NewRunner(s.store, "llm", fmt.Sprintf("m-%d", i), "domain-1"))
+		t.Cleanup(s.models[i].Close)
+	}
+	for i := range plains {
+		s.plains = append(s.plains, fakes.NewRunner(s.store, "app", fmt.Sprintf("p-%d", i), ""))
+		t.Cleanup(s.plains[i].Close)
+	}
+	for range nodes {
+		s.start()
+	}
+	for _, node := range s.nodes {
+		s.wait("the node is ready", func() bool { return s.status(node.ready) == http.StatusOK })
+	}
+	if models > 0 {
+		s.wait("the replicas are open", func() bool { return len(s.heads()) == models/2 })
+		s.wait("a replica serves", func() bool { return s.talk(s.nodes[0], "warm-up").status == http.StatusOK })
+	}
+	return s
+}
+
+func (s *site) configure(version int, routes, teams string) {
+	s.store.Put("op", "config", fmt.Appendf(nil, configText, version, routes, teams))
+}
+
+// start runs one more node; all listen on loopback addresses of their own and
+// share the port for nodes.
+func (s *site) start() *node {
+	host := fmt.Sprintf("127.0.7.%d", len(s.nodes)+1)
+	free := func() string {
+		listener, err := net.Listen("tcp", host+":0")
+		assert.NilError(s.t, err)
+		defer func() { _ = listener.Close() }()
+		return listener.Addr().String()
+	}
+	settings := edge.Defaults()
+	settings.Node, settings.Zone, settings.PeerKey = fmt.Sprintf("node-%d", len(s.nodes)+1), "zone-a", "secret"
+	settings.CallersAddress, settings.ReadyAddress, settings.PeersAddress = free(), free(), free()
+	if len(s.seeds) > 0 {
+		_, port, _ := net.SplitHostPort(s.seeds[0])
+		settings.PeersAddress = net.JoinHostPort(host, port)
+	}
+	settings.StoreAddress, settings.FirstStart, settings.Seeds = s.store.Address(), true, s.seeds
+	settings.Grace, settings.Notice = 4*time.Second, 300*time.Millisecond
+	app := fx.New(fx.NopLogger, fx.Supply(settings, zap.NewNop(), edge.File("")), edge.Module())
+	assert.NilError(s.t, app.Start(context.Background()))
+	s.t.Cleanup(func() { _ = app.Stop(context.Background()) })
+	started := &node{app: app, callers: settings.CallersAddress, ready: "http://" + settings.ReadyAddress + "/"}
+	s.nodes = append(s.nodes, started)
+	s.seeds = append(s.seeds, settings.PeersAddress)
+	return started
+}
+
+func (s *site) wait(what string, holds func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+func (s *site) status(url string) int {
+	response, err := s.callers.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// answer is what a caller got; a cut one has err set.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+type ask struct {
+	method, path, id, key, model, last string
+	body                               []byte
+}
+
+func (s *site) ask(node *node, ask ask) answer {
+	request, err := http.NewRequest(ask.method, "http://"+node.callers+ask.path, bytes.NewReader(ask.body))
+	assert.NilError(s.t, err)
+	request.Host = "site.example"
+	for name, value := range map[string]string{
+		"X-Hickorybend-Attempt-Id": ask.id, "X-Hickorybend-Model": ask.model, "Last-Event-Id": ask.last,
+		"X-Hickorybend-Request-Deadline": "8000", "X-Hickorybend-Token-Counts": "100,20",
+	} {
+		if value != "" && (ask.model != "" || !strings.Contains(name, "Token")) {
+			request.Header.Set(name, value)
+		}
+	}
+	if ask.key != "" {
+		request.Header.Set("Authorization", "Token "+ask.key)
+	}
+	response, err := s.callers.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func (s *site) talk(node *node, id string) answer {
+	return s.ask(node, ask{method: "POST", path: "/talk/now", id: id, key: "key-1", model: "large", body: []byte("{}")})
+}
+
+func (s *site) book(node *node, id string) answer {
+	return s.ask(node, ask{method: "POST", path: "/book/slot?day=1", id: id, key: "key-1", body: []byte("{}")})
+}
+
+func (s *site) look(node *node, id string) answer {
+	return s.ask(node, ask{method: "GET", path: "/book/look/slot", id: id, key: "key-1"})
+}
+
+func wholeStream(events int) string {
+	var text strings.Builder
+	for id := 1; id <= events; id++ {
+		text.WriteString("id: " + strconv.Itoa(id) + "\ndata: token " + strconv.Itoa(id) + "\n\n")
+	}
+	return text.String()
+}
+
+func runs(runners []*fakes.Runner, id string) int {
+	sum := 0
+	for _, runner := range runners {
+		sum += runner.Ran(id)
+	}
+	return sum
+}
+
+// TestWholePath serves a stream, a call that may run once and one that may be
+// repeated, through two nodes.
+func TestWholePath(t *testing.T) {
+	s := newSite(t, 4, 2, 2)
+	for i, node := range s.nodes {
+		s.wait("the node serves streams", func() bool { return s.talk(node, "first").status == http.StatusOK })
+		talked := s.talk(node, fmt.Sprintf("talk-%d", i))
+		assert.Equal(t, talked.body, wholeStream(5))
+		assert.Assert(t, strings.HasPrefix(talked.header.Get("X-Hickorybend-Response-Signature"), "receipt-m-"))
+		booked := s.book(node, fmt.Sprintf("book-%d", i))
+		assert.Equal(t, booked.body, fmt.Sprintf("whole answer of book-%d", i))
+		assert.Equal(t, runs(s.plains, fmt.Sprintf("book-%d", i)), 1)
+	}
+	header := s.plains[0].Seen()
+	if len(header) == 0 {
+		header = s.plains[1].Seen()
+	}
+	assert.Equal(t, header[0].Get("Authorization"), "")
+	assert.Equal(t, header[0].Get("X-Hickorybend-Tenant"), "school")
+	assert.Equal(t, header[0].Get("User-Agent"), "Go-http-client/1.1") // the caller's own
+	assert.Equal(t, header[0].Get("Accept-Encoding"), "gzip")          // likewise
+}
+
+// TestRefusedAtTheDoor has requests that no endpoint may hear of.
+func TestRefusedAtTheDoor(t *testing.T) {
+	s := newSite(t, 0, 1, 1)
+	for _, test := range []struct {
+		name   string
+		ask    ask
+		status int
+	}{
+		{"no route", ask{method: "GET", path: "/nowhere/", id: "a", key: "key-1"}, http.StatusNotFound},
+		{"no key", ask{method: "POST", path: "/book/x", id: "b"}, http.StatusUnauthorized},
+		{"unknown key", ask{method: "POST", path: "/book/x", id: "c", key: "stolen"}, http.StatusUnauthorized},
+		{"large body", ask{method: "POST", path: "/book/x", id: "d", key: "key-1", body: make([]byte, 1001)}, http.StatusRequestEntityTooLarge},
+		{"no such model", ask{method: "POST", path: "/talk/x", id: "e", key: "key-1", model: "none"}, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got := s.ask(s.nodes[0], test.ask)
+			assert.Equal(t, got.status, test.status)
+			assert.Equal(t, len(s.plains[0].Seen()), 0)
+			if got.status == http.StatusServiceUnavailable {
+				assert.Assert(t, got.header.Get("Retry-After") != "")
+			}
+		})
+	}
+}
+
+// TestOnceUnderFaults has the endpoint of a call that may run once fail in
+// each way: the call never runs twice, and "not run" is said only when true.
+func TestOnceUnderFaults(t *testing.T) {
+	s := newSite(t, 0, 1, 1)
+	for i, test := range []struct {
+		fault  fakes.Fault
+		status int
+		runs   int
+	}{
+		{fakes.FaultFull, http.StatusServiceUnavailable, 0},
+		{fakes.FaultBare503, http.StatusBadGateway, 1},
+		{fakes.FaultCut, http.StatusBadGateway, 1},
+		{fakes.FaultHalf, http.StatusBadGateway, 1},
+		{fakes.FaultForeign, http.StatusBadGateway, 1},
+		{fakes.FaultNoReceipt, http.StatusBadGateway, 1},
+		{fakes.FaultSilent, http.StatusGatewayTimeout, 1},
+	} {
+		t.Run(string(test.fault), func(t *testing.T) {
+			s.plains[0].SetFaults(test.fault)
+			id := fmt.Sprintf("once-%d", i)
+			got := s.book(s.nodes[0], id)
+			assert.Equal(t, got.status, test.status, got.body)
+			assert.Equal(t, runs(s.plains, id), test.runs)
+			assert.Equal(t, got.header.Get("X-Hickorybend-Response-Signature"), "")
+			s.wait("the endpoint is used again", func() bool { return s.look(s.nodes[0], "again").status == http.StatusOK })
+		})
+	}
+}
+
+// TestSafeGoesElsewhere has one endpoint fail: a call that may be repeated is
+// answered by the other.
+func TestSafeGoesElsewhere(t *testing.T) {
+	s := newSite(t, 0, 2, 1)
+	for i, fault := range []fakes.Fault{fakes.FaultFull, fakes.FaultCut, fakes.FaultHalf, fakes.FaultForeign} {
+		for _, runner := range s.plains {
+			runner.SetFaults(fault)
+		}
+		id := fmt.Sprintf("safe-%d", i)
+		s.wait("an endpoint without fault answers", func() bool {
+			got := s.look(s.nodes[0], id)
+			return got.status == http.StatusOK && got.body == "whole answer of "+id
+		})
+	}
+}
+
+// TestStreamGoesOnElsewhere has each way in which a stream breaks: the caller
+// gets every event once, and the first replica's receipt.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	s := newSite(t, 4, 0, 1)
+	s.wait("two replicas serve", func() bool {
+		return s.talk(s.nodes[0], "x").status == 200 && len(s.heads()) == 2
+	})
+	for _, runner := range s.models {
+		runner.SetEvents(5, 10*time.Millisecond)
+	}
+	for i, fault := range []fakes.Fault{fakes.FaultHalf, fakes.FaultSkip, fakes.FaultSilent, fakes.FaultFull, fakes.FaultForeign, fakes.FaultNoReceipt} {
+		t.Run(string(fault), func(t *testing.T) {
+			s.heads()[0].SetFaults(fault)
+			answers := make(chan answer, 6)
+			for n := range 6 {
+				go func() { answers <- s.talk(s.nodes[0], fmt.Sprintf("stream-%d-%d", i, n)) }()
+			}
+			for range 6 {
+				got := <-answers
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+				assert.Equal(t, got.body, wholeStream(5))
+			}
+			assert.Equal(t, s.heads()[0].Pending(), 0)
+			time.Sleep(1100 * time.Millisecond) // an endpoint that failed is avoided for so long
+		})
+	}
+}
+
+// heads gives the runners that are the first hosts of open replicas.
+func (s *site) heads() []*fakes.Runner {
+	var heads []*fakes.Runner
+	for _, runner := range s.models {
+		if runner.Open() {
+			heads = append(heads, runner)
+		}
+	}
+	return heads
+}
+
+// TestMemberDies has a member of a replica die in the middle of streams: the
+// streams go on elsewhere, and the replica's other host is used again.
+func TestMemberDies(t *testing.T) {
+	s := newSite(t, 4, 0, 1)
+	s.wait("two replicas serve", func() bool { return len(s.heads()) == 2 })
+	for _, runner := range s.models {
+		runner.SetEvents(20, 20*time.Millisecond)
+	}
+	answers := make(chan answer, 6)
+	for i := range 6 {
+		go func() { answers <- s.talk(s.nodes[0], fmt.Sprintf("dying-%d", i)) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.heads()[0].Die()
+	for range 6 {
+		got := <-answers
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, wholeStream(20))
+	}
+}
+
+// TestConfigurationTakesEffect has a route and a key come and go.
+func TestConfigurationTakesEffect(t *testing.T) {
+	s := newSite(t, 0, 1, 2)
+	s.configure(5, `,{"name":"new","hostname":"site.example","prefix":"/new/","type":"safe","timeout_ms":1500,"service":"app","max_attempts":1}`, `,{"name":"other","api_keys":["key-2"]}`)
+	for _, node := range s.nodes {
+		s.wait("the new route serves", func() bool {
+			return s.ask(node, ask{method: "GET", path: "/new/x", id: "n", key: "key-2"}).status == http.StatusOK
+		})
+	}
+	s.configure(9, "", "")
+	for _, node := range s.nodes {
+		s.wait("the route is gone", func() bool {
+			return s.ask(node, ask{method: "GET", path: "/new/x", id: "n", key: "key-1"}).status == http.StatusNotFound
+		})
+		assert.Equal(t, s.ask(node, ask{method: "GET", path: "/book/look/", id: "n", key: "key-2"}).status, http.StatusUnauthorized)
+	}
+	s.configure(7, "", `,{"name":"other","api_keys":["key-2"]}`)
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, s.ask(s.nodes[0], ask{method: "GET", path: "/book/look/", id: "n", key: "key-2"}).status, http.StatusUnauthorized)
+}
+
+// TestStoreAway has the store go away: nodes serve on, and one that starts
+// meanwhile learns from the others.
+func TestStoreAway(t *testing.T) {
+	s := newSite(t, 0, 1, 1)
+	s.store.SetAway(true)
+	assert.Equal(t, s.look(s.nodes[0], "away").status, http.StatusOK)
+	late := s.start()
+	s.wait("the new node is ready", func() bool { return s.status(late.ready) == http.StatusOK })
+	assert.Equal(t, s.look(late, "away-2").status, http.StatusOK)
+	s.store.SetAway(false)
+	s.store.Forget()
+	s.configure(3, "", `,{"name":"other","api_keys":["key-2"]}`)
+	for _, node := range s.nodes {
+		s.wait("the change is in force", func() bool {
+			return s.ask(node, ask{method: "GET", path: "/book/look/", id: "n", key: "key-2"}).status == http.StatusOK
+		})
+	}
+}
+
+// TestEndpointLeaves has an endpoint drain, and rows that nobody can read.
+func TestEndpointLeaves(t *testing.T) {
+	s := newSite(t, 0, 2, 1)
+	s.plains[0].Register("draining")
+	s.store.Put("servers", "p-9", []byte(`{"service":7`))
+	s.store.Put("servers", "p-8", []byte(`{"service":"app","address":"127.0.0.1:1","state":"asleep"}`))
+	time.Sleep(500 * time.Millisecond)
+	before := len(s.plains[0].Seen())
+	for i := range 10 {
+		assert.Equal(t, s.look(s.nodes[0], fmt.Sprintf("leave-%d", i)).status, http.StatusOK)
+	}
+	assert.Equal(t, len(s.plains[0].Seen()), before)
+}
+
+// TestNodeLeaves has a node drain: it says so, answers with the last of each
+// channel, and turns away what it could not finish.
+func TestNodeLeaves(t *testing.T) {
+	s := newSite(t, 2, 1, 1)
+	leaving := s.nodes[0]
+	stopped := make(chan struct{})
+	go func() {
+		_ = leaving.app.Stop(context.Background())
+		close(stopped)
+	}()
+	s.wait("the node is not ready", func() bool { return s.status(leaving.ready) == http.StatusServiceUnavailable })
+	assert.Equal(t, s.look(leaving, "late").status, http.StatusOK)
+	refused := s.talk(leaving, "late-stream")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	assert.Assert(t, refused.header.Get("Retry-After") != "")
+	assert.Equal(t, runs(s.models, "late-stream"), 0)
+	<-stopped
+}
+
+// TestHalfClosedCaller has a caller close its side after the request: whatever
+// it gets must not look like a complete answer of another kind.
+func TestHalfClosedCaller(t *testing.T) {
+	s := newSite(t, 0, 1, 1)
+	s.plains[0].SetFaults(fakes.FaultSilent)
+	conn, err := net.Dial("tcp", s.nodes[0].callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Token key-1\r\nX-Hickorybend-Attempt-Id: h\r\nContent-Length: 2\r\n\r\n{}")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	got, err := io.ReadAll(conn)
+	assert.Assert(t, err != nil || len(got) == 0 || strings.HasPrefix(string(got), "HTTP/1.1 50"), "%s", got)
+}
+
+// TestRowsOfSettings decodes the deployment's own template form.
+func TestSettingsFaults(t *testing.T) {
+	for _, test := range []struct{ name, text, want string }{
+		{"empty", `{}`, "node"},
+		{"unknown", `{"nodes": "x"}`, "nodes"},
+		{"short grace", `{"node":"a","zone":"z","callers-address":"1","ready-address":"2","peers-address":"3","peer-key":"k","store-address":"s","grace":"1ms"}`, "grace"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := edge.Parse("node.jsonc", []byte(test.text))
+			assert.ErrorContains(t, err, test.want)
+		})
+	}
+	_, err := json.Marshal(edge.Defaults())
+	assert.NilError(t, err)
+}
