--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -62,7 +62,7 @@
 
 func rate(policy Policy, candidate *Candidate, wish Wish, usual time.Duration) rating {
 	taken := float64(candidate.Load.InFlight()+1) / float64(max(candidate.Slots, 1))
-	total := taken + policy.FailPenalty*candidate.Load.Failure() + policy.TieWidth*candidate.Offset
+	total := taken + policy.FailPenalty*candidate.Load.Failure(wish.Now) + policy.TieWidth*candidate.Offset
 	if candidate.Read > 0 {
 		left := max(wish.DueBy.Sub(wish.Now), policy.LeastDue)
 		total += policy.PromptWeight * float64(candidate.Load.Unread()) / candidate.Read / left.Seconds()
--- a/core/reach/load.go
+++ b/core/reach/load.go
@@ -15,12 +15,14 @@
 	unread  atomic.Int64  // the same of the other nodes
 	failure atomic.Uint64 // smoothed part of requests that failed, as float bits
 	took    atomic.Uint64 // smoothed seconds of an answer, as float bits
+	noted   atomic.Int64  // unix nanoseconds of the last request that ended
 	avoid   atomic.Int64  // unix nanoseconds until which nothing new is sent
 }
 
 const (
 	failureWeight = 0.15
 	tookWeight    = 0.1
+	failureHalf   = 2 * time.Second // in which an old failure loses half of its weight
 )
 
 // Begin counts a request that is sent.
@@ -53,14 +55,16 @@
 func (load *Load) InFlight() int { return int(load.own.Load() + load.others.Load()) }
 
 // Note takes in how a request ended and how long it took.
-func (load *Load) Note(failed bool, took time.Duration) {
+func (load *Load) Note(now time.Time, failed bool, took time.Duration) {
 	outcome := 0.0
 	if failed {
 		outcome = 1
 	} else {
 		smooth(&load.took, took.Seconds(), tookWeight)
 	}
-	smooth(&load.failure, outcome, failureWeight)
+	faded := load.Failure(now)
+	load.failure.Store(math.Float64bits(faded + failureWeight*(outcome-faded)))
+	load.noted.Store(now.UnixNano())
 }
 
 // Avoid keeps new requests away until a moment.
@@ -69,8 +73,13 @@
 // Avoided tells whether new requests are kept away.
 func (load *Load) Avoided(now time.Time) bool { return now.UnixNano() < load.avoid.Load() }
 
-// Failure gives the smoothed part of requests that failed.
-func (load *Load) Failure() float64 { return math.Float64frombits(load.failure.Load()) }
+// Failure gives the smoothed part of requests that failed. It fades with time:
+// an endpoint that nobody chooses could never show that it is sound again.
+func (load *Load) Failure(now time.Time) float64 {
+	since := max(0, now.UnixNano()-load.noted.Load())
+	halves := float64(since) / float64(failureHalf)
+	return math.Float64frombits(load.failure.Load()) * math.Exp2(-halves)
+}
 
 // Took gives the smoothed time of an answer; 0 before the first.
 func (load *Load) Took() time.Duration {
@@ -82,7 +91,7 @@
 // smooth moves a value towards a sample; a sample lost to a race does no harm.
 func smooth(bits *atomic.Uint64, sample, weight float64) {
 	old := math.Float64frombits(bits.Load())
-	if old == 0 && weight == tookWeight {
+	if old == 0 {
 		bits.Store(math.Float64bits(sample))
 		return
 	}
--- /dev/null
+++ b/core/site/index_test.go
@@ -0,0 +1,69 @@
+package site_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickorybend/core/site"
+)
+
+func index() *site.Index {
+	return site.NewIndex(site.Config{
+		Routes: []site.Route{
+			{Name: "root", Host: "a.example", Prefix: "/"},
+			{Name: "book", Host: "a.example", Prefix: "/book/"},
+			{Name: "look", Host: "a.example", Prefix: "/book/look/"},
+			{Name: "other", Host: "b.example", Prefix: "/book/"},
+		},
+		Teams: []site.Team{{Name: "school", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+// TestRoute finds the longest prefix that begins a path.
+func TestRoute(t *testing.T) {
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/book/look/1", "look"},
+		{"a.example", "/book/looking", "book"},
+		{"a.example", "/book", "root"},
+		{"a.example", "/", "root"},
+		{"A.Example:8080", "/book/", "book"},
+		{"b.example", "/book/x/y/z", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/book/", ""},
+		{"b.example", "", ""},
+		{"b.example", "book/", ""},
+	} {
+		got := ""
+		if route, found := index().Route(test.host, test.path); found {
+			got = route.Name
+		}
+		assert.Equal(t, got, test.want, "%s %s", test.host, test.path)
+	}
+}
+
+// TestPick shares requests out by weight.
+func TestPick(t *testing.T) {
+	route := site.Route{Targets: []site.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[route.Pick(float64(i)/1000)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+	assert.Equal(t, (&site.Route{}).Pick(0.5), "")
+}
+
+// TestWork gives the example of its comment.
+func TestWork(t *testing.T) {
+	engine := &site.Engine{Slots: 17, StepTime: 7800 * time.Microsecond, StepPerSlot: 94700 * time.Nanosecond, ReadPerSec: 45900}
+	work := engine.Work(site.Model{Size: 4, Pace: 1}, 1400, 170)
+	assert.Assert(t, work > 480*time.Millisecond && work < 520*time.Millisecond, "%v", work)
+}
+
+func TestTeams(t *testing.T) {
+	team, found := index().Team("k2")
+	assert.Assert(t, found && team.Name == "school")
+	_, found = index().Team("")
+	assert.Assert(t, !found)
+}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -120,7 +120,7 @@
 		return visit.failed(candidate, errors.Mark(causeOf(ctx, err), pool.ErrBroken), sent)
 	}
 	exchange.Keep()
-	candidate.Load.Note(false, time.Since(sent))
+	candidate.Load.Note(time.Now(), false, time.Since(sent))
 	visit.outcome = "answered"
 	if len(visit.tried) > 1 {
 		visit.outcome = "answered after a move"
--- a/io/entry/whole.go
+++ b/io/entry/whole.go
@@ -127,7 +127,7 @@
 		return visit.failed(candidate, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrBroken), sent)
 	}
 	exchange.Keep()
-	candidate.Load.Note(status >= http.StatusInternalServerError, time.Since(sent))
+	candidate.Load.Note(time.Now(), status >= http.StatusInternalServerError, time.Since(sent))
 	return answered{response: exchange.Response, body: body, word: word}
 }
 
@@ -156,7 +156,7 @@
 // or that was cut off from here, is not at fault.
 func (visit *visit) failed(candidate *reach.Candidate, err error, sent time.Time) result {
 	if visit.r.Context().Err() == nil {
-		candidate.Load.Note(true, time.Since(sent))
+		candidate.Load.Note(time.Now(), true, time.Since(sent))
 		visit.server.suspect(candidate.ID)
 	}
 	if errors.Is(err, pool.ErrUnsent) {
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -3,7 +3,7 @@
 set -u
 cd "$(dirname "$0")/.." || exit 1
 bad=0
-unformatted=$(gofmt -l cmd core io)
+unformatted=$(gofmt -l cmd core io platform)
 if [ -n "$unformatted" ]; then
 	echo "not formatted: $unformatted"
 	bad=1
