Leaders read the platform for their zones, and sum load up

Cause: every node followed every table and talked to every other: 16,185 calls and 0.5 GB between zones at 89 nodes, and at 8 nodes the tables were fetched again and again because feeds' versions differ. Ruled out: smaller digests (their size was not the cost). A new holder no longer waits for a late open of replicas that are open; after a refusal an endpoint's own count of orders is taken, also a lower one.

--- a/core/fleet/adopt.go
+++ b/core/fleet/adopt.go
@@ -52,6 +52,7 @@
 	switch members[0].Membership.Phase {
 	case PhaseOpen:
 		adopted.stage = stageServing
+		adopted.lateBy = time.Time{}
 	default:
 		adopted.stage = stageEnding // formed again under this holder's epoch
 	}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -37,11 +37,12 @@
 	copies    [tableCount]atomic.Pointer[gossip.Table]
 	ready     atomic.Bool
 	holding   atomic.Bool // the placement lease is held
+	leads     atomic.Bool // this node reads the platform for its zone
 	started   time.Time
 	ctx       context.Context
 	operators operators
 	endpoints endpoints
-	peers     peers
+	peers     *peers
 	placement placement
 	demand    demand
 	serving   map[string]int // replicas of each model, as last logged
@@ -62,6 +63,7 @@
 	control.peers = newPeers(settings)
 	control.placement = newPlacement(settings)
 	control.demand = demand{before: map[string]map[string]int64{}, lately: map[string]float64{}}
+	control.leads.Store(true) // until other nodes are known
 	control.picture.Store(&reach.Picture{Nodes: 1})
 	control.digest.Store(&gossip.Digest{Node: settings.Node})
 	return control
@@ -142,6 +144,8 @@
 		control.learnProbe(typed, now)
 	case ordered:
 		control.learnOrder(typed, now)
+	case fetched:
+		control.peers.fetching[typed.table] = false
 	case nodeWritten:
 		_, done := typed.outcome.(rows.Done)
 		control.peers.written, control.peers.writing = done, false
@@ -161,8 +165,10 @@
 		control.learnConfig(change, now)
 	case tableEndpoints:
 		control.learnEndpoints(change, now)
-	case tableOwn:
-		control.learnOwn(change, now)
+	case tableNodes:
+		control.learnNodes(change)
+	case tableLease:
+		control.learnLease(change, now)
 	}
 }
 
--- a/io/edge/demand.go
+++ b/io/edge/demand.go
@@ -31,17 +31,13 @@
 	}
 }
 
-// add counts what a node was asked since the last look; a node that started
-// anew counts from nothing.
+// add counts what a node, or a zone that a leader sums up, was asked since the
+// last look; a sum that shrank lost a node, and counts for nothing this time.
 func (demand *demand) add(node string, asked map[string]int64, sums map[string]float64) {
 	before := demand.before[node]
 	for model, work := range asked {
-		since := work
-		if work >= before[model] {
-			since -= before[model]
-		}
-		if before != nil {
-			sums[model] += time.Duration(since).Seconds()
+		if before != nil && work > before[model] {
+			sums[model] += time.Duration(work - before[model]).Seconds()
 		}
 	}
 	if asked != nil {
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	mostRemoved = 1000                   // removals that other nodes may ask for one by one
 	believeGone = 2 * time.Second        // after the store's return, before a missing row is believed
 	probeLimit  = 200 * time.Millisecond // for an endpoint's report; it needs no slot
 	probeTries  = 2
@@ -27,7 +28,9 @@
 	known     bool
 	byID      map[string]fleet.Endpoint
 	values    map[string]platform.Entry // as the store gave them, for other nodes
-	version   int64
+	version   int64                     // of the newest row or removal
+	since     int64                     // removals after this version are in removed
+	removed   map[string]int64
 	missing   map[string]time.Time // rows that went while the store was away, with the deadline of belief
 	lost      map[string]time.Time // endpoints that answer nothing, with when to ask again
 	changedAt map[string]time.Time // when the last row came
@@ -38,7 +41,8 @@
 
 func newEndpoints() endpoints {
 	return endpoints{
-		byID: map[string]fleet.Endpoint{}, values: map[string]platform.Entry{}, missing: map[string]time.Time{},
+		removed: map[string]int64{},
+		byID:    map[string]fleet.Endpoint{}, values: map[string]platform.Entry{}, missing: map[string]time.Time{},
 		lost: map[string]time.Time{}, changedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
@@ -50,24 +54,31 @@
 	if change.from == fromPeer && change.batch.Next <= known.version {
 		return
 	}
-	known.version = max(known.version, change.batch.Next)
+	if change.batch.Whole {
+		known.since = max(known.since, known.version)
+	}
 	seen := map[string]bool{}
 	for _, entry := range change.batch.Entries {
 		seen[entry.Key] = !entry.Removed
+		known.version = max(known.version, entry.Version)
 		if entry.Removed {
-			control.forget(entry.Key, now)
+			control.forget(entry.Key, entry.Version, now)
 			continue
 		}
+		delete(known.removed, entry.Key)
 		control.learnEndpoint(entry, now)
 	}
 	if change.batch.Whole {
 		known.known = true
 		for id := range known.byID {
 			if !seen[id] {
-				control.forget(id, now)
+				control.forget(id, known.version, now)
 			}
 		}
 	}
+	if change.from == fromPeer {
+		known.version = max(known.version, change.batch.Next)
+	}
 	control.copyEndpoints()
 	control.changed = true
 }
@@ -102,7 +113,7 @@
 }
 
 // forget drops an endpoint whose row is gone.
-func (control *Control) forget(id string, now time.Time) {
+func (control *Control) forget(id string, version int64, now time.Time) {
 	known := &control.endpoints
 	if _, had := known.byID[id]; !had {
 		return
@@ -112,11 +123,17 @@
 		known.missing[id] = back.Add(believeGone)
 		return
 	}
-	control.drop(id)
+	control.drop(id, version)
 }
 
-func (control *Control) drop(id string) {
+// drop takes an endpoint out; other nodes learn of it under a version.
+func (control *Control) drop(id string, version int64) {
 	known := &control.endpoints
+	known.removed[id] = version
+	if len(known.removed) > mostRemoved {
+		known.removed = map[string]int64{}
+		known.since = known.version
+	}
 	event.Log(control.log, event.EndpointGone, zap.String("endpoint", id), zap.String("replica", known.byID[id].Membership.Replica))
 	delete(known.byID, id)
 	delete(known.values, id)
@@ -131,7 +148,9 @@
 	known := &control.endpoints
 	for id, believed := range known.missing {
 		if !now.Before(believed) {
-			control.drop(id)
+			known.version++ // so that nodes that know of the rows after it learn of this too
+			control.drop(id, known.version)
+			control.copyEndpoints()
 		}
 	}
 	for id, again := range known.lost {
@@ -144,7 +163,10 @@
 
 func (control *Control) copyEndpoints() {
 	known := &control.endpoints
-	table := &gossip.Table{Version: known.version}
+	table := &gossip.Table{Version: known.version, Since: known.since}
+	for id, version := range known.removed {
+		table.Entries = append(table.Entries, gossip.Entry{Key: id, Version: version, Removed: true})
+	}
 	for _, entry := range known.values {
 		table.Entries = append(table.Entries, gossip.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version})
 	}
@@ -232,9 +254,11 @@
 	report := probe.report
 	newLife := report.Born.After(known.Born)
 	fresh := probe.asked.After(control.endpoints.changedAt[probe.id].Add(reportLag))
-	if !newLife && (!fresh || report.Orders < known.Orders) {
-		known.Counted = true
-		known.Orders = max(known.Orders, report.Orders)
+	if known.Counted {
+		report.Orders = max(known.Orders, report.Orders) // a report may be older than an answer
+	}
+	if !newLife && !fresh {
+		known.Counted, known.Orders = true, report.Orders
 		control.endpoints.byID[probe.id] = known
 		return
 	}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -15,21 +15,35 @@
 const (
 	tableConfig = iota
 	tableEndpoints
-	tableOwn
+	tableNodes
+	tableLease
 	tableCount
 )
 
-// tableNames are the tables' names in the store; leases and nodes share one.
-var tableNames = [tableCount]string{platform.TableOperator, platform.TableEndpoints, lease.Part}
+// tableNames are the tables' names in the store.
+var tableNames = [tableCount]string{platform.TableOperator, platform.TableEndpoints, "nodes", lease.Part}
 
-// feedWaits are how long the store may hold a feed without news. They bound
-// how late a channel that has gone silent shows; other nodes' versions show it
-// sooner, unless all channels go silent at once.
-var feedWaits = [tableCount]time.Duration{2 * time.Second, 2 * time.Second, 4 * time.Second}
+// leaderWaits are how long the store may hold the feed of a node that leads
+// without news. They bound how late a channel that has gone silent shows; other
+// nodes' versions show it sooner, unless all channels go silent at once.
+var leaderWaits = [tableCount]time.Duration{2 * time.Second, 2 * time.Second, 5 * time.Second, 4 * time.Second}
+
+// memberWait is the same for the others, which the leader tells of changes.
+const memberWait = 20 * time.Second
 
 // feedPauses are how long a node lets changes gather before it asks for the
 // next ones; the one that places replicas takes them as they come.
-var feedPauses = [tableCount]time.Duration{0, 200 * time.Millisecond, 0}
+var feedPauses = [tableCount]time.Duration{0, 200 * time.Millisecond, time.Second, 0}
+
+// dutyPause is how long a node waits before it looks again whether it has to
+// follow a table.
+const dutyPause = 200 * time.Millisecond
+
+// follows tells whether this node reads a table itself: all nodes the
+// configuration and the nodes, the rest only leaders and who places.
+func (control *Control) follows(table int) bool {
+	return table == tableConfig || table == tableNodes || control.leads.Load() || control.holding.Load()
+}
 
 const (
 	retryLeast = 150 * time.Millisecond // after a call that failed
@@ -42,6 +56,11 @@
 	var next int64
 	whole := false
 	for ctx.Err() == nil {
+		if !control.follows(table) {
+			whole = false // what is missed meanwhile is read anew
+			wait(ctx, dutyPause)
+			continue
+		}
 		batch, err := control.fetch(ctx, table, whole, next)
 		switch {
 		case err == nil:
@@ -66,7 +85,11 @@
 	if !whole {
 		return control.store.Read(ctx, tableNames[table])
 	}
-	return control.store.Follow(ctx, tableNames[table], next, feedWaits[table])
+	pause := memberWait
+	if control.leads.Load() || control.holding.Load() {
+		pause = leaderWaits[table]
+	}
+	return control.store.Follow(ctx, tableNames[table], next, pause)
 }
 
 func wait(ctx context.Context, pause time.Duration) {
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -1,23 +1,22 @@
 package edge
 
 import (
-	"encoding/json"
 	"net"
 	"net/http"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"hickorybend/core/rows"
+	"hickorybend/core/talk"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 	"hickorybend/platform"
 )
 
 const (
-	nodePrefix    = "node/"
-	gossipEvery   = 100 * time.Millisecond
+	gossipEvery   = 100 * time.Millisecond // between two exchanges of a pair
+	zoneRound     = 10                     // nodes of a zone for which a leader has time in one interval
 	gossipAway    = time.Second            // between two tries of a node that does not answer
 	digestTerm    = time.Second            // after which a node's requests in flight no longer count
 	behindGrace   = 400 * time.Millisecond // for the store's own news, before a peer's table is fetched
@@ -27,36 +26,37 @@
 
 // peers is what is known of the other nodes.
 type peers struct {
-	self    string
-	key     string
-	http    *http.Client
-	nodes   map[string]*peer
-	rows    map[string]platform.Entry // of nodes, as the store gave them
-	written bool
-	writing bool
-	behind  [tableCount]time.Time // since when a peer has known more
+	self     string
+	zone     string
+	key      string
+	http     *http.Client
+	nodes    map[string]*peer
+	rows     map[string]platform.Entry // of nodes, as the store gave them
+	written  bool
+	writing  bool
+	behind   [tableCount]time.Time // since when a peer has known more
+	fetching [tableCount]bool
+	part     talk.Part
+	wide     atomic.Pointer[gossip.Digest] // all nodes, summed up by a leader; nil in a mesh
+	near     atomic.Pointer[gossip.Digest] // this zone's nodes, summed up by its leader; nil in a mesh
 }
 
 // peer is another node.
 type peer struct {
+	zone    string
 	address string
 	client  *gossip.Client
 	digest  gossip.Digest
 	heardAt time.Time
 	nextAt  time.Time
 	talking bool
+	down    bool // it did not answer lately
 }
 
-// nodeRow is a node's row in the store.
-type nodeRow struct {
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-}
-
-func newPeers(settings Settings) peers {
+func newPeers(settings Settings) *peers {
 	dialer := &net.Dialer{Timeout: peerDialLimit}
-	return peers{
-		self: settings.Node, key: settings.PeerKey, nodes: map[string]*peer{}, rows: map[string]platform.Entry{},
+	return &peers{
+		self: settings.Node, zone: settings.Zone, key: settings.PeerKey, nodes: map[string]*peer{}, rows: map[string]platform.Entry{},
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdle, DisableCompression: true}},
 	}
 }
@@ -67,103 +67,84 @@
 func (peers *peers) miss(node string, now time.Time) {
 	if found := peers.nodes[node]; found != nil {
 		found.talking = false
+		found.down = true
 		found.nextAt = now.Add(gossipAway)
 	}
 }
 
-// learnOwn takes in the rows of leases and nodes.
-func (control *Control) learnOwn(change tableChanged, now time.Time) {
-	if change.batch.Whole && change.from == fromStore {
-		control.placement.rowsRead = true
+// gossipNow exchanges digests with the nodes that are due.
+func (control *Control) gossipNow(now time.Time) {
+	control.arrange(now)
+	control.refreshDigest()
+	control.sumUp(now)
+	peers := control.peers
+	interval := gossipEvery
+	if !peers.part.Mesh && !peers.part.Leads {
+		interval *= time.Duration(1 + peers.part.Size/zoneRound)
 	}
-	for _, entry := range change.batch.Entries {
-		row, err := control.store.Row(tableNames[tableOwn], entry)
-		if err != nil {
-			event.Log(control.log, event.RowUnreadable, zap.String("row", entry.Key), zap.Error(err))
-			continue
-		}
-		name, isNode := strings.CutPrefix(entry.Key, nodePrefix)
-		if isNode {
-			control.learnNode(name, row)
-			control.copyOwn(entry)
+	for _, name := range peers.part.Calls {
+		found := peers.nodes[name]
+		if found.talking || now.Before(found.nextAt) {
 			continue
 		}
-		if change.from == fromStore {
-			control.placement.learnRow(row)
-		}
+		found.talking = true
+		found.nextAt = now.Add(interval)
+		go control.exchange(name, found.client, control.told(found.zone))
 	}
-	control.observeLease(now)
-	control.writeSelf()
+	control.shareLoads(now)
+	control.catchUp(now)
 }
 
-func (control *Control) learnNode(name string, row rows.Row) {
-	peers := &control.peers
-	if name == peers.self {
-		return
+// arrange works out this node's part among the others.
+func (control *Control) arrange(now time.Time) {
+	peers := control.peers
+	others := make([]talk.Node, 0, len(peers.nodes))
+	for name, found := range peers.nodes {
+		others = append(others, talk.Node{Name: name, Zone: found.zone, Down: found.down || found.silent(now, peers)})
 	}
-	var wire nodeRow
-	if len(row.Body) == 0 || json.Unmarshal(row.Body, &wire) != nil || wire.Address == "" {
-		delete(peers.nodes, name)
-		control.changed = true
-		return
-	}
-	if found := peers.nodes[name]; found != nil && found.address == wire.Address {
-		return
-	}
-	peers.nodes[name] = &peer{address: wire.Address, client: gossip.NewClient(peers.http, wire.Address, peers.key)}
-	control.changed = true
+	peers.part = talk.Arrange(talk.Node{Name: peers.self, Zone: control.settings.Zone}, others)
+	control.leads.Store(peers.part.Leads)
 }
 
-// writeSelf puts this node's address into the store, once.
-func (control *Control) writeSelf() {
-	peers := &control.peers
-	if peers.written || peers.writing || !control.placement.rowsRead {
-		return
-	}
-	key := rows.Key{Part: tableNames[tableOwn], Sort: nodePrefix + peers.self}
-	body, err := json.Marshal(nodeRow{Address: control.settings.PeersAddress, Zone: control.settings.Zone})
-	if err != nil {
-		event.Log(control.log, event.RowUnreadable, zap.Error(err))
-		return
-	}
-	peers.writing = true
-	go func() {
-		outcome := control.overwrite(key, body)
-		control.tell(nodeWritten{outcome: outcome})
-	}()
+// silent tells whether a node that should call, or answer, has not for a while.
+func (peer *peer) silent(now time.Time, peers *peers) bool {
+	heard := !peer.heardAt.IsZero() && now.Before(peer.heardAt.Add(digestTerm))
+	exchanges := peers.part.Mesh || peers.part.Leads && peer.zone != peers.zone
+	return exchanges && !peer.heardAt.IsZero() && !heard
 }
 
-// overwrite replaces a row whatever it was.
-func (control *Control) overwrite(key rows.Key, body []byte) rows.Outcome {
-	row, err := control.store.Get(control.ctx, key)
-	if err != nil && row.Key != key {
-		row = rows.Row{Key: key}
+// told is what a node of a zone is told: in a mesh, and by a member, this
+// node's own state; between leaders that of the zone.
+func (control *Control) told(zone string) gossip.Digest {
+	near := control.peers.near.Load()
+	if near != nil && zone != control.settings.Zone {
+		return *near
 	}
-	return control.store.Commit(control.ctx, rows.Txn{Write: control.peers.self, Steps: []rows.Step{rows.Over(row, body)}})
-}
-
-// nodeWritten brings the outcome of writing this node's row.
-type nodeWritten struct {
-	outcome rows.Outcome
+	return *control.digest.Load()
 }
 
-func (nodeWritten) message() {}
-
-// gossipNow exchanges digests with the nodes that are due. Of two nodes the one
-// with the smaller name calls, since the answer brings the other's digest.
-func (control *Control) gossipNow(now time.Time) {
-	control.refreshDigest()
-	for name, found := range control.peers.nodes {
-		calls := control.peers.self < name || now.After(found.heardAt.Add(digestTerm))
-		if !calls || found.talking || now.Before(found.nextAt) {
+// sumUp adds the digests that a leader has: its zone's for other leaders, and
+// all of them for its zone.
+func (control *Control) sumUp(now time.Time) {
+	peers := control.peers
+	if peers.part.Mesh || !peers.part.Leads {
+		peers.near.Store(nil)
+		peers.wide.Store(nil)
+		return
+	}
+	near, wide := *control.digest.Load(), *control.digest.Load()
+	near, wide = near.Copy(), wide.Copy()
+	for _, found := range peers.nodes {
+		if now.After(found.heardAt.Add(digestTerm)) {
 			continue
 		}
-		found.talking = true
-		found.nextAt = now.Add(gossipEvery)
-		go control.exchange(name, found.client, *control.digest.Load())
+		wide.Add(found.digest)
+		if found.zone == control.settings.Zone {
+			near.Add(found.digest)
+		}
 	}
-	control.shareLoads(now)
-	control.catchUp(now)
+	peers.near.Store(&near)
+	peers.wide.Store(&wide)
 }
 
 func (control *Control) exchange(name string, client *gossip.Client, digest gossip.Digest) {
@@ -176,7 +157,7 @@
 }
 
 func (control *Control) refreshDigest() {
-	digest := &gossip.Digest{Node: control.settings.Node, InFlight: map[string]int{}, Prompts: map[string]int{}, Visited: control.visited() || control.anyVisited(), Leaving: control.leaving}
+	digest := &gossip.Digest{Node: control.settings.Node, Zone: control.settings.Zone, InFlight: map[string]int{}, Prompts: map[string]int{}, Visited: control.visited() || control.anyVisited(), Leaving: control.leaving}
 	for id, load := range control.endpoints.loads {
 		if own := load.Own(); own > 0 {
 			digest.InFlight[id] = own
@@ -217,18 +198,25 @@
 // Hear answers another node's digest with this node's.
 func (control *Control) Hear(digest gossip.Digest) gossip.Digest {
 	control.tell(heard{digest: digest})
-	return *control.digest.Load()
+	wide := control.peers.wide.Load()
+	if wide == nil || digest.Zone != control.settings.Zone {
+		return control.told(digest.Zone)
+	}
+	rest := wide.Copy()
+	rest.Take(digest)
+	return rest
 }
 
-// Table gives another node a whole table.
-func (control *Control) Table(table int) gossip.Table {
+// Table gives another node what changed in a table after a version.
+func (control *Control) Table(table int, after int64) gossip.Table {
 	if table < 0 || table >= tableCount {
 		return gossip.Table{}
 	}
-	if known := control.copies[table].Load(); known != nil {
-		return *known
+	known := control.copies[table].Load()
+	if known == nil {
+		return gossip.Table{}
 	}
-	return gossip.Table{}
+	return known.After(after)
 }
 
 func (control *Control) learnDigest(digest gossip.Digest, now time.Time) {
@@ -239,6 +227,7 @@
 	found.digest = digest
 	found.heardAt = now
 	found.talking = false
+	found.down = false
 	for _, id := range digest.Lost {
 		if !control.endpoints.isLost(id) {
 			control.probe(id, now)
@@ -268,6 +257,10 @@
 // catchUp fetches a table from a node that has known more of it for a while:
 // the store does not answer this node, or its feed has gone silent.
 func (control *Control) catchUp(now time.Time) {
+	grace := behindGrace
+	if !control.follows(tableEndpoints) {
+		grace = 0 // the leader's news are the only ones
+	}
 	for _, table := range []int{tableConfig, tableEndpoints} {
 		ahead := control.ahead(table, now)
 		switch {
@@ -275,9 +268,12 @@
 			control.peers.behind[table] = time.Time{}
 		case control.peers.behind[table].IsZero():
 			control.peers.behind[table] = now
-		case now.After(control.peers.behind[table].Add(behindGrace)):
+		}
+		since := control.peers.behind[table]
+		if ahead != nil && !control.peers.fetching[table] && !now.Before(since.Add(grace)) {
 			control.peers.behind[table] = now
-			go control.fetchFrom(ahead.client, table)
+			control.peers.fetching[table] = true
+			go control.fetchFrom(ahead.client, table, control.versions()[table])
 		}
 	}
 }
@@ -296,18 +292,26 @@
 	return best
 }
 
-func (control *Control) fetchFrom(client *gossip.Client, table int) {
-	fetched, err := client.Fetch(control.ctx, table)
+func (control *Control) fetchFrom(client *gossip.Client, table int, after int64) {
+	defer control.tell(fetched{table: table})
+	known, err := client.Fetch(control.ctx, table, after)
 	if err != nil {
 		event.Log(control.log, event.PeerSilent, zap.Error(err))
 		return
 	}
-	if len(fetched.Entries) == 0 {
+	if len(known.Entries) == 0 {
 		return // it knows nothing itself
 	}
-	batch := platform.Batch{Next: fetched.Version, Whole: true}
-	for _, entry := range fetched.Entries {
-		batch.Entries = append(batch.Entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version})
+	batch := platform.Batch{Next: known.Version, Whole: known.Whole}
+	for _, entry := range known.Entries {
+		batch.Entries = append(batch.Entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version, Removed: entry.Removed})
 	}
 	control.tell(tableChanged{table: table, batch: batch, from: fromPeer})
 }
+
+// fetched says that an exchange of a table is over.
+type fetched struct {
+	table int
+}
+
+func (fetched) message() {}
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -86,10 +86,17 @@
 	}
 }
 
-func (control *Control) observeLease(now time.Time) {
+// learnLease takes in the rows of the lease.
+func (control *Control) learnLease(change tableChanged, now time.Time) {
 	placement := &control.placement
-	if !placement.rowsRead {
-		return
+	placement.rowsRead = placement.rowsRead || change.batch.Whole
+	for _, entry := range change.batch.Entries {
+		row, err := control.store.Row(tableNames[tableLease], entry)
+		if err != nil {
+			event.Log(control.log, event.RowUnreadable, zap.String("row", entry.Key), zap.Error(err))
+			continue
+		}
+		placement.learnRow(row)
 	}
 	if err := placement.claim.Observe(placement.row, placement.fenceRow, now); err != nil {
 		event.Log(control.log, event.RowUnreadable, zap.Error(err))
@@ -124,7 +131,7 @@
 
 func (control *Control) claimNow(now time.Time) {
 	placement := &control.placement
-	if placement.claiming || control.leaving || !placement.rowsRead {
+	if placement.claiming || control.leaving || !placement.rowsRead || !control.follows(tableLease) {
 		return
 	}
 	action := placement.claim.Next(now, placement.delay, uuid.NewString())
@@ -217,6 +224,8 @@
 	}
 	switch done.reply.(type) {
 	case fleet.Unfit, fleet.Unheard:
+		endpoint.Counted = false // the count may be wrong either way; its next report tells
+		control.endpoints.byID[endpoint.ID] = endpoint
 		control.probe(endpoint.ID, now)
 	}
 }
--- a/io/edge/seeds.go
+++ b/io/edge/seeds.go
@@ -22,7 +22,7 @@
 		for _, address := range seedAddresses(control.settings) {
 			client := gossip.NewClient(control.peers.http, address, control.settings.PeerKey)
 			for table := range tableCount {
-				control.fetchFrom(client, table)
+				control.fetchFrom(client, table, 0)
 			}
 			if control.Ready() {
 				return
@@ -51,8 +51,8 @@
 	return addresses
 }
 
-// copyOwn keeps the rows of nodes for those that start while the store is away.
-func (control *Control) copyOwn(entry platform.Entry) {
+// copyNode keeps the rows of nodes for those that start while the store is away.
+func (control *Control) copyNode(entry platform.Entry) {
 	rows := control.peers.rows
 	if entry.Removed {
 		delete(rows, entry.Key)
@@ -63,5 +63,5 @@
 	for _, row := range rows {
 		table.Entries = append(table.Entries, gossip.Entry{Key: row.Key, Value: row.Value, Version: row.Version})
 	}
-	control.copies[tableOwn].Store(table)
+	control.copies[tableNodes].Store(table)
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -24,7 +24,8 @@
 // Digest is what a node tells the others many times a second.
 type Digest struct {
 	Node     string           `cbor:"1,keyasint"`
-	Versions []int64          `cbor:"2,keyasint"` // of the tables that all nodes follow, in their order
+	Zone     string           `cbor:"9,keyasint"`
+	Versions []int64          `cbor:"2,keyasint"` // of the tables that nodes follow, in their order
 	InFlight map[string]int   `cbor:"3,keyasint,omitempty"`
 	Prompts  map[string]int   `cbor:"7,keyasint,omitempty"` // tokens not answered yet
 	Asked    map[string]int64 `cbor:"8,keyasint,omitempty"` // nanoseconds of hosts' time asked of each model since the start
@@ -38,22 +39,47 @@
 	Key     string `cbor:"1,keyasint"`
 	Value   []byte `cbor:"2,keyasint,omitempty"`
 	Version int64  `cbor:"3,keyasint"`
+	Removed bool   `cbor:"4,keyasint,omitempty"`
 }
 
-// Table is a whole table as a node knows it.
+// Table is a table as a node knows it, or what changed in it.
 type Table struct {
 	Entries []Entry `cbor:"1,keyasint"`
 	Version int64   `cbor:"2,keyasint"`
+	Whole   bool    `cbor:"3,keyasint,omitempty"`
+	Since   int64   `cbor:"-"` // removals after this version are listed
+}
+
+// After gives what changed after a version; the whole table where that is not
+// known any more.
+func (table Table) After(version int64) Table {
+	if version <= table.Since {
+		whole := Table{Version: table.Version, Whole: true}
+		for _, entry := range table.Entries {
+			if !entry.Removed {
+				whole.Entries = append(whole.Entries, entry)
+			}
+		}
+		return whole
+	}
+	changed := Table{Version: table.Version}
+	for _, entry := range table.Entries {
+		if entry.Version > version {
+			changed.Entries = append(changed.Entries, entry)
+		}
+	}
+	return changed
 }
 
 // Local is the node that answers others.
 type Local interface {
 	Hear(digest Digest) Digest
-	Table(table int) Table
+	Table(table int, after int64) Table
 }
 
 type fetchCall struct {
-	Table int `cbor:"1,keyasint"`
+	Table int   `cbor:"1,keyasint"`
+	After int64 `cbor:"2,keyasint"`
 }
 
 // Handler answers other nodes.
@@ -65,7 +91,7 @@
 		return connect.NewResponse(&reply), nil
 	}, options...))
 	routes.Handle(procedureFetch, connect.NewUnaryHandler(procedureFetch, func(_ context.Context, request *connect.Request[fetchCall]) (*connect.Response[Table], error) {
-		table := local.Table(request.Msg.Table)
+		table := local.Table(request.Msg.Table, request.Msg.After)
 		return connect.NewResponse(&table), nil
 	}, options...))
 	return "/hickorybend.gossip/", routes
@@ -97,11 +123,11 @@
 	return *reply.Msg, nil
 }
 
-// Fetch gets a whole table.
-func (client *Client) Fetch(ctx context.Context, table int) (Table, error) {
+// Fetch gets what changed in a table after a version.
+func (client *Client) Fetch(ctx context.Context, table int, after int64) (Table, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
 	defer cancel()
-	reply, err := client.fetch.CallUnary(ctx, connect.NewRequest(&fetchCall{Table: table}))
+	reply, err := client.fetch.CallUnary(ctx, connect.NewRequest(&fetchCall{Table: table, After: after}))
 	if err != nil {
 		return Table{}, errors.Mark(errors.Wrap(err, "gossip: fetching"), ErrPeer)
 	}
