--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -490,8 +490,8 @@
 			recent++
 		}
 	}
-	for _, hand := range planner.hands {
-		if hand.staging != "" {
+	for id := range turn.known { // what is lost loads nothing
+		if planner.hand(id).staging != "" {
 			running++
 		}
 	}
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -197,7 +197,7 @@
 	}
 	if !endpoint.Born.Equal(hand.born) {
 		hand.unsure = hand.unsure && hand.born.IsZero()
-		hand.born, hand.lastModel = endpoint.Born, ""
+		hand.born, hand.lastModel, hand.staging = endpoint.Born, "", ""
 	}
 	if name := endpoint.Membership.Replica; name != "" {
 		hand.lastModel = modelOf(name)
