--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -70,23 +70,20 @@
 	}
 }
 
-// free lists the endpoints of a domain that may join a replica now.
-func (turn *turn) free() map[string][]string {
+// idle lists the endpoints of each domain that the planner counts to no
+// replica.
+func (turn *turn) idle() map[string][]string {
 	taken := map[string]bool{}
-	for _, replica := range turn.planner.sorted() {
+	for _, replica := range turn.planner.replicas {
 		for _, id := range replica.members {
 			taken[id] = true
 		}
 	}
 	domains := map[string][]string{}
 	for _, endpoint := range turn.Endpoints {
-		hand := turn.planner.hand(endpoint.ID)
-		stray := endpoint.Membership.Replica != "" && !turn.planner.ended[endpoint.Membership.Replica]
-		unsure := hand.unsure && turn.Now.Before(turn.planner.sureAt)
-		if taken[endpoint.ID] || endpoint.Draining || turn.Dead[endpoint.ID] || stray || unsure || hand.pending {
-			continue
+		if !taken[endpoint.ID] && !endpoint.Draining && !turn.Dead[endpoint.ID] {
+			domains[endpoint.Domain] = append(domains[endpoint.Domain], endpoint.ID)
 		}
-		domains[endpoint.Domain] = append(domains[endpoint.Domain], endpoint.ID)
 	}
 	for _, ids := range domains {
 		sort.Strings(ids)
@@ -94,6 +91,20 @@
 	return domains
 }
 
+// free lists the idle endpoints that may join a replica now.
+func (turn *turn) free() map[string][]string {
+	domains := turn.idle()
+	for domain, ids := range domains {
+		domains[domain] = slices.DeleteFunc(ids, func(id string) bool {
+			hand := turn.planner.hand(id)
+			former := turn.known[id].Membership.Replica
+			stray := former != "" && !turn.planner.ended[former]
+			return stray || hand.pending || hand.unsure && turn.Now.Before(turn.planner.sureAt)
+		})
+	}
+	return domains
+}
+
 // need is how much a model lacks replicas.
 type need struct {
 	model    site.Model
@@ -273,7 +284,7 @@
 		return
 	}
 	supplies := map[string]supply{}
-	domains := turn.free()
+	domains := turn.idle()
 	for domain, ids := range domains {
 		supplies[domain] = turn.supplyOf(domain, ids)
 	}
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -192,6 +192,9 @@
 		hand.unsure = endpoint.Membership.Replica == "" && (endpoint.Orders > 0 || !endpoint.Counted) && !turn.Quiet
 		turn.planner.newest = turn.Now
 	}
+	if endpoint.Counted && endpoint.Orders == 0 {
+		hand.unsure = false // it was never told anything in this life
+	}
 	if hand.staging != "" && (endpoint.Holds(hand.staging) || turn.Now.After(hand.stagedBy)) {
 		hand.staging = ""
 	}
@@ -278,6 +281,8 @@
 	UnderWay  map[string]int // replicas that form or end
 	Prepared  map[string]int // free endpoints by the model on their hosts
 	Staging   int
+	Waiting   int // endpoints that may have been told to leave by the holder before
+	Uncounted int // endpoints whose count of orders is not known
 	Held      int // replicas whose members wait until a silent first host must have broken
 }
 
@@ -300,6 +305,12 @@
 	}
 	for _, endpoint := range input.Endpoints {
 		hand := planner.hand(endpoint.ID)
+		if hand.unsure && input.Now.Before(planner.sureAt) {
+			census.Waiting++
+		}
+		if !endpoint.Counted {
+			census.Uncounted++
+		}
 		switch {
 		case taken[endpoint.ID] || endpoint.Draining || input.Dead[endpoint.ID]:
 		case hand.staging != "":
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -173,7 +173,8 @@
 		census := planner.Census(input)
 		event.Log(control.log, event.PlacementState, zap.String("service", name), zap.Int("endpoints", census.Endpoints),
 			zap.Any("serving", census.Serving), zap.Any("under-way", census.UnderWay), zap.Any("prepared", census.Prepared),
-			zap.Int("staging", census.Staging), zap.Int("held", census.Held))
+			zap.Int("staging", census.Staging), zap.Int("held", census.Held),
+			zap.Int("waiting", census.Waiting), zap.Int("uncounted", census.Uncounted))
 	}
 }
 
