--- a/core/site/work.go
+++ b/core/site/work.go
@@ -16,3 +16,15 @@
 	work := time.Duration((read + write) * model.Pace * float64(model.Size))
 	return work
 }
+
+// Length estimates how long a replica with a full batch takes for a request;
+// prompts of others, read between its steps, come on top.
+func (engine *Engine) Length(model Model, prompt, answer int) time.Duration {
+	if engine.ReadPerSec <= 0 {
+		return 0
+	}
+	read := float64(prompt) / engine.ReadPerSec * float64(time.Second)
+	step := float64(engine.StepTime) + float64(engine.Slots)*float64(engine.StepPerSlot)
+	length := time.Duration((read + float64(answer)*step) * model.Pace)
+	return length
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -186,7 +186,7 @@
 }
 
 const (
-	lastMargin = 500 * time.Millisecond // before the platform kills the process
+	lastMargin = 300 * time.Millisecond // before the platform kills the process
 	idlePause  = 50 * time.Millisecond
 )
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"hickorybend/core/reach"
-	"hickorybend/core/site"
 	"hickorybend/core/spend"
 	"hickorybend/io/meter"
 	"hickorybend/io/pool"
@@ -87,19 +86,11 @@
 // that would hardly be answered before the node ends.
 func (server *Server) Leave(endsAt time.Time) { server.endsAt.Store(&endsAt) }
 
-// tooLate tells whether the node ends before a request of a kind is answered.
-// The balancer sends requests to a node that is not ready where too few others
-// are.
-func (server *Server) tooLate(call site.Call, now time.Time) bool {
+// tooLate tells whether the node ends before a request is likely answered. The
+// balancer sends requests to a node that is not ready where too few others are.
+func (server *Server) tooLate(now time.Time, needed time.Duration) bool {
 	endsAt := server.endsAt.Load()
-	if endsAt == nil {
-		return false
-	}
-	needed := server.policy.WholeTime
-	if _, stream := call.(site.Stream); stream {
-		needed = server.policy.StreamTime
-	}
-	return endsAt.Sub(now) < needed
+	return endsAt != nil && endsAt.Sub(now) < needed
 }
 
 // Open counts the requests under way.
--- a/io/entry/visit.go
+++ b/io/entry/visit.go
@@ -60,7 +60,7 @@
 		visit.fail(http.StatusUnauthorized, "the key is missing or unknown")
 		return false
 	}
-	if visit.server.tooLate(route.Call, visit.came) {
+	if visit.server.tooLate(visit.came, visit.needed()) {
 		visit.refuse("this node is leaving", visit.server.reach.RetryLeast)
 		return false
 	}
@@ -72,6 +72,27 @@
 	return visit.read(index.Config.Limits.BodyBytes)
 }
 
+// needed is the time in which the answer is all but sure to end: a stream's
+// follows from the tokens that its caller takes.
+func (visit *visit) needed() time.Duration {
+	policy := visit.server.policy
+	if _, stream := visit.route.Call.(site.Stream); !stream {
+		return policy.WholeTime
+	}
+	longest := policy.WholeTime
+	for _, target := range visit.route.Targets {
+		service, found := visit.picture.Index.Service(target.Service)
+		if !found || service.Engine == nil {
+			continue
+		}
+		if model, found := service.Engine.Model(visit.ask.Model); found {
+			length := service.Engine.Length(model, visit.ask.PromptTokens, visit.ask.AnswerTokens)
+			longest = max(longest, policy.WholeTime+time.Duration(policy.StreamSlack*float64(length)))
+		}
+	}
+	return longest
+}
+
 func (visit *visit) authenticate(index *site.Index) bool {
 	team, found := index.Team(visit.ask.Key)
 	if visit.ask.HasKey && found {
