--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -96,7 +96,7 @@
 }
 
 // mostGiving is how many replicas may end for one other.
-const mostGiving = 1
+const mostGiving = 2
 
 // donors lists a domain's replicas whose model can better spare them and whose
 // hosts have the other weights.
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -171,14 +171,18 @@
 }
 
 // formWhile forms replicas for as long as it can; wanting limits it to models
-// that lack some.
+// that lack some. Before the first caller large ones go first, while domains
+// still have room for them.
 func (turn *turn) formWhile(needs []need, domains map[string][]string, wanting bool) {
 	for formed := true; formed; {
 		formed = false
 		slices.SortFunc(needs, func(a, b need) int { return compare(b.score(), a.score()) })
+		if wanting && turn.Quiet {
+			slices.SortFunc(needs, func(a, b need) int { return b.model.Size - a.model.Size })
+		}
 		for i := range needs {
 			if wanting && needs[i].score() < 1 {
-				break
+				continue
 			}
 			if turn.formOne(needs[i].model, domains) {
 				needs[i].replicas++
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -25,7 +25,7 @@
 // DefaultPolicy repairs from staged spares within two seconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, LateOrder: 12500 * time.Millisecond, Settle: 600 * time.Millisecond,
+		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, LateOrder: 12500 * time.Millisecond, Settle: 1300 * time.Millisecond,
 		StrayGrace: 3 * time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
 		RetireLimit: 1500 * time.Millisecond, Reserve: 0.03, ConvertLimit: 2500 * time.Millisecond, ConvertNeed: 1.15, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 0.5,
 	}
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -24,17 +25,39 @@
 	if pool.Engine != nil {
 		candidates = pool.Models[wish.Model]
 	}
-	best, score := pick(policy, candidates, wish)
+	limit := limitOf(policy, pool, wish)
+	best, score := pick(policy, sample(candidates, wish), wish)
+	if best == nil || score.taken > limit {
+		best, score = pick(policy, candidates, wish)
+	}
 	if best == nil {
 		return Refuse{Reason: ReasonNoEndpoint, ReturnAt: wish.Now.Add(pauseOf(policy, candidates, wish))}
 	}
 	inFlight := best.Load.InFlight()
-	if score.taken > limitOf(policy, pool, wish) {
+	if score.taken > limit {
 		return Refuse{Reason: ReasonFull, ReturnAt: wish.Now.Add(pauseOf(policy, candidates, wish))}
 	}
 	return Send{Candidate: best, InFlight: inFlight}
 }
 
+// sample draws some candidates by the request's random point.
+//
+// Many nodes that all send to the least loaded replica of the same stale
+// picture overload it before the next picture comes: 35 requests in half a
+// second go to one of seven. Two drawn at random, of which the better one is
+// taken, spread them nearly as well as fresh knowledge would.
+func sample(candidates []*Candidate, wish Wish) []*Candidate {
+	if wish.Sample <= 0 || wish.Sample >= len(candidates) {
+		return candidates
+	}
+	random := rand.New(rand.NewPCG(math.Float64bits(wish.Point), uint64(len(candidates))))
+	drawn := make([]*Candidate, 0, wish.Sample)
+	for _, i := range random.Perm(len(candidates))[:wish.Sample] {
+		drawn = append(drawn, candidates[i])
+	}
+	return drawn
+}
+
 // rating is a candidate's share of slots taken, and that with its penalties.
 type rating struct {
 	taken float64
--- a/core/reach/choose_test.go
+++ b/core/reach/choose_test.go
@@ -166,3 +166,27 @@
 	assert.Assert(t, let >= 200) // what the slots carry in ten seconds
 	assert.Assert(t, refusedBack < refusedNew)
 }
+
+// TestSampleSpreads has 35 requests chosen by one stale picture: none of seven
+// replicas gets most of them, and a full sample falls back on the rest.
+func TestSampleSpreads(t *testing.T) {
+	var candidates []*reach.Candidate
+	for i := range 7 {
+		candidates = append(candidates, replica(fmt.Sprintf("r-%d", i), true, 2+i%3))
+	}
+	counts := map[string]int{}
+	for i := range 35 {
+		asked := wish()
+		asked.Sample, asked.Point = 3, float64(i)/35
+		counts[reach.Choose(reach.DefaultPolicy(), poolOf(candidates...), asked).(reach.Send).Candidate.ID]++
+	}
+	for id, count := range counts {
+		assert.Assert(t, count <= 17, "%s got %d of 35", id, count)
+	}
+	assert.Assert(t, len(counts) >= 3, "%v", counts)
+	for i := range 20 {
+		asked := wish()
+		asked.Sample, asked.Point = 1, float64(i)/20
+		expectChoice(t, poolOf(replica("full", true, 10), replica("also", true, 10), replica("room", true, 1)), asked, "room")
+	}
+}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -16,7 +16,7 @@
 
 const (
 	gossipEvery   = 100 * time.Millisecond // between two exchanges of a pair
-	zoneRound     = 10                     // nodes of a zone for which a leader has time in one interval
+	zoneRound     = 20                     // nodes of a zone for which a leader has time in one interval
 	gossipAway    = time.Second            // between two tries of a node that does not answer
 	digestTerm    = time.Second            // after which a node's requests in flight no longer count
 	behindGrace   = 400 * time.Millisecond // for the store's own news, before a peer's table is fetched
--- a/io/entry/visit.go
+++ b/io/entry/visit.go
@@ -158,7 +158,7 @@
 	visit.picture = visit.server.picture.Load()
 	return reach.Choose(visit.server.reach, visit.picture.Services[visit.service], reach.Wish{
 		Model: visit.ask.Model, Now: time.Now(), Deadline: visit.deadline, DueBy: visit.came.Add(visit.route.Target), Tokens: visit.ask.PromptTokens, Priority: visit.priority,
-		Back: visit.back(), Resumed: resumed, Tried: visit.tried, Point: rand.Float64(),
+		Back: visit.back(), Resumed: resumed, Tried: visit.tried, Sample: visit.server.reach.SampleOf(visit.picture.Nodes), Point: rand.Float64(),
 	})
 }
 
