--- a/core/reach/picture.go
+++ b/core/reach/picture.go
@@ -46,6 +46,7 @@
 	Priority int       // 0 is the most urgent
 	Back     bool      // it was turned away before and has come back
 	Resumed  bool      // part of its answer was delivered
+	Sample   int       // candidates that are looked at first; 0 for all
 	Tried    []string
 	Point    float64 // a random number in [0,1)
 }
