--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -89,14 +89,14 @@
 		given = append(given, candidate)
 		lacking -= candidate.model.Size
 	}
-	if lacking > 0 || len(given) > mostGiving {
+	if lacking > 0 || len(given) > max(1, to.model.Size/hostsPerGiving) {
 		return nil
 	}
 	return given
 }
 
-// mostGiving is how many replicas may end for one other.
-const mostGiving = 2
+// hostsPerGiving is for how many hosts of a replica one other may end.
+const hostsPerGiving = 4
 
 // donors lists a domain's replicas whose model can better spare them and whose
 // hosts have the other weights.
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -184,7 +184,7 @@
 			if wanting && needs[i].score() < 1 {
 				continue
 			}
-			if turn.formOne(needs[i].model, domains) {
+			if turn.formOne(needs[i], domains) {
 				needs[i].replicas++
 				formed = true
 				break
@@ -197,7 +197,7 @@
 // that is wanted.
 func (turn *turn) waited(needs []need, ids []string) bool {
 	for _, need := range needs {
-		if need.score() >= 1 && need.model.Size > 2 && turn.preparedIn(ids, need.model) == need.model.Size-1 {
+		if need.score() >= 1 && need.model.Size > smallSize && turn.preparedIn(ids, need.model) == need.model.Size-1 {
 			return true
 		}
 	}
@@ -217,7 +217,8 @@
 
 // formOne forms a replica where enough endpoints are prepared for the model;
 // before the first caller they need not be.
-func (turn *turn) formOne(model site.Model, domains map[string][]string) bool {
+func (turn *turn) formOne(need need, domains map[string][]string) bool {
+	model := need.model
 	limit := readyWarm
 	if turn.Quiet {
 		limit = readyCold
@@ -226,7 +227,7 @@
 	for domain, ids := range domains {
 		chosen, cost := turn.members(model, ids, limit)
 		promise, promised := turn.planner.promised[domain]
-		if chosen == nil || promised && promise.model != model.Name {
+		if chosen == nil || promised && promise.model != model.Name || turn.crowded(need, domain) {
 			continue
 		}
 		// Fuller domains first, so that a large model still finds room.
@@ -245,6 +246,25 @@
 	return true
 }
 
+// crowded tells whether a domain has its share of a model's replicas before the
+// first caller. A large replica that loses a host is completed from the small
+// ones beside it; two large ones in a domain of ten leave one small for both.
+func (turn *turn) crowded(need need, domain string) bool {
+	if !turn.Quiet || need.model.Size <= smallSize {
+		return false
+	}
+	count := 0
+	for _, replica := range turn.planner.sorted() {
+		if replica.model.Name == need.model.Name && turn.known[replica.head()].Domain == domain {
+			count++
+		}
+	}
+	return count >= max(1, int(need.wanted)/max(1, len(turn.domains())))
+}
+
+// smallSize is the size up to which replicas are formed from any two hosts left.
+const smallSize = 2
+
 // members picks the endpoints that are readiest for a model; cost is that of
 // the slowest of them.
 func (turn *turn) members(model site.Model, ids []string, limit readiness) ([]string, int) {
