Conversions in several domains at once; a shorter lease; who watched long enough is sure

Cause: after the holder's death hosts waited for 6.7 s that the new holder had itself seen free for longer, conversions went one domain at a time, and the lease took 2.5 s to change hands.

--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -25,34 +25,48 @@
 		}
 	}
 	needs := turn.needs()
-	slices.SortFunc(needs, func(a, b need) int { return compare(b.score(), a.score()) })
 	domains := turn.free()
-	for _, to := range needs {
-		if to.score() < 1 || len(turn.planner.promised) > 0 {
-			return // one at a time, so that needs are worked out anew
+	for i := range needs {
+		for needs[i].score() >= 1 && turn.convertTo(needs[i], needs, domains) {
+			needs[i].replicas++
 		}
-		turn.convertTo(to, needs, domains)
 	}
 }
 
-// convertTo closes the replicas of one domain that complete one of the model.
-func (turn *turn) convertTo(to need, needs []need, domains map[string][]string) {
+// convertTo closes the replicas of one domain that complete one of the model,
+// if there is such a domain.
+func (turn *turn) convertTo(to need, needs []need, domains map[string][]string) bool {
 	var best []*replica
 	bestDomain := ""
 	for domain := range turn.domains() {
+		if _, promised := turn.planner.promised[domain]; promised {
+			continue
+		}
 		given := turn.giving(to, needs, domain, turn.preparedIn(domains[domain], to.model))
 		if given != nil && (best == nil || len(given) < len(best) || len(given) == len(best) && domain < bestDomain) {
 			best, bestDomain = given, domain
 		}
 	}
+	if best == nil {
+		return false
+	}
 	for _, replica := range best {
+		lessen(needs, replica.model.Name)
 		replica.stage = stageRetiring
 		replica.closing = true
 		replica.retireBy = turn.Now.Add(turn.planner.policy.ConvertLimit)
 	}
-	if best != nil {
-		until := turn.Now.Add(turn.planner.policy.ConvertLimit + turn.planner.policy.OrderRetry)
-		turn.planner.promised[bestDomain] = promise{model: to.model.Name, until: until}
+	until := turn.Now.Add(turn.planner.policy.ConvertLimit + turn.planner.policy.OrderRetry)
+	turn.planner.promised[bestDomain] = promise{model: to.model.Name, until: until}
+	return true
+}
+
+// lessen counts a replica less, so that needs are right for the next one.
+func lessen(needs []need, model string) {
+	for i := range needs {
+		if needs[i].model.Name == model {
+			needs[i].replicas--
+		}
 	}
 }
 
@@ -87,7 +101,7 @@
 			break
 		}
 		given = append(given, candidate)
-		lacking -= candidate.model.Size
+		lacking -= turn.preparedIn(candidate.members, to.model)
 	}
 	if lacking > 0 || len(given) > max(1, to.model.Size/hostsPerGiving) {
 		return nil
@@ -98,8 +112,8 @@
 // hostsPerGiving is for how many hosts of a replica one other may end.
 const hostsPerGiving = 4
 
-// donors lists a domain's replicas whose model can better spare them and whose
-// hosts have the other weights.
+// donors lists a domain's replicas whose model can better spare them and of
+// whose hosts one at least has the other weights.
 func (turn *turn) donors(to need, needs []need, domain string) []*replica {
 	var donors []*replica
 	for _, replica := range turn.planner.sorted() {
@@ -107,7 +121,7 @@
 			continue
 		}
 		from := needOf(needs, replica.model.Name)
-		if to.score() < turn.planner.policy.ConvertNeed*from.wanted/float64(max(1, from.replicas)) || !turn.allReady(replica, to.model) {
+		if to.score() < turn.planner.policy.ConvertNeed*from.wanted/float64(max(1, from.replicas)) || turn.preparedIn(replica.members, to.model) == 0 {
 			continue
 		}
 		donors = append(donors, replica)
@@ -116,15 +130,6 @@
 	return donors
 }
 
-func (turn *turn) allReady(replica *replica, model site.Model) bool {
-	for _, id := range replica.members {
-		if turn.readinessOf(id, model.Name) > readyWarm {
-			return false
-		}
-	}
-	return true
-}
-
 func needOf(needs []need, model string) need {
 	for _, need := range needs {
 		if need.model.Name == model {
--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -39,6 +39,7 @@
 	Born       time.Time // start of its present life
 	Staged     []string  // models on its host
 	Membership Membership
+	FreeSince  time.Time // when it was first seen to belong to nothing; zero if it was not
 }
 
 // Holds tells whether the endpoint's host has a model's weights.
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -99,12 +99,29 @@
 			hand := turn.planner.hand(id)
 			former := turn.known[id].Membership.Replica
 			stray := former != "" && !turn.planner.ended[former]
-			return stray || hand.pending || hand.unsure && turn.Now.Before(turn.planner.sureAt)
+			return stray || hand.pending || turn.unsure(id)
 		})
 	}
 	return domains
 }
 
+// unsure tells whether the holder before may have told an endpoint to leave a
+// silent first host that has not broken yet. A node that has watched the
+// endpoint belong to nothing for long enough knows better.
+func (turn *turn) unsure(id string) bool {
+	if !turn.planner.hand(id).unsure {
+		return false
+	}
+	sureAt := turn.planner.sureAt
+	if since := turn.known[id].FreeSince; !since.IsZero() {
+		watched := since.Add(turn.planner.policy.Stall + turn.planner.policy.StallMargin)
+		if watched.Before(sureAt) {
+			sureAt = watched
+		}
+	}
+	return turn.Now.Before(sureAt)
+}
+
 // need is how much a model lacks replicas.
 type need struct {
 	model    site.Model
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -101,7 +101,13 @@
 		return
 	}
 	if had && endpoint.Born.Equal(before.Born) {
-		endpoint.Orders, endpoint.Counted = before.Orders, before.Counted
+		endpoint.Orders, endpoint.Counted, endpoint.FreeSince = before.Orders, before.Counted, before.FreeSince
+	}
+	switch {
+	case endpoint.Membership.Replica != "":
+		endpoint.FreeSince = time.Time{}
+	case endpoint.FreeSince.IsZero():
+		endpoint.FreeSince = now
 	}
 	known.byID[entry.Key] = endpoint
 	known.changedAt[entry.Key] = now
@@ -262,7 +268,7 @@
 		control.endpoints.byID[probe.id] = known
 		return
 	}
-	report.Draining, report.Beat = known.Draining, known.Beat
+	report.Draining, report.Beat, report.FreeSince = known.Draining, known.Beat, known.FreeSince
 	control.endpoints.byID[probe.id] = report
 	if report.Membership != known.Membership {
 		control.changed = true
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -15,14 +15,14 @@
 
 const (
 	leaseName   = "placement"
-	takeJitter  = 400 * time.Millisecond // so that not all nodes take a free lease at once
+	takeJitter  = 200 * time.Millisecond // so that not all nodes take a free lease at once
 	quietLimit  = 30 * time.Second       // after the start, loads are no longer taken for free
 	censusEvery = time.Second            // between two log lines about the state
 )
 
-// leasePolicy hands a dead holder's lease on within three seconds.
+// leasePolicy hands a dead holder's lease on within two seconds.
 func leasePolicy() lease.Policy {
-	return lease.Policy{RenewEvery: 800 * time.Millisecond, Term: 2500 * time.Millisecond, Margin: 300 * time.Millisecond}
+	return lease.Policy{RenewEvery: 500 * time.Millisecond, Term: 1700 * time.Millisecond, Margin: 250 * time.Millisecond}
 }
 
 // placement is the lease and, while it is held, the planners of all services.
