--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -92,7 +92,12 @@
 // with the least work first; nil where there are none that can be spared.
 func (turn *turn) giving(to need, needs []need, domain string, free int) []*replica {
 	lacking := to.model.Size - free
-	if lacking <= 0 || free == 0 {
+	most := max(1, to.model.Size/hostsPerGiving)
+	dire := to.score() >= direNeed
+	if dire {
+		most = to.model.Size / smallSize
+	}
+	if lacking <= 0 || free == 0 && !dire {
 		return nil
 	}
 	var given []*replica
@@ -103,14 +108,16 @@
 		given = append(given, candidate)
 		lacking -= turn.preparedIn(candidate.members, to.model)
 	}
-	if lacking > 0 || len(given) > max(1, to.model.Size/hostsPerGiving) {
+	if lacking > 0 || len(given) > most {
 		return nil
 	}
 	return given
 }
 
-// hostsPerGiving is for how many hosts of a replica one other may end.
-const hostsPerGiving = 4
+const (
+	hostsPerGiving = 4   // hosts of a replica for which one other may end
+	direNeed       = 1.3 // need from which on a replica may be made of others alone
+)
 
 // donors lists a domain's replicas whose model can better spare them and of
 // whose hosts one at least has the other weights.
