--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -111,7 +111,6 @@
 	if held != placement.held {
 		placement.held = held
 		control.holding.Store(held)
-		placement.planners = map[string]*fleet.Planner{}
 		noted := event.LeaseLost
 		if held {
 			noted = event.LeaseTaken
@@ -121,7 +120,7 @@
 	if !held || control.leaving || control.operators.index == nil || !control.endpoints.known {
 		return
 	}
-	placement.fence = fence
+	placement.hold(fence)
 	for i := range control.operators.index.Config.Services {
 		if service := &control.operators.index.Config.Services[i]; service.Engine != nil {
 			control.planService(service.Name, now)
@@ -129,6 +128,17 @@
 	}
 }
 
+// hold begins anew under another fencing number. Under the same one nobody else
+// has placed anything meanwhile, and the planners go on: new ones would form
+// replicas under epochs that were used.
+func (placement *placement) hold(fence int64) {
+	if fence == placement.fence {
+		return
+	}
+	placement.fence = fence
+	placement.planners = map[string]*fleet.Planner{}
+}
+
 func (control *Control) claimNow(now time.Time) {
 	placement := &control.placement
 	if placement.claiming || control.leaving || !placement.rowsRead || !control.follows(tableLease) {
