--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -93,7 +93,7 @@
 func (turn *turn) giving(to need, needs []need, domain string, free int) []*replica {
 	lacking := to.model.Size - free
 	most := max(1, to.model.Size/hostsPerGiving)
-	dire := to.score() >= direNeed
+	dire := to.score() >= direNeed || to.score() >= easyNeed && calm(needs, to)
 	if dire {
 		most = to.model.Size / smallSize
 	}
@@ -116,9 +116,21 @@
 
 const (
 	hostsPerGiving = 4   // hosts of a replica for which one other may end
-	direNeed       = 1.3 // need from which on a replica may be made of others alone
+	direNeed       = 2.2 // need from which on a replica may be made of others alone
+	easyNeed       = 1.3 // the same while the others have little to do
+	calmLoad       = 0.5 // part of a model's slots up to which it has little to do
 )
 
+// calm tells whether the other models have little to do.
+func calm(needs []need, to need) bool {
+	for _, need := range needs {
+		if need.model.Name != to.model.Name && need.load > calmLoad {
+			return false
+		}
+	}
+	return true
+}
+
 // donors lists a domain's replicas whose model can better spare them and of
 // whose hosts one at least has the other weights.
 func (turn *turn) donors(to need, needs []need, domain string) []*replica {
