An answer that was given up on is cut, not completed

Cause: a caller that closed its side after the request got 200 with an empty body: the handler returned without a word and net/http completed the answer. A half-closed caller counts as gone. Test first: TestHalfClosedCallerGetsNoEmptyAnswer failed for both forms.

--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -149,7 +149,7 @@
 		return run.reply.end(&run.checker)
 	case errors.Is(err, errCaller):
 		run.server.meter.Count("answers_cancelled", run.visit.team.Name)
-		return nil
+		panic(http.ErrAbortHandler) // returning would complete an answer that was given up on
 	}
 	event.Log(run.server.log, event.AnswerBroken, zap.String("request", run.visit.id), zap.Error(err))
 	return run.reply.fail(run.failure(err))
