--- /dev/null
+++ b/core/fleet/census.go
@@ -0,0 +1,51 @@
+package fleet
+
+// Census is how the endpoints of a service are used.
+type Census struct {
+	Endpoints int
+	Serving   map[string]int // replicas of each model
+	UnderWay  map[string]int // replicas that form or end
+	Prepared  map[string]int // free endpoints by the model on their hosts
+	Staging   int
+	Waiting   int // endpoints that may have been told to leave by the holder before
+	Uncounted int // endpoints whose count of orders is not known
+	Held      int // replicas whose members wait until a silent first host must have broken
+}
+
+// Census counts what the last plan left.
+func (planner *Planner) Census(input Input) Census {
+	census := Census{Endpoints: len(input.Endpoints), Serving: map[string]int{}, UnderWay: map[string]int{}, Prepared: map[string]int{}}
+	taken := map[string]bool{}
+	for _, replica := range planner.replicas {
+		counted := census.UnderWay
+		if replica.stage == stageServing {
+			counted = census.Serving
+		}
+		counted[replica.model.Name]++
+		if !replica.brokenAt.IsZero() {
+			census.Held++
+		}
+		for _, id := range replica.members {
+			taken[id] = true
+		}
+	}
+	for _, endpoint := range input.Endpoints {
+		hand := planner.hand(endpoint.ID)
+		if hand.unsure && input.Now.Before(planner.sureAt) {
+			census.Waiting++
+		}
+		if !endpoint.Counted {
+			census.Uncounted++
+		}
+		switch {
+		case taken[endpoint.ID] || endpoint.Draining || input.Dead[endpoint.ID]:
+		case hand.staging != "":
+			census.Staging++
+		case len(endpoint.Staged) > 0:
+			census.Prepared[endpoint.Staged[0]]++
+		default:
+			census.Prepared["none"]++
+		}
+	}
+	return census
+}
--- /dev/null
+++ b/core/fleet/need.go
@@ -0,0 +1,49 @@
+package fleet
+
+import "hickorybend/core/site"
+
+// need is how much a model lacks replicas.
+type need struct {
+	model    site.Model
+	replicas int
+	wanted   float64
+	load     float64 // part of its slots that are taken
+}
+
+// score is above 1 where a model lacks replicas.
+func (need need) score() float64 { return need.wanted / float64(need.replicas+1) }
+
+// needs works out how many replicas of each model the endpoints at hand should
+// form. Endpoints less the reserve are shared out by the work of each model,
+// at first as configured, then as callers ask for it: with 60 endpoints, 10 in
+// reserve and half of the work each, a model of 4 hosts wants 25/4 replicas and
+// one of 2 hosts 25/2.
+func (turn *turn) needs() []need {
+	total := 0.0
+	for _, work := range turn.Work {
+		total += work
+	}
+	usable := float64(len(turn.Endpoints)) * (1 - turn.planner.policy.Reserve)
+	var needs []need
+	for _, model := range turn.Engine.Models {
+		share := model.Share
+		if total > 0 {
+			keep := turn.planner.policy.ShareMemory
+			share = keep*model.Share + (1-keep)*turn.Work[model.Name]/total
+		}
+		found := need{model: model, wanted: usable * share / float64(max(model.Size, 1))}
+		inFlight := 0
+		for _, replica := range turn.planner.sorted() {
+			if replica.model.Name == model.Name && replica.stage < stageRetiring {
+				found.replicas++
+				inFlight += turn.InFlight[replica.head()]
+			}
+		}
+		found.load = float64(inFlight) / float64(max(1, found.replicas*turn.Engine.Slots))
+		if found.load > turn.planner.policy.HighLoad {
+			found.wanted = max(found.wanted, float64(found.replicas)+1)
+		}
+		needs = append(needs, found)
+	}
+	return needs
+}
--- /dev/null
+++ b/core/fleet/stage.go
@@ -0,0 +1,241 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"hickorybend/core/site"
+)
+
+// stage loads weights onto the hosts of spares, at less than the weight
+// store's rate: a spare with the right weights joins in a second or two, one
+// without in ten or more.
+func (turn *turn) stage() {
+	if turn.Quiet && turn.Now.Before(turn.planner.newest.Add(2*turn.planner.policy.Settle)) {
+		return
+	}
+	supplies := map[string]supply{}
+	domains := turn.idle()
+	for domain, ids := range domains {
+		supplies[domain] = turn.supplyOf(domain, ids)
+	}
+	for turn.mayLoad() && turn.stageBest(domains, supplies) {
+	}
+}
+
+// stageBest starts the most valuable load of all domains, if there is one.
+func (turn *turn) stageBest(domains map[string][]string, supplies map[string]supply) bool {
+	var chosen string
+	var best site.Model
+	bestValue := 0.0
+	consider := func(id string, model site.Model, value float64) {
+		if value > bestValue || value == bestValue && value > 0 && id < chosen {
+			chosen, best, bestValue = id, model, value
+		}
+	}
+	for domain, ids := range domains {
+		for _, id := range ids {
+			if turn.mayStage(id) {
+				model, value := turn.bestStage(supplies[domain], id)
+				consider(id, model, value)
+			}
+		}
+	}
+	for _, replica := range turn.planner.sorted() {
+		if replica.stage != stageServing {
+			continue
+		}
+		for _, id := range replica.members {
+			if turn.mayStage(id) {
+				model, value := turn.secondStage(turn.supply(supplies, id), id)
+				consider(id, model, value)
+			}
+		}
+	}
+	if chosen == "" {
+		return false
+	}
+	turn.countStage(turn.supply(supplies, chosen), chosen, best)
+	turn.send(chosen, Stage{Model: best.Name})
+	hand := turn.planner.hand(chosen)
+	hand.staging = best.Name
+	hand.stagedBy = turn.Now.Add(2 * best.LoadTime)
+	turn.planner.loads = append(turn.planner.loads, turn.Now)
+	return true
+}
+
+func (turn *turn) supply(supplies map[string]supply, id string) supply {
+	domain := turn.known[id].Domain
+	if _, found := supplies[domain]; !found {
+		supplies[domain] = turn.supplyOf(domain, nil)
+	}
+	return supplies[domain]
+}
+
+func (turn *turn) countStage(supply supply, id string, model site.Model) {
+	if from := turn.preparedFor(id); turn.planner.hand(id).lastModel == "" {
+		supply.prepared[from]--
+	}
+	supply.prepared[model.Name]++
+}
+
+func (turn *turn) mayStage(id string) bool {
+	hand := turn.planner.hand(id)
+	endpoint := turn.known[id]
+	return hand.staging == "" && !hand.pending && !turn.Now.Before(hand.retryAt) && endpoint.Counted && !endpoint.Draining && !turn.Dead[id]
+}
+
+// secondValue rates the weights of a second model on a host that is ready for
+// one; below all loads that are wanted now.
+const secondValue = 0.1
+
+// secondStage picks the weights for the host of an endpoint that joins its last
+// model's replicas at once without them: those of another model make it ready
+// for both.
+func (turn *turn) secondStage(supply supply, id string) (site.Model, float64) {
+	last := turn.planner.hand(id).lastModel
+	var best site.Model
+	bestValue := 0.0
+	for _, model := range turn.Engine.Models {
+		if last == "" || model.Name == last || turn.known[id].Holds(model.Name) {
+			continue
+		}
+		if value := secondValue * (1 + supply.needs[model.Name]) * float64(model.Size); value > bestValue {
+			best, bestValue = model, value
+		}
+	}
+	if len(turn.Engine.Models) > 2 && len(turn.known[id].Staged) > 0 && !turn.known[id].Holds(last) {
+		return site.Model{}, 0 // it has a second one already
+	}
+	return best, min(bestValue, 1)
+}
+
+// supply is what a domain has of each model, by the model's name.
+type supply struct {
+	prepared map[string]int // free endpoints with the weights, or about to have them
+	hosts    map[string]int // in replicas
+	needs    map[string]float64
+}
+
+func (turn *turn) supplyOf(domain string, ids []string) supply {
+	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, needs: map[string]float64{}}
+	for _, id := range ids {
+		for _, model := range turn.Engine.Models {
+			if turn.readinessOf(id, model.Name) < readyCold {
+				supply.prepared[model.Name]++
+			}
+		}
+	}
+	for _, replica := range turn.planner.sorted() {
+		if turn.known[replica.head()].Domain == domain {
+			supply.hosts[replica.model.Name] += replica.model.Size
+		}
+	}
+	for _, need := range turn.needs() {
+		supply.needs[need.model.Name] = need.score()
+	}
+	return supply
+}
+
+// preparedFor gives the model whose weights an endpoint's host has or is about
+// to have; "" for none.
+func (turn *turn) preparedFor(id string) string {
+	for _, model := range turn.Engine.Models {
+		if turn.readinessOf(id, model.Name) < readyCold {
+			return model.Name
+		}
+	}
+	return ""
+}
+
+// bestStage picks the model that a free endpoint should get the weights of. An
+// endpoint that has some already changes only to complete a replica, and only
+// if it is itself of no use where it is.
+func (turn *turn) bestStage(supply supply, id string) (site.Model, float64) {
+	if turn.planner.hand(id).lastModel != "" {
+		return turn.secondStage(supply, id)
+	}
+	from := turn.preparedFor(id)
+	var best site.Model
+	bestValue := 0.0
+	for _, model := range turn.Engine.Models {
+		if model.Name == from || model.Size == 0 {
+			continue
+		}
+		value := supply.value(model)
+		if from != "" {
+			old, _ := turn.Engine.Model(from)
+			value = supply.swapValue(model, old)
+		}
+		if value > bestValue {
+			best, bestValue = model, value
+		}
+	}
+	return best, bestValue
+}
+
+// coverPart scales the worth of a spare for later against that of a host that
+// is wanted now.
+const coverPart = 0.05
+
+// idlePart is the least worth of weights on a host that has none.
+const idlePart = 0.01
+
+// value rates one more prepared endpoint. Where the model lacks replicas, three
+// free hosts of a broken replica of four are worth nothing until a fourth
+// comes: completing them counts most. Where it does not, a spare covers the
+// replicas of the domain, a large one's more, since its loss strands more
+// hosts: one replica of 4 beside two of 2 gives 4*4 against 4*2, so the first
+// spare is for the large model and the second, at 4*4/4 against 4*2, for the
+// small one.
+func (supply supply) value(model site.Model) float64 {
+	prepared := supply.prepared[model.Name]
+	need := supply.needs[model.Name]
+	if need >= 1 {
+		lacking := model.Size - prepared%model.Size
+		return 1 + need/float64(lacking)
+	}
+	cover := float64(supply.hosts[model.Name]*model.Size) / float64((1+prepared)*(1+prepared))
+	return coverPart*cover + idlePart*need
+}
+
+const (
+	mostSwapped = 2   // endpoints that may get new weights to complete a replica
+	swapNeed    = 1.4 // how much more the new model has to lack replicas than the old one
+)
+
+// swapValue rates new weights for an endpoint that has others: it must complete
+// a replica that is wanted, and be to spare where it is. One alone, that makes
+// no replica of its own model, always is.
+func (supply supply) swapValue(model, old site.Model) float64 {
+	prepared := supply.prepared[old.Name]
+	lacking := model.Size - supply.prepared[model.Name]%model.Size
+	need := supply.needs[model.Name]
+	alone := lacking == 1 && prepared%max(old.Size, 1) == 1
+	spare := need >= swapNeed*supply.needs[old.Name] && (prepared > 1 || supply.hosts[old.Name] == 0)
+	if need < 1 || lacking > mostSwapped || !alone && !spare {
+		return 0
+	}
+	return need / float64(lacking)
+}
+
+// mayLoad tells whether one more load may start now.
+func (turn *turn) mayLoad() bool {
+	if turn.Quiet {
+		return true
+	}
+	planner := turn.planner
+	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Time) bool { return turn.Now.Sub(at) > 20*time.Second })
+	recent, running := 0, 0
+	for _, at := range planner.loads {
+		if turn.Now.Sub(at) < time.Second {
+			recent++
+		}
+	}
+	for id := range turn.known { // what is lost loads nothing
+		if planner.hand(id).staging != "" {
+			running++
+		}
+	}
+	return float64(recent) < max(1, planner.policy.LoadPace*turn.Engine.LoadsPerSec) && running < max(1, turn.Engine.LoadsAtOnce)
+}
--- a/core/fleet/whole.go
+++ b/core/fleet/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"hickorybend/core/site"
 )
@@ -36,7 +37,7 @@
 		}
 		whole = append(whole, replica)
 	}
-	slices.SortFunc(whole, func(a, b Replica) int { return compareText(a.Name, b.Name) })
+	slices.SortFunc(whole, func(a, b Replica) int { return strings.Compare(a.Name, b.Name) })
 	return whole
 }
 
@@ -53,14 +54,3 @@
 	}
 	return true
 }
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,13 +15,8 @@
 )
 
 const (
-	mostRemoved = 1000                   // removals that other nodes may ask for one by one
-	believeGone = 2 * time.Second        // after the store's return, before a missing row is believed
-	probeLimit  = 200 * time.Millisecond // for an endpoint's report; it needs no slot
-	probeTries  = 2
-	probePause  = 350 * time.Millisecond // between two probes of one endpoint
-	lostProbe   = time.Second            // between two probes of an endpoint that was lost
-	reportLag   = 500 * time.Millisecond // how old a report's contents may be
+	mostRemoved = 1000            // removals that other nodes may ask for one by one
+	believeGone = 2 * time.Second // after the store's return, before a missing row is believed
 )
 
 // endpoints is what is known of the endpoints.
@@ -179,102 +175,6 @@
 	control.copies[tableEndpoints].Store(table)
 }
 
-// probeReplica asks an endpoint and all members of its replica for their state.
-func (control *Control) probeReplica(id string, now time.Time) {
-	suspect, found := control.endpoints.byID[id]
-	if !found {
-		return
-	}
-	control.probe(id, now)
-	if suspect.Membership.Replica == "" {
-		return
-	}
-	for other, endpoint := range control.endpoints.byID {
-		if other != id && endpoint.Membership.Replica == suspect.Membership.Replica {
-			control.probe(other, now)
-		}
-	}
-}
-
-func (control *Control) probe(id string, now time.Time) {
-	known := &control.endpoints
-	endpoint, found := known.byID[id]
-	if !found || known.probing[id] || now.Before(known.probedAt[id].Add(probePause)) {
-		return
-	}
-	known.probing[id] = true
-	known.probedAt[id] = now
-	service, found := control.service(endpoint.Service)
-	go func() {
-		if found && service.Engine == nil {
-			return
-		}
-		control.tell(control.ask(endpoint, now))
-	}()
-}
-
-func (control *Control) ask(endpoint fleet.Endpoint, now time.Time) probed {
-	for range probeTries {
-		report, err := control.engine.Report(control.ctx, endpoint, probeLimit)
-		if err == nil {
-			return probed{id: endpoint.ID, alive: true, report: report, asked: now}
-		}
-		if control.ctx.Err() != nil {
-			break
-		}
-	}
-	return probed{id: endpoint.ID, asked: now}
-}
-
-// learnProbe takes in an endpoint's answer, or its silence.
-func (control *Control) learnProbe(probe probed, now time.Time) {
-	known := &control.endpoints
-	delete(known.probing, probe.id)
-	before, found := known.byID[probe.id]
-	if !found {
-		return
-	}
-	_, wasLost := known.lost[probe.id]
-	if probe.alive {
-		delete(known.lost, probe.id)
-		control.learnReport(probe)
-		control.changed = control.changed || wasLost
-		return
-	}
-	known.lost[probe.id] = now.Add(lostProbe)
-	if wasLost {
-		return
-	}
-	event.Log(control.log, event.EndpointSilent, zap.String("endpoint", probe.id), zap.String("replica", before.Membership.Replica),
-		zap.Duration("asked", now.Sub(probe.asked)))
-	control.changed = true
-	if head := control.headOf(before.Membership.Replica); head != "" {
-		control.lost([]string{head})
-	}
-}
-
-// learnReport takes in what an endpoint said when it was asked. A report is a
-// little old: a row that came shortly before it was asked for goes before it.
-func (control *Control) learnReport(probe probed) {
-	known := control.endpoints.byID[probe.id]
-	report := probe.report
-	newLife := report.Born.After(known.Born)
-	fresh := probe.asked.After(control.endpoints.changedAt[probe.id].Add(reportLag))
-	if known.Counted {
-		report.Orders = max(known.Orders, report.Orders) // a report may be older than an answer
-	}
-	if !newLife && !fresh {
-		known.Counted, known.Orders = true, report.Orders
-		control.endpoints.byID[probe.id] = known
-		return
-	}
-	report.Draining, report.Beat, report.FreeSince = known.Draining, known.Beat, known.FreeSince
-	control.endpoints.byID[probe.id] = report
-	if report.Membership != known.Membership {
-		control.changed = true
-	}
-}
-
 func (control *Control) headOf(replica string) string {
 	if replica == "" {
 		return ""
@@ -295,21 +195,10 @@
 			listed = append(listed, endpoint)
 		}
 	}
-	slices.SortFunc(listed, func(a, b fleet.Endpoint) int { return compareText(a.ID, b.ID) })
+	slices.SortFunc(listed, func(a, b fleet.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return listed
 }
 
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (endpoints *endpoints) load(id string) *reach.Load {
 	found := endpoints.loads[id]
 	if found == nil {
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -24,8 +24,6 @@
 	Grace          time.Duration `json:"grace"`  // from SIGTERM to the end
 	Notice         time.Duration `json:"notice"` // for the balancer to miss readiness twice, within the grace
 	Stall          time.Duration `json:"stall"`  // before a replica that lost a member breaks
-	AddressReuse   time.Duration `json:"reuse"`  // before an endpoint's address may be another's
-	DrainTime      time.Duration `json:"drain"`  // in which a leaving endpoint may still get requests
 	Retry          Retry         `json:"retry"`
 	HeaderTime     time.Duration `json:"header-time"`
 	HeaderBytes    int           `json:"header-bytes"`
@@ -44,7 +42,7 @@
 // Defaults gives the settings that a file need not name.
 func Defaults() Settings {
 	return Settings{
-		MemoryMB: 256, Grace: 8 * time.Second, Notice: 3200 * time.Millisecond, Stall: 6 * time.Second, AddressReuse: 2 * time.Second, DrainTime: 2 * time.Second,
+		MemoryMB: 256, Grace: 8 * time.Second, Notice: 3200 * time.Millisecond, Stall: 6 * time.Second,
 		Retry: Retry{Ratio: 0.1, Extra: 20, Window: 10 * time.Second}, HeaderTime: 10 * time.Second, HeaderBytes: 64 << 10,
 	}
 }
