--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		from := needOf(needs, replica.model.Name)
-		if to.score() < turn.planner.policy.ConvertNeed*from.wanted/float64(max(1, from.replicas)) || turn.preparedIn(replica.members, to.model) == 0 {
+		if !turn.spares(from, to) || turn.preparedIn(replica.members, to.model) == 0 {
 			continue
 		}
 		donors = append(donors, replica)
@@ -149,6 +149,22 @@
 	return donors
 }
 
+// spares tells whether a model can better do without a replica than another
+// one: it has enough of them, or the other lacks far more. When both lack
+// hosts, closing what serves gains nothing.
+func (turn *turn) spares(from, to need) bool {
+	left := from.wanted / float64(max(1, from.replicas))
+	if left <= enoughNeed {
+		return to.score() >= turn.planner.policy.ConvertNeed*left
+	}
+	return to.score() >= lackRatio*left
+}
+
+const (
+	enoughNeed = 1.1 // need of a model that has enough replicas
+	lackRatio  = 1.6 // how much more another one lacks before one that lacks some gives
+)
+
 func needOf(needs []need, model string) need {
 	for _, need := range needs {
 		if need.model.Name == model {
