--- a/core/fleet/census.go
+++ b/core/fleet/census.go
@@ -30,8 +30,8 @@
 		}
 	}
 	for _, endpoint := range input.Endpoints {
-		hand := planner.hand(endpoint.ID)
-		if hand.unsure && input.Now.Before(planner.sureAt) {
+		track := planner.track(endpoint.ID)
+		if track.unsure && input.Now.Before(planner.sureAt) {
 			census.Waiting++
 		}
 		if !endpoint.Counted {
@@ -39,7 +39,7 @@
 		}
 		switch {
 		case taken[endpoint.ID] || endpoint.Draining || input.Dead[endpoint.ID]:
-		case hand.staging != "":
+		case track.staging != "":
 			census.Staging++
 		case len(endpoint.Staged) > 0:
 			census.Prepared[endpoint.Staged[0]]++
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -179,7 +179,7 @@
 	planner.replicas[formed.name] = formed
 	for _, id := range members {
 		formed.born[id] = turn.known[id].Born
-		planner.hand(id).retryAt = time.Time{}
+		planner.track(id).retryAt = time.Time{}
 		turn.send(id, Join{Replica: formed.name, Epoch: epoch, Model: model.Name, Members: members})
 	}
 }
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -31,14 +31,14 @@
 	replicas map[string]*replica
 	ended    map[string]bool
 	strays   map[string]time.Time
-	hands    map[string]*hand
+	tracks   map[string]*track
 	loads    []time.Time
 	promised map[string]promise // by domain
 	newest   time.Time
 	sureAt   time.Time // when a silent first host whose members the holder before told to leave must have broken
 }
 
-// stage is a replica's place in the planner's hands.
+// stage is a replica's place in the planner's care.
 type stage int
 
 const (
@@ -66,8 +66,8 @@
 
 func (replica *replica) head() string { return replica.members[0] }
 
-// hand is what the planner has under way with one endpoint.
-type hand struct {
+// track is what the planner knows of one endpoint beyond its own words.
+type track struct {
 	pending   bool
 	retryAt   time.Time
 	stagedBy  time.Time // when a load that was ordered is expected to end
@@ -82,7 +82,7 @@
 func NewPlanner(policy Policy, service string) *Planner {
 	return &Planner{
 		policy: policy, service: service, replicas: map[string]*replica{}, ended: map[string]bool{},
-		strays: map[string]time.Time{}, hands: map[string]*hand{}, promised: map[string]promise{},
+		strays: map[string]time.Time{}, tracks: map[string]*track{}, promised: map[string]promise{},
 	}
 }
 
@@ -123,22 +123,22 @@
 
 // Resolve takes in what became of a command.
 func (planner *Planner) Resolve(now time.Time, command Command, reply Reply) {
-	hand := planner.hand(command.Endpoint)
-	hand.pending = false
+	track := planner.track(command.Endpoint)
+	track.pending = false
 	if _, unheard := reply.(Unheard); unheard {
 		planner.noteUnheard(now, command.Order)
 		return
 	}
 	if _, unfit := reply.(Unfit); unfit {
-		hand.retryAt = now.Add(planner.policy.RefusedRetry)
+		track.retryAt = now.Add(planner.policy.RefusedRetry)
 	}
 	switch order := command.Order.(type) {
 	case Leave:
 		planner.resolveLeave(now, order, command.Endpoint, reply)
 	case Stage:
 		if _, begun := reply.(Begun); !begun {
-			hand.staging, hand.stagedBy = "", time.Time{}
-			hand.retryAt = now.Add(planner.policy.StageRetry)
+			track.staging, track.stagedBy = "", time.Time{}
+			track.retryAt = now.Add(planner.policy.StageRetry)
 		}
 	case Join, Open, Close:
 	}
@@ -176,49 +176,49 @@
 	}
 }
 
-func (planner *Planner) hand(id string) *hand {
-	found := planner.hands[id]
+func (planner *Planner) track(id string) *track {
+	found := planner.tracks[id]
 	if found == nil {
-		found = &hand{}
-		planner.hands[id] = found
+		found = &track{}
+		planner.tracks[id] = found
 	}
 	return found
 }
 
 func (turn *turn) meet(endpoint Endpoint) {
-	hand := turn.planner.hand(endpoint.ID)
-	if !hand.seen {
-		hand.seen = true
-		hand.unsure = endpoint.Membership.Replica == "" && (endpoint.Orders > 0 || !endpoint.Counted) && !turn.Quiet
+	track := turn.planner.track(endpoint.ID)
+	if !track.seen {
+		track.seen = true
+		track.unsure = endpoint.Membership.Replica == "" && (endpoint.Orders > 0 || !endpoint.Counted) && !turn.Quiet
 		turn.planner.newest = turn.Now
 	}
 	if endpoint.Counted && endpoint.Orders == 0 {
-		hand.unsure = false // it was never told anything in this life
+		track.unsure = false // it was never told anything in this life
 	}
-	if hand.staging != "" && (endpoint.Holds(hand.staging) || turn.Now.After(hand.stagedBy)) {
-		hand.staging = ""
+	if track.staging != "" && (endpoint.Holds(track.staging) || turn.Now.After(track.stagedBy)) {
+		track.staging = ""
 	}
-	if !endpoint.Born.Equal(hand.born) {
-		hand.unsure = hand.unsure && hand.born.IsZero()
-		hand.born, hand.lastModel, hand.staging = endpoint.Born, "", ""
+	if !endpoint.Born.Equal(track.born) {
+		track.unsure = track.unsure && track.born.IsZero()
+		track.born, track.lastModel, track.staging = endpoint.Born, "", ""
 	}
 	if name := endpoint.Membership.Replica; name != "" {
-		hand.lastModel = modelOf(name)
+		track.lastModel = modelOf(name)
 	}
 }
 
 // send queues a command unless one is under way at the endpoint.
 func (turn *turn) send(id string, order Order) bool {
-	hand := turn.planner.hand(id)
-	if hand.pending || turn.Now.Before(hand.retryAt) {
+	track := turn.planner.track(id)
+	if track.pending || turn.Now.Before(track.retryAt) {
 		return false
 	}
 	endpoint, known := turn.known[id]
 	if !known || !endpoint.Counted {
 		return false
 	}
-	hand.pending = true
-	hand.retryAt = turn.Now.Add(turn.planner.policy.OrderRetry)
+	track.pending = true
+	track.retryAt = turn.Now.Add(turn.planner.policy.OrderRetry)
 	command := Command{Endpoint: id, Address: endpoint.Address, Orders: endpoint.Orders, Order: order}
 	turn.commands = append(turn.commands, command)
 	return true
--- a/core/fleet/ready.go
+++ b/core/fleet/ready.go
@@ -16,14 +16,14 @@
 )
 
 func (turn *turn) readinessOf(id string, model string) readiness {
-	hand := turn.planner.hand(id)
+	track := turn.planner.track(id)
 	endpoint := turn.known[id]
 	switch {
-	case hand.lastModel == model:
+	case track.lastModel == model:
 		return readyAtOnce
 	case endpoint.Holds(model):
 		return readyWarm
-	case hand.staging == model:
+	case track.staging == model:
 		return readyStaging
 	default:
 		return readyCold
@@ -56,10 +56,10 @@
 	domains := turn.idle()
 	for domain, ids := range domains {
 		domains[domain] = slices.DeleteFunc(ids, func(id string) bool {
-			hand := turn.planner.hand(id)
+			track := turn.planner.track(id)
 			former := turn.known[id].Membership.Replica
 			stray := former != "" && !turn.planner.ended[former]
-			return stray || hand.pending || turn.unsure(id)
+			return stray || track.pending || turn.unsure(id)
 		})
 	}
 	return domains
@@ -69,7 +69,7 @@
 // silent first host that has not broken yet. A node that has watched the
 // endpoint belong to nothing for long enough knows better.
 func (turn *turn) unsure(id string) bool {
-	if !turn.planner.hand(id).unsure {
+	if !turn.planner.track(id).unsure {
 		return false
 	}
 	sureAt := turn.planner.sureAt
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -57,9 +57,9 @@
 	}
 	turn.countStage(turn.supply(supplies, chosen), chosen, best)
 	turn.send(chosen, Stage{Model: best.Name})
-	hand := turn.planner.hand(chosen)
-	hand.staging = best.Name
-	hand.stagedBy = turn.Now.Add(2 * best.LoadTime)
+	track := turn.planner.track(chosen)
+	track.staging = best.Name
+	track.stagedBy = turn.Now.Add(2 * best.LoadTime)
 	turn.planner.loads = append(turn.planner.loads, turn.Now)
 	return true
 }
@@ -73,16 +73,16 @@
 }
 
 func (turn *turn) countStage(supply supply, id string, model site.Model) {
-	if from := turn.preparedFor(id); turn.planner.hand(id).lastModel == "" {
+	if from := turn.preparedFor(id); turn.planner.track(id).lastModel == "" {
 		supply.prepared[from]--
 	}
 	supply.prepared[model.Name]++
 }
 
 func (turn *turn) mayStage(id string) bool {
-	hand := turn.planner.hand(id)
+	track := turn.planner.track(id)
 	endpoint := turn.known[id]
-	return hand.staging == "" && !hand.pending && !turn.Now.Before(hand.retryAt) && endpoint.Counted && !endpoint.Draining && !turn.Dead[id]
+	return track.staging == "" && !track.pending && !turn.Now.Before(track.retryAt) && endpoint.Counted && !endpoint.Draining && !turn.Dead[id]
 }
 
 // secondValue rates the weights of a second model on a host that is ready for
@@ -93,7 +93,7 @@
 // model's replicas at once without them: those of another model make it ready
 // for both.
 func (turn *turn) secondStage(supply supply, id string) (site.Model, float64) {
-	last := turn.planner.hand(id).lastModel
+	last := turn.planner.track(id).lastModel
 	var best site.Model
 	bestValue := 0.0
 	for _, model := range turn.Engine.Models {
@@ -152,7 +152,7 @@
 // endpoint that has some already changes only to complete a replica, and only
 // if it is itself of no use where it is.
 func (turn *turn) bestStage(supply supply, id string) (site.Model, float64) {
-	if turn.planner.hand(id).lastModel != "" {
+	if turn.planner.track(id).lastModel != "" {
 		return turn.secondStage(supply, id)
 	}
 	from := turn.preparedFor(id)
@@ -233,7 +233,7 @@
 		}
 	}
 	for id := range turn.known { // what is lost loads nothing
-		if planner.hand(id).staging != "" {
+		if planner.track(id).staging != "" {
 			running++
 		}
 	}
