One loop offers a request to endpoints; what nobody reads goes

Cause: the loops of whole answers and of streams were the same choosing written twice, staging worked out the needs of models once for each domain, and nine fields were set and read by nobody. Ruled out: a change of what callers see, but for one case: a safe request that failed at one endpoint and broke off at a second now gets the first one's answer, where it got a 502 of our own. Change: visit.offer; supplies of all domains from one look at the needs; the fields are gone; two scenarios of silent hosts share one function. Conclusion: nothing else changes.

--- a/core/fleet/silent_test.go
+++ b/core/fleet/silent_test.go
@@ -60,28 +60,29 @@
 	})
 }
 
-// TestFirstHostCutOff has a first host that serves on where nobody hears it: its
-// member joins the spare only once it must have broken.
-func TestFirstHostCutOff(t *testing.T) {
+// expectUsedAgain cuts one host of a replica off and wants the other one in
+// another replica, with the promises kept all the while.
+func expectUsedAgain(t *testing.T, pick func(head, member *runner) (cut, left *runner)) {
+	t.Helper()
 	expectPromises(t, func(w *world, current *holder) {
-		head, member := w.replicaOf()
-		former := head.group
-		head.cut = true
+		cut, left := pick(w.replicaOf())
+		former := left.group
+		cut.cut = true
 		w.run(current, 20*time.Second)
-		assert.Assert(w.t, member.group != former && member.group != "", "the member is used again")
+		assert.Assert(w.t, left.group != former && left.group != "", "the host that is left is used again")
 	})
 }
 
+// TestFirstHostCutOff has a first host that serves on where nobody hears it: its
+// member joins the spare only once it must have broken.
+func TestFirstHostCutOff(t *testing.T) {
+	expectUsedAgain(t, func(head, member *runner) (cut, left *runner) { return head, member })
+}
+
 // TestMemberCutOff has a member cut off: the first host, which is heard, leaves
 // before it joins anything else.
 func TestMemberCutOff(t *testing.T) {
-	expectPromises(t, func(w *world, current *holder) {
-		head, member := w.replicaOf()
-		former := head.group
-		member.cut = true
-		w.run(current, 20*time.Second)
-		assert.Assert(w.t, head.group != former && head.group != "", "the first host is used again")
-	})
+	expectUsedAgain(t, func(head, member *runner) (cut, left *runner) { return member, head })
 }
 
 // TestHolderChangesWhileMembersWait has a new holder find a member that the old
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -14,11 +14,8 @@
 	if turn.Quiet && turn.Now.Before(turn.planner.newest.Add(2*turn.planner.policy.Settle)) {
 		return
 	}
-	supplies := map[string]supply{}
 	domains := turn.idle()
-	for domain, ids := range domains {
-		supplies[domain] = turn.supplyOf(domain, ids)
-	}
+	supplies := turn.supplies(domains)
 	for turn.mayLoad() && turn.stageBest(domains, supplies) {
 	}
 }
@@ -47,7 +44,7 @@
 		}
 		for _, id := range replica.members {
 			if turn.mayStage(id) {
-				model, value := turn.secondStage(turn.supply(supplies, id), id)
+				model, value := turn.secondStage(supplies[turn.known[id].Domain], id)
 				consider(id, model, value)
 			}
 		}
@@ -55,7 +52,7 @@
 	if chosen == "" {
 		return false
 	}
-	turn.countStage(turn.supply(supplies, chosen), chosen, best)
+	turn.countStage(supplies[turn.known[chosen].Domain], chosen, best)
 	turn.send(chosen, Stage{Model: best.Name})
 	track := turn.planner.track(chosen)
 	track.staging = best.Name
@@ -64,12 +61,17 @@
 	return true
 }
 
-func (turn *turn) supply(supplies map[string]supply, id string) supply {
-	domain := turn.known[id].Domain
-	if _, found := supplies[domain]; !found {
-		supplies[domain] = turn.supplyOf(domain, nil)
+// supplies works out what each domain has of each model.
+func (turn *turn) supplies(idle map[string][]string) map[string]supply {
+	scores := map[string]float64{}
+	for _, need := range turn.needs() {
+		scores[need.model.Name] = need.score()
 	}
-	return supplies[domain]
+	supplies := map[string]supply{}
+	for domain := range turn.domains() {
+		supplies[domain] = turn.supplyOf(domain, idle[domain], scores)
+	}
+	return supplies
 }
 
 func (turn *turn) countStage(supply supply, id string, model site.Model) {
@@ -112,13 +114,13 @@
 
 // supply is what a domain has of each model, by the model's name.
 type supply struct {
-	prepared map[string]int // free endpoints with the weights, or about to have them
-	hosts    map[string]int // in replicas
-	needs    map[string]float64
+	prepared map[string]int     // free endpoints with the weights, or about to have them
+	hosts    map[string]int     // in replicas
+	needs    map[string]float64 // of all domains together
 }
 
-func (turn *turn) supplyOf(domain string, ids []string) supply {
-	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, needs: map[string]float64{}}
+func (turn *turn) supplyOf(domain string, ids []string, needs map[string]float64) supply {
+	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, needs: needs}
 	for _, id := range ids {
 		for _, model := range turn.Engine.Models {
 			if turn.readinessOf(id, model.Name) < readyCold {
@@ -131,9 +133,6 @@
 			supply.hosts[replica.model.Name] += replica.model.Size
 		}
 	}
-	for _, need := range turn.needs() {
-		supply.needs[need.model.Name] = need.score()
-	}
 	return supply
 }
 
--- a/core/fleet/whole.go
+++ b/core/fleet/whole.go
@@ -9,10 +9,9 @@
 
 // Replica is a whole replica whose first host serves.
 type Replica struct {
-	Name    string
-	Model   string
-	Head    Endpoint
-	Members []string
+	Name  string
+	Model string
+	Head  Endpoint
 }
 
 // Whole lists the replicas that may take requests, by the members' own words:
@@ -31,11 +30,7 @@
 		if !found || len(listed) != model.Size || !serves(listed, lost) {
 			continue
 		}
-		replica := Replica{Name: name, Model: model.Name, Head: listed[0]}
-		for _, member := range listed {
-			replica.Members = append(replica.Members, member.ID)
-		}
-		whole = append(whole, replica)
+		whole = append(whole, Replica{Name: name, Model: model.Name, Head: listed[0]})
 	}
 	slices.SortFunc(whole, func(a, b Replica) int { return strings.Compare(a.Name, b.Name) })
 	return whole
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -72,7 +72,7 @@
 }
 
 var engine = &site.Engine{
-	Slots: 17, LoadsPerSec: 5, LoadsAtOnce: 7, FormTime: 300 * time.Millisecond,
+	Slots: 17, LoadsPerSec: 5, LoadsAtOnce: 7,
 	Models: []site.Model{
 		{Name: "large", Size: 4, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
 		{Name: "small", Size: 2, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
@@ -352,7 +352,8 @@
 		serving := fleet.Whole(engine, w.seen(), func(string) bool { return false })
 		hosts := 0
 		for _, replica := range serving {
-			hosts += len(replica.Members)
+			model, _ := engine.Model(replica.Model)
+			hosts += model.Size
 		}
 		if hosts < 8 {
 			census := current.planner.Census(fleet.Input{Now: w.now, Endpoints: w.seen()})
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -15,8 +15,9 @@
 // replicas with 17 slots one has 8 requests in this zone (0.47) and one has 6
 // in another (0.35 + 0.12 = 0.47): they are alike, and the node's fixed offset
 // to each decides, so that nodes with the same stale knowledge part. Prompts
-// that are still to be read count by the part of the objective they will take. Refusing is cheaper than waiting beyond the objective: a request
-// that waits takes a slot late and makes the next ones late too.
+// that are still to be read count by the part of the objective they will take.
+// Refusing is cheaper than waiting beyond the objective: a request that waits
+// takes a slot late and makes the next ones late too.
 func Choose(policy Policy, pool *Pool, wish Wish) Decision {
 	if pool == nil {
 		return Refuse{Reason: ReasonNoService, ReturnAt: wish.Now.Add(policy.RetryLeast)}
@@ -33,11 +34,10 @@
 	if best == nil {
 		return Refuse{Reason: ReasonNoEndpoint, ReturnAt: wish.Now.Add(pauseOf(policy, candidates, wish))}
 	}
-	inFlight := best.Load.InFlight()
 	if score.taken > limit {
 		return Refuse{Reason: ReasonFull, ReturnAt: wish.Now.Add(pauseOf(policy, candidates, wish))}
 	}
-	return Send{Candidate: best, InFlight: inFlight}
+	return Send{Candidate: best}
 }
 
 // sample draws some candidates by the request's random point.
--- a/core/reach/picture.go
+++ b/core/reach/picture.go
@@ -29,8 +29,7 @@
 	Zone    string
 	Near    bool // in this node's zone
 	Slots   int
-	Most    int // requests that this node may have in flight there
-	Members []string
+	Most    int     // requests that this node may have in flight there
 	Read    float64 // prompt tokens a second; 0 where there are no prompts
 	Offset  float64 // in [0,1), fixed by node and endpoint
 	Load    *Load
@@ -40,9 +39,7 @@
 type Wish struct {
 	Model    string
 	Now      time.Time
-	Deadline time.Time
 	DueBy    time.Time // when its answer should begin, by the objective
-	Tokens   int       // of its prompt
 	Priority int       // 0 is the most urgent
 	Back     bool      // it was turned away before and has come back
 	Resumed  bool      // part of its answer was delivered
@@ -59,7 +56,6 @@
 // Send gives the request to a candidate.
 type Send struct {
 	Candidate *Candidate
-	InFlight  int // all nodes' requests there when it was chosen
 }
 
 // Refuse turns the request away at once; it may come back after a while.
--- a/core/site/config.go
+++ b/core/site/config.go
@@ -76,17 +76,13 @@
 
 // Engine tells how a model service's endpoints batch, load and form replicas.
 type Engine struct {
-	Slots        int
-	Models       []Model
-	LoadsPerSec  float64 // starts of loads from the weight store
-	LoadsAtOnce  int     // loads beyond these slow each other down
-	FormTime     time.Duration
-	StepTime     time.Duration // one token step of an empty batch
-	StepPerSlot  time.Duration // added for each request in the batch
-	StepsPerPass int
-	ReadPerSec   float64 // prompt tokens
-	UsualPrompt  float64 // tokens
-	UsualAnswer  float64 // tokens
+	Slots       int
+	Models      []Model
+	LoadsPerSec float64       // starts of loads from the weight store
+	LoadsAtOnce int           // loads beyond these slow each other down
+	StepTime    time.Duration // one token step of an empty batch
+	StepPerSlot time.Duration // added for each request in the batch
+	ReadPerSec  float64       // prompt tokens
 }
 
 // Model is a model that replicas of Size endpoints serve.
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -63,7 +63,6 @@
 	for _, replica := range fleet.Whole(service.Engine, listed, control.endpoints.isLost) {
 		candidate := control.candidate(service, replica.Head, nodes)
 		candidate.Slots = service.Engine.Slots
-		candidate.Members = replica.Members
 		if model, found := service.Engine.Model(replica.Model); found && model.Pace > 0 {
 			candidate.Read = service.Engine.ReadPerSec / model.Pace
 		}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -30,37 +30,14 @@
 // stream serves a request that is answered by events. Events that were handed
 // on stay valid whatever becomes of their endpoint: another one goes on after
 // the last of them, under the first one's headers.
-func (visit *visit) stream(ctx context.Context, call site.Stream) {
+func (visit *visit) stream(ctx context.Context) {
 	relay := &relay{visit: visit, last: visit.ask.LastEvent}
-	cause := "no endpoint took the request"
-	for visit.mayTry() {
-		decision := visit.choose(relay.begun)
-		refusal, refused := decision.(reach.Refuse)
-		if refused {
-			relay.giveUp(refusal, "turned away: "+string(refusal.Reason))
-			return
-		}
-		candidate := decision.(reach.Send).Candidate
-		visit.tried = append(visit.tried, candidate.ID)
-		switch result := relay.run(ctx, candidate).(type) {
-		case answered:
-			return
-		case declined:
-			cause = "the replicas have no room"
-		case unsent:
-			cause = "the replicas cannot be reached"
-		case broken:
-			visit.ran = true
-			cause = "the stream broke off: " + result.cause.Error()
-		}
-		if visit.r.Context().Err() != nil {
-			visit.gone()
-		}
-		if ctx.Err() != nil {
-			break
-		}
+	missed := visit.offer(ctx, func() bool { return relay.begun }, func(candidate *reach.Candidate) result {
+		return relay.run(ctx, candidate)
+	})
+	if missed != nil {
+		relay.giveUp(missed.refusal, missed.cause)
 	}
-	relay.giveUp(reach.Refuse{}, cause)
 }
 
 // relay hands a stream's events on.
--- a/io/entry/visit.go
+++ b/io/entry/visit.go
@@ -134,9 +134,9 @@
 	visit.noteWork()
 	ctx, cancel := context.WithDeadline(visit.r.Context(), visit.deadline)
 	defer cancel()
-	switch call := visit.route.Call.(type) {
+	switch visit.route.Call.(type) {
 	case site.Stream:
-		visit.stream(ctx, call)
+		visit.stream(ctx)
 	case site.Safe, site.Once:
 		visit.whole(ctx)
 	}
@@ -153,11 +153,50 @@
 	}
 }
 
+// unserved tells why no endpoint answered.
+type unserved struct {
+	cause   string
+	refusal reach.Refuse // when to come back, where that is known
+}
+
+// offer sends the request to one endpoint after another until one has answered,
+// which gives nil, or it may not be tried again; begun tells whether a part of
+// the answer has gone to the caller.
+func (visit *visit) offer(ctx context.Context, begun func() bool, send func(*reach.Candidate) result) *unserved {
+	cause := "no endpoint took the request"
+	for visit.mayTry() {
+		decision := visit.choose(begun())
+		if refusal, refused := decision.(reach.Refuse); refused {
+			return &unserved{cause: "turned away: " + string(refusal.Reason), refusal: refusal}
+		}
+		candidate := decision.(reach.Send).Candidate
+		visit.tried = append(visit.tried, candidate.ID)
+		switch result := send(candidate).(type) {
+		case answered:
+			return nil
+		case declined:
+			cause = "the endpoints have no room"
+		case unsent:
+			cause = "the endpoints cannot be reached"
+		case broken:
+			visit.ran = true
+			cause = "the answer broke off: " + result.cause.Error()
+		}
+		if visit.r.Context().Err() != nil {
+			visit.gone()
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return &unserved{cause: cause}
+}
+
 // choose picks an endpoint or says why there is none.
 func (visit *visit) choose(resumed bool) reach.Decision {
 	visit.picture = visit.server.picture.Load()
 	return reach.Choose(visit.server.reach, visit.picture.Services[visit.service], reach.Wish{
-		Model: visit.ask.Model, Now: time.Now(), Deadline: visit.deadline, DueBy: visit.came.Add(visit.route.Target), Tokens: visit.ask.PromptTokens, Priority: visit.priority,
+		Model: visit.ask.Model, Now: time.Now(), DueBy: visit.came.Add(visit.route.Target), Priority: visit.priority,
 		Back: visit.back(), Resumed: resumed, Tried: visit.tried, Sample: visit.server.reach.SampleOf(visit.picture.Nodes), Point: rand.Float64(),
 	})
 }
--- a/io/entry/whole.go
+++ b/io/entry/whole.go
@@ -43,42 +43,29 @@
 func (declined) result() {}
 func (broken) result()   {}
 
-// whole serves a request whose answer is handed back in one piece.
+// whole serves a request whose answer is handed back in one piece. The failure
+// of one endpoint that was worth a second try is kept, in case nothing better
+// comes.
 func (visit *visit) whole(ctx context.Context) {
-	cause := "no endpoint took the request"
-	for visit.mayTry() {
-		decision := visit.choose(false)
-		refusal, refused := decision.(reach.Refuse)
-		if refused {
-			visit.giveUp(refusal, "turned away: "+string(refusal.Reason))
-			return
+	var last *answered
+	missed := visit.offer(ctx, func() bool { return false }, func(candidate *reach.Candidate) result {
+		sent := visit.send(ctx, candidate)
+		whole, ok := sent.(answered)
+		if !ok {
+			return sent
 		}
-		candidate := decision.(reach.Send).Candidate
-		visit.tried = append(visit.tried, candidate.ID)
-		switch result := visit.send(ctx, candidate).(type) {
-		case answered:
-			if visit.worthRepeat(result) {
-				visit.ran = true
-				if visit.mayTry() {
-					continue
-				}
-			}
-			visit.outcome = "answered"
-			visit.writeWhole(result.response, result.body, result.response.Header)
-			return
-		case declined:
-			cause = "the endpoints have no room"
-		case unsent:
-			cause = "the endpoints cannot be reached"
-		case broken:
-			visit.ran = true
-			cause = "the endpoint's answer did not come whole"
-		}
-		if visit.r.Context().Err() != nil {
-			visit.gone()
+		last = &whole
+		if visit.worthRepeat(whole) {
+			return broken{cause: errors.Newf("entry: status %d", whole.response.StatusCode)}
 		}
+		return sent
+	})
+	if last == nil {
+		visit.giveUp(missed.refusal, missed.cause)
+		return
 	}
-	visit.giveUp(reach.Refuse{}, cause)
+	visit.outcome = "answered"
+	visit.writeWhole(last.response, last.body, last.response.Header)
 }
 
 // worthRepeat tells whether a safe request's failure at one endpoint is worth
