Placement: the first requests do not decide the shares alone

Cause: the shares of models were half the configured ones and half those of the work measured, however little had been measured. Change: shares weigh the work asked against the configured ones, which count like 4 s of all hosts' time; work loses half of its weight in 4 s (was 3 s smoothing of rates); at most 4 in 100 of the hosts are between two models at once; hosts that serve get second models only while 4 in 10 loads are free. Test: TestFirstRequestsCloseNothing, red before (more than half closed).

--- a/core/fleet/census.go
+++ b/core/fleet/census.go
@@ -7,14 +7,16 @@
 	UnderWay  map[string]int // replicas that form or end
 	Prepared  map[string]int // free endpoints by the model on their hosts
 	Staging   int
-	Waiting   int // endpoints that may have been told to leave by the holder before
-	Uncounted int // endpoints whose count of orders is not known
-	Held      int // replicas whose members wait until a silent first host must have broken
+	Waiting   int                // endpoints that may have been told to leave by the holder before
+	Uncounted int                // endpoints whose count of orders is not known
+	Held      int                // replicas whose members wait until a silent first host must have broken
+	Wanted    map[string]float64 // replicas of each model that the work asked and the endpoints at hand call for
 }
 
 // Census counts what the last plan left.
 func (planner *Planner) Census(input Input) Census {
 	census := Census{Endpoints: len(input.Endpoints), Serving: map[string]int{}, UnderWay: map[string]int{}, Prepared: map[string]int{}}
+	census.Wanted = planner.wanted
 	taken := map[string]bool{}
 	for _, replica := range planner.replicas {
 		counted := census.UnderWay
--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -27,12 +27,23 @@
 	needs := turn.needs()
 	domains := turn.free()
 	for i := range needs {
-		for needs[i].score() >= 1 && turn.convertTo(needs[i], needs, domains) {
+		for needs[i].score() >= 1 && turn.mayConvert(needs[i]) && turn.convertTo(needs[i], needs, domains) {
 			needs[i].replicas++
 		}
 	}
 }
 
+// mayConvert bounds the hosts that are between two models at once: what is
+// closed serves nobody for some seconds, and the need may change meanwhile.
+func (turn *turn) mayConvert(to need) bool {
+	hosts := to.model.Size
+	for _, promise := range turn.planner.promised {
+		model, _ := turn.Engine.Model(promise.model)
+		hosts += model.Size
+	}
+	return len(turn.planner.promised) == 0 || float64(hosts) <= turn.planner.policy.ConvertPart*float64(len(turn.Endpoints))
+}
+
 // convertTo closes the replicas of one domain that complete one of the model,
 // if there is such a domain.
 func (turn *turn) convertTo(to need, needs []need, domains map[string][]string) bool {
--- /dev/null
+++ b/core/fleet/demand.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"hickorybend/core/site"
+)
+
+// Demand is the hosts' time that callers lately asked of each model. What is
+// older counts less.
+type Demand struct {
+	half   time.Duration
+	lately map[string]float64 // hosts' seconds
+	at     time.Time
+}
+
+// NewDemand makes a record in which work loses half of its weight in a time.
+func NewDemand(half time.Duration) *Demand {
+	return &Demand{half: half, lately: map[string]float64{}}
+}
+
+// Add takes in what was asked since the last time, in hosts' seconds.
+func (demand *Demand) Add(now time.Time, asked map[string]float64) {
+	kept := math.Exp2(-float64(now.Sub(demand.at)) / float64(demand.half))
+	demand.at = now
+	for model := range demand.lately {
+		demand.lately[model] *= kept
+	}
+	for model, work := range asked {
+		demand.lately[model] += work
+	}
+}
+
+// Lately gives the hosts' seconds of each model.
+func (demand *Demand) Lately() map[string]float64 { return demand.lately }
+
+// shareOf gives the part of the hosts that a model needs. The configured shares
+// count like work of a few seconds of all hosts, so that the first requests do
+// not decide alone: with 216 hosts and 4 s, the first second's 20 hosts'
+// seconds that happen to be all of one model move its share from 0.50 to 0.51.
+func shareOf(model site.Model, hosts int, memory time.Duration, lately map[string]float64) float64 {
+	prior := float64(hosts) * memory.Seconds()
+	total := prior
+	for _, work := range lately {
+		total += work
+	}
+	if total == 0 {
+		return model.Share
+	}
+	return (prior*model.Share + lately[model.Name]) / total
+}
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -19,18 +19,11 @@
 // reserve and half of the work each, a model of 4 hosts wants 25/4 replicas and
 // one of 2 hosts 25/2.
 func (turn *turn) needs() []need {
-	total := 0.0
-	for _, work := range turn.Work {
-		total += work
-	}
 	usable := float64(len(turn.Endpoints)) * (1 - turn.planner.policy.Reserve)
 	var needs []need
+	turn.planner.wanted = map[string]float64{}
 	for _, model := range turn.Engine.Models {
-		share := model.Share
-		if total > 0 {
-			keep := turn.planner.policy.ShareMemory
-			share = keep*model.Share + (1-keep)*turn.Work[model.Name]/total
-		}
+		share := shareOf(model, len(turn.Endpoints), turn.planner.policy.ShareMemory, turn.Work)
 		found := need{model: model, wanted: usable * share / float64(max(model.Size, 1))}
 		inFlight := 0
 		for _, replica := range turn.planner.sorted() {
@@ -43,6 +36,7 @@
 		if found.load > turn.planner.policy.HighLoad {
 			found.wanted = max(found.wanted, float64(found.replicas)+1)
 		}
+		turn.planner.wanted[model.Name] = found.wanted
 		needs = append(needs, found)
 	}
 	return needs
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -17,7 +17,7 @@
 	Endpoints []Endpoint         // of one service
 	Dead      map[string]bool    // endpoints that answer nothing
 	InFlight  map[string]int     // requests of all nodes at each first host
-	Work      map[string]float64 // hosts' time that callers lately asked of each model
+	Work      map[string]float64 // hosts' seconds that callers lately asked of each model
 	Quiet     bool               // no caller has come yet: loads are quick and free
 }
 
@@ -35,6 +35,7 @@
 	loads    []time.Time
 	promised map[string]promise // by domain
 	newest   time.Time
+	wanted   map[string]float64
 	sureAt   time.Time // when a silent first host whose members the holder before told to leave must have broken
 }
 
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -19,7 +19,9 @@
 	ConvertNeed  float64       // how much more that other model has to lack replicas
 	HighLoad     float64       // part of a model's slots above which spares are used too
 	LoadPace     float64       // part of the weight store's rate that is used
-	ShareMemory  float64       // weight of the configured shares against the measured ones
+	ShareMemory  time.Duration // of all hosts' time, that the configured shares count like
+	ConvertPart  float64       // part of the endpoints that may be on their way to another model at once
+	SecondPart   float64       // part of the loads at once that may be for hosts which serve
 }
 
 // DefaultPolicy repairs from staged spares within two seconds.
@@ -27,6 +29,7 @@
 	return Policy{
 		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, LateOrder: 12500 * time.Millisecond, Settle: 1300 * time.Millisecond,
 		StrayGrace: 3 * time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
-		RetireLimit: 1500 * time.Millisecond, Reserve: 0.03, ConvertLimit: 2500 * time.Millisecond, ConvertNeed: 1.15, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 0.5,
+		RetireLimit: 1500 * time.Millisecond, Reserve: 0.03, ConvertLimit: 2500 * time.Millisecond, ConvertNeed: 1.15, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 4 * time.Second,
+		ConvertPart: 0.04, SecondPart: 0.6,
 	}
 }
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -39,7 +39,7 @@
 		}
 	}
 	for _, replica := range turn.planner.sorted() {
-		if replica.stage != stageServing {
+		if replica.stage != stageServing || !turn.maySecond() {
 			continue
 		}
 		for _, id := range replica.members {
@@ -225,16 +225,28 @@
 	}
 	planner := turn.planner
 	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Time) bool { return turn.Now.Sub(at) > 20*time.Second })
-	recent, running := 0, 0
+	recent := 0
 	for _, at := range planner.loads {
 		if turn.Now.Sub(at) < time.Second {
 			recent++
 		}
 	}
-	for id := range turn.known { // what is lost loads nothing
-		if planner.track(id).staging != "" {
+	return float64(recent) < max(1, planner.policy.LoadPace*turn.Engine.LoadsPerSec) && turn.loading() < max(1, turn.Engine.LoadsAtOnce)
+}
+
+// loading counts the loads under way; what is lost loads nothing.
+func (turn *turn) loading() int {
+	running := 0
+	for id := range turn.known {
+		if turn.planner.track(id).staging != "" {
 			running++
 		}
 	}
-	return float64(recent) < max(1, planner.policy.LoadPace*turn.Engine.LoadsPerSec) && running < max(1, turn.Engine.LoadsAtOnce)
+	return running
+}
+
+// maySecond tells whether hosts that serve may load a second model: the loads
+// that idle hosts need must not wait for those.
+func (turn *turn) maySecond() bool {
+	return turn.Quiet || float64(turn.loading()) < turn.planner.policy.SecondPart*float64(turn.Engine.LoadsAtOnce)
 }
--- a/core/fleet/stage_test.go
+++ b/core/fleet/stage_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"hickorybend/core/fleet"
+	"hickorybend/core/site"
 )
 
 func fresh(ids ...string) []fleet.Endpoint {
@@ -74,3 +75,66 @@
 	}
 	assert.Equal(t, begun, engine.LoadsAtOnce)
 }
+
+// closed counts the replicas that a plan closes or ends.
+func closed(commands []fleet.Command) int {
+	count := 0
+	for _, command := range commands {
+		switch command.Order.(type) {
+		case fleet.Close, fleet.Leave:
+			count++
+		}
+	}
+	return count
+}
+
+// serving is domains of two replicas of two hosts each, every host with the
+// weights of the other model.
+func serving(domains int) []fleet.Endpoint {
+	var listed []fleet.Endpoint
+	for d := range domains {
+		for i := range 4 {
+			name := fmt.Sprintf("small.%d", 2*d+i/2)
+			phase := fleet.PhaseReady
+			if i%2 == 0 {
+				phase = fleet.PhaseOpen
+			}
+			listed = append(listed, fleet.Endpoint{
+				ID: fmt.Sprintf("e-%d-%d", d, i), Domain: fmt.Sprintf("d-%d", d), Born: time.Unix(1, 0), Counted: true, Staged: []string{"large"},
+				Membership: fleet.Membership{Replica: name, Epoch: int64(d), Rank: i % 2, Phase: phase},
+			})
+		}
+	}
+	return listed
+}
+
+// TestFirstRequestsCloseNothing has the first second's work happen to be of one
+// model alone. It closed more than half of the other one's replicas.
+func TestFirstRequestsCloseNothing(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		asked  map[string]float64
+		closes bool
+	}{
+		{"the first requests", map[string]float64{"large": 4}, false},
+		{"half a minute of them", map[string]float64{"large": 4000}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			planner := fleet.NewPlanner(fleet.DefaultPolicy(), "llm")
+			now := time.Unix(1000, 0)
+			demand := fleet.NewDemand(4 * time.Second)
+			demand.Add(now, test.asked)
+			input := fleet.Input{Fence: 1, Engine: &site.Engine{Slots: 17, Models: []site.Model{
+				{Name: "large", Size: 4, Share: 0, Pace: 1}, {Name: "small", Size: 2, Share: 1, Pace: 1},
+			}}, Endpoints: serving(20), Work: demand.Lately(), InFlight: map[string]int{}, Dead: map[string]bool{}}
+			count := 0
+			for range 5 {
+				now = now.Add(100 * time.Millisecond)
+				input.Now = now
+				count += closed(planner.Plan(input))
+			}
+			assert.Equal(t, count > 0, test.closes)
+			assert.Assert(t, count <= 4, "%d of 40 replicas are closed at once", count)
+		})
+	}
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/rows"
 	"hickorybend/io/event"
@@ -62,7 +63,7 @@
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
 	control.placement = newPlacement(settings)
-	control.demand = demand{before: map[string]map[string]int64{}, lately: map[string]float64{}}
+	control.demand = demand{before: map[string]map[string]int64{}, lately: fleet.NewDemand(demandHalf)}
 	control.leads.Store(true) // until other nodes are known
 	control.picture.Store(&reach.Picture{Nodes: 1})
 	control.digest.Store(&gossip.Digest{Node: settings.Node})
--- a/io/edge/demand.go
+++ b/io/edge/demand.go
@@ -1,16 +1,20 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"hickorybend/core/fleet"
+)
 
 const (
-	demandEvery  = time.Second // between two looks at what callers ask
-	demandWeight = 0.3         // of the latest look
+	demandEvery = time.Second     // between two looks at what callers ask
+	demandHalf  = 4 * time.Second // in which work asked loses half of its weight
 )
 
 // demand is the work that callers of all nodes lately asked of each model.
 type demand struct {
 	before map[string]map[string]int64 // by node and model, at the last look
-	lately map[string]float64          // hosts' time in each second, smoothed
+	lately *fleet.Demand
 	nextAt time.Time
 }
 
@@ -26,9 +30,7 @@
 	for name, peer := range control.peers.nodes {
 		demand.add(name, peer.digest.Asked, sums)
 	}
-	for model, sum := range sums {
-		demand.lately[model] += demandWeight * (sum - demand.lately[model])
-	}
+	demand.lately.Add(now, sums)
 }
 
 // add counts what a node, or a zone that a leader sums up, was asked since the
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -166,7 +166,7 @@
 	input := fleet.Input{
 		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.endpoints.of(name),
 		Dead: map[string]bool{}, InFlight: map[string]int{}, Quiet: control.quiet(now),
-		Work: control.demand.lately,
+		Work: control.demand.lately.Lately(),
 	}
 	control.countOrders(input.Endpoints, input.Quiet, now)
 	for id := range control.endpoints.lost {
@@ -181,7 +181,7 @@
 	if now.After(placement.censusAt) {
 		placement.censusAt = now.Add(censusEvery)
 		census := planner.Census(input)
-		event.Log(control.log, event.PlacementState, zap.String("service", name), zap.Int("endpoints", census.Endpoints),
+		event.Log(control.log, event.PlacementState, zap.String("service", name), zap.Int("endpoints", census.Endpoints), zap.Any("wanted", census.Wanted),
 			zap.Any("serving", census.Serving), zap.Any("under-way", census.UnderWay), zap.Any("prepared", census.Prepared),
 			zap.Int("staging", census.Staging), zap.Int("held", census.Held),
 			zap.Int("waiting", census.Waiting), zap.Int("uncounted", census.Uncounted))
