--- a/cmd/hbctl/watch.go
+++ b/cmd/hbctl/watch.go
@@ -7,7 +7,6 @@
 	"os"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -144,29 +143,3 @@
 	}
 	return chosen[0], nil
 }
-
-func (tool *tool) explain() *ff.Command {
-	return tool.command("explain", "explain REQUEST-ID", "why a request went where it did; ask the node that served it",
-		func(ctx context.Context, client *admin.Client, args []string) error {
-			if len(args) != 1 {
-				return shell.Exit{Code: shell.CodeUsage, Message: "this command takes one request id"}
-			}
-			explained, err := client.Explain(ctx, args[0])
-			if err != nil {
-				return err
-			}
-			if !explained.Found {
-				return shell.Exit{Code: shell.CodeFailed, Message: "this node does not remember the request"}
-			}
-			if *tool.json {
-				printJSON(explained)
-				return nil
-			}
-			fmt.Printf("%s of %s to %s at %s: %s\n", explained.Request, explained.Team, explained.Service, explained.Came.Format(time.RFC3339Nano), explained.Ended)
-			table := newTable("TARGET", "LOAD", "CANDIDATES", "FROM-TOKEN", "FAILED")
-			for _, attempt := range explained.Attempts {
-				table.row(attempt.Target, attempt.Load, attempt.Candidates, attempt.Offset, attempt.Failed)
-			}
-			return table.print()
-		})
-}
--- /dev/null
+++ b/io/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace tells from nodes' logs what led to the end of a request.
+package trace
