--- a/core/fleet/adopt.go
+++ b/core/fleet/adopt.go
@@ -126,7 +126,7 @@
 		if !endpoint.Born.Equal(replica.born[id]) {
 			return faultRestart
 		}
-		if replica.stage != stageForming && endpoint.Membership.Replica != replica.name {
+		if turn.moved(replica, endpoint.Membership.Replica) {
 			return faultMoved
 		}
 		draining = draining || endpoint.Draining
@@ -143,6 +143,16 @@
 	}
 }
 
+// moved tells whether a member shows a replica that it should not: while one is
+// formed its members may still show their last ones, which have ended, but no
+// other that lives.
+func (turn *turn) moved(replica *replica, shown string) bool {
+	if shown == replica.name {
+		return false
+	}
+	return replica.stage != stageForming || shown != "" && !turn.planner.ended[shown]
+}
+
 // shows tells whether an endpoint says that it belongs to the replica.
 func (turn *turn) shows(replica *replica, id string) bool {
 	endpoint, known := turn.known[id]
--- a/core/fleet/census.go
+++ b/core/fleet/census.go
@@ -33,7 +33,7 @@
 	}
 	for _, endpoint := range input.Endpoints {
 		track := planner.track(endpoint.ID)
-		if track.unsure && input.Now.Before(planner.sureAt) {
+		if input.Now.Before(track.sureAt) {
 			census.Waiting++
 		}
 		if !endpoint.Counted {
--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -112,14 +113,19 @@
 		return nil
 	}
 	var given []*replica
-	for _, candidate := range turn.donors(to, needs, domain) {
+	lost := 0.0
+	for _, candidate := range turn.donors(needs, to, domain) {
 		if lacking <= 0 {
 			break
 		}
+		from := needOf(needs, candidate.model.Name)
+		if !turn.spares(from, to) {
+			lost += from.left() * float64(candidate.model.Size)
+		}
 		given = append(given, candidate)
 		lacking -= turn.preparedIn(candidate.members, to.model)
 	}
-	if lacking > 0 || len(given) > most {
+	if lacking > 0 || len(given) > most || lost*gainRatio > to.score()*float64(free) {
 		return nil
 	}
 	return given
@@ -130,6 +136,7 @@
 	direNeed       = 2.2 // need from which on a replica may be made of others alone
 	easyNeed       = 1.3 // the same while the others have little to do
 	calmLoad       = 0.5 // part of a model's slots up to which it has little to do
+	gainRatio      = 1.3 // how much more the hosts that begin to serve are needed than those that stop
 )
 
 // calm tells whether the other models have little to do.
@@ -142,29 +149,37 @@
 	return true
 }
 
-// donors lists a domain's replicas whose model can better spare them and of
-// whose hosts one at least has the other weights.
-func (turn *turn) donors(to need, needs []need, domain string) []*replica {
+// donors lists a domain's replicas of other models of whose hosts one at least
+// has the weights, those of models that can spare them first.
+func (turn *turn) donors(needs []need, to need, domain string) []*replica {
 	var donors []*replica
 	for _, replica := range turn.planner.sorted() {
 		if replica.stage != stageServing || replica.model.Name == to.model.Name || turn.known[replica.head()].Domain != domain {
 			continue
 		}
-		from := needOf(needs, replica.model.Name)
-		if !turn.spares(from, to) || turn.preparedIn(replica.members, to.model) == 0 {
-			continue
+		if turn.preparedIn(replica.members, to.model) > 0 {
+			donors = append(donors, replica)
+		}
+	}
+	spared := func(replica *replica) int {
+		if turn.spares(needOf(needs, replica.model.Name), to) {
+			return 0
 		}
-		donors = append(donors, replica)
+		return 1
 	}
-	slices.SortStableFunc(donors, func(a, b *replica) int { return turn.InFlight[a.head()] - turn.InFlight[b.head()] })
+	slices.SortStableFunc(donors, func(a, b *replica) int {
+		return cmp.Or(spared(a)-spared(b), turn.InFlight[a.head()]-turn.InFlight[b.head()])
+	})
 	return donors
 }
 
 // spares tells whether a model can better do without a replica than another
 // one: it has enough of them, or the other lacks far more. When both lack
-// hosts, closing what serves gains nothing.
+// hosts, closing what serves gains only by the hosts that idle for want of one:
+// of a broken replica of eight, seven wait, and one of two in their domain
+// completes them.
 func (turn *turn) spares(from, to need) bool {
-	left := from.wanted / float64(max(1, from.replicas))
+	left := from.left()
 	if left <= enoughNeed {
 		return to.score() >= turn.planner.policy.ConvertNeed*left
 	}
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -88,11 +88,12 @@
 	}
 }
 
-// waited tells whether endpoints wait for one more host to complete a replica
-// that is wanted.
+// waited tells whether endpoints wait for one more host, or two of eight, to
+// complete a replica that is wanted: as members of another model's replicas they
+// would lose the weights of this one.
 func (turn *turn) waited(needs []need, ids []string) bool {
 	for _, need := range needs {
-		if need.score() >= 1 && need.model.Size > smallSize && turn.preparedIn(ids, need.model) == need.model.Size-1 {
+		if need.score() >= 1 && need.model.Size > smallSize && turn.preparedIn(ids, need.model) >= need.model.Size-max(1, need.model.Size/hostsPerGiving) {
 			return true
 		}
 	}
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -13,6 +13,9 @@
 // score is above 1 where a model lacks replicas.
 func (need need) score() float64 { return need.wanted / float64(need.replicas+1) }
 
+// left is above 1 where a model would lack replicas if it gave one.
+func (need need) left() float64 { return need.wanted / float64(max(1, need.replicas)) }
+
 // needs works out how many replicas of each model the endpoints at hand should
 // form. Endpoints less the reserve are shared out by the work of each model,
 // at first as configured, then as callers ask for it: with 60 endpoints, 10 in
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -19,6 +19,14 @@
 	InFlight  map[string]int     // requests of all nodes at each first host
 	Work      map[string]float64 // hosts' seconds that callers lately asked of each model
 	Quiet     bool               // no caller has come yet: loads are quick and free
+	Told      Told               // by the holder before
+}
+
+// Told is what the holder of a lease last said of the endpoints that it freed.
+type Told struct {
+	Fence int64
+	At    time.Time       // when it was heard
+	Held  map[string]bool // endpoints whose last first host may still serve
 }
 
 // Planner holds one service's replicas for as long as the lease is held. What
@@ -73,10 +81,11 @@
 	retryAt   time.Time
 	stagedBy  time.Time // when a load that was ordered is expected to end
 	staging   string
+	shown     string // the replica that it last said it belongs to
 	lastModel string // of its last replica in this life: it joins that one again at once
 	born      time.Time
 	seen      bool
-	unsure    bool // it belonged to nothing when first seen, and may have been told to leave shortly before
+	sureAt    time.Time // until when another holder may have told it to leave a first host that still serves
 }
 
 // NewPlanner makes a planner of a service that knows nothing yet.
@@ -190,22 +199,45 @@
 	track := turn.planner.track(endpoint.ID)
 	if !track.seen {
 		track.seen = true
-		track.unsure = endpoint.Membership.Replica == "" && (endpoint.Orders > 0 || !endpoint.Counted) && !turn.Quiet
+		if endpoint.Membership.Replica == "" && (endpoint.Orders > 0 || !endpoint.Counted) && !turn.Quiet {
+			track.sureAt = turn.planner.sureAt
+		}
 		turn.planner.newest = turn.Now
 	}
 	if endpoint.Counted && endpoint.Orders == 0 {
-		track.unsure = false // it was never told anything in this life
+		track.sureAt = time.Time{} // it was never told anything in this life
 	}
 	if track.staging != "" && (endpoint.Holds(track.staging) || turn.Now.After(track.stagedBy)) {
 		track.staging = ""
 	}
 	if !endpoint.Born.Equal(track.born) {
-		track.unsure = track.unsure && track.born.IsZero()
+		if !track.born.IsZero() {
+			track.sureAt = time.Time{}
+		}
 		track.born, track.lastModel, track.staging = endpoint.Born, "", ""
 	}
 	if name := endpoint.Membership.Replica; name != "" {
 		track.lastModel = modelOf(name)
 	}
+	turn.notice(track, endpoint.Membership)
+}
+
+// notice takes in a membership that is new to an endpoint. Where it is one of a
+// replica that has ended here, another holder, who has not noticed that it is
+// none any more, has revived that: what belongs to it is not free. Where it left
+// a replica that was not taken in yet, another holder told it to, perhaps since
+// the first host is silent.
+func (turn *turn) notice(track *track, membership Membership) {
+	if track.shown == membership.Replica {
+		return
+	}
+	if _, stray := turn.planner.strays[track.shown]; stray && membership.Replica == "" {
+		track.sureAt = turn.Now.Add(turn.planner.policy.Stall + turn.planner.policy.StallMargin)
+	}
+	track.shown = membership.Replica
+	if membership.Epoch/epochsPerFence != turn.planner.fence {
+		delete(turn.planner.ended, membership.Replica)
+	}
 }
 
 // send queues a command unless one is under way at the endpoint.
@@ -265,6 +297,35 @@
 	return all
 }
 
+// Moving lists the members of replicas that form or end.
+func (planner *Planner) Moving() []string {
+	var moving []string
+	for _, replica := range planner.replicas {
+		if replica.stage != stageServing {
+			moving = append(moving, replica.members...)
+		}
+	}
+	return moving
+}
+
+// Held lists the endpoints whose last first host may still serve: the members
+// of replicas that end, and those of which that is not known.
+func (planner *Planner) Held(now time.Time) []string {
+	var held []string
+	for _, replica := range planner.replicas {
+		if replica.stage == stageEnding {
+			held = append(held, replica.members...)
+		}
+	}
+	for id, track := range planner.tracks {
+		if now.Before(track.sureAt) {
+			held = append(held, id)
+		}
+	}
+	slices.Sort(held)
+	return slices.Compact(held)
+}
+
 // memberOf gives the replica that the planner counts an endpoint to.
 func (planner *Planner) memberOf(id string) *replica {
 	for _, replica := range planner.replicas {
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -9,6 +9,7 @@
 	LateOrder    time.Duration // an order that nobody answered may be carried out so late
 	Settle       time.Duration // endpoints that appear within this of one another are placed together
 	StrayGrace   time.Duration // members of an unknown replica may appear so far apart
+	ToldLag      time.Duration // how old the last word of a holder may be when it is heard
 	OrderRetry   time.Duration // between two sends of the same order
 	RefusedRetry time.Duration // after a refusal, until the endpoint has said what it counts
 	StageRetry   time.Duration // after a refused staging: the host is at another one
@@ -28,7 +29,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, LateOrder: 12500 * time.Millisecond, Settle: 1300 * time.Millisecond,
-		StrayGrace: 3 * time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
+		StrayGrace: 3 * time.Second, ToldLag: time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
 		RetireLimit: 1500 * time.Millisecond, Reserve: 0.03, ConvertLimit: 2500 * time.Millisecond, ConvertNeed: 1.15, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 4 * time.Second,
 		ConvertPart: 0.04, SecondPart: 0.6,
 	}
--- a/core/fleet/ready.go
+++ b/core/fleet/ready.go
@@ -67,13 +67,23 @@
 
 // unsure tells whether the holder before may have told an endpoint to leave a
 // silent first host that has not broken yet. A node that has watched the
-// endpoint belong to nothing for long enough knows better.
+// endpoint belong to nothing for long enough knows better, and so does one that
+// the holder before told of all such endpoints after this one was free: what it
+// did not name it had freed for good. For example, the word came at 20.0 s,
+// half a second old at most; an endpoint that was free at 18.5 s and is not
+// named may join at once, one that was seen free at 19.8 s may have been told
+// to leave after the word was given.
 func (turn *turn) unsure(id string) bool {
-	if !turn.planner.track(id).unsure {
+	sureAt := turn.planner.track(id).sureAt
+	if !turn.Now.Before(sureAt) {
 		return false
 	}
-	sureAt := turn.planner.sureAt
-	if since := turn.known[id].FreeSince; !since.IsZero() {
+	since := turn.known[id].FreeSince
+	told := turn.Told
+	if told.Fence == turn.Fence-1 && !told.Held[id] && !since.IsZero() && since.Before(told.At.Add(-turn.planner.policy.ToldLag)) {
+		return false
+	}
+	if !since.IsZero() {
 		watched := since.Add(turn.planner.policy.Stall + turn.planner.policy.StallMargin)
 		if watched.Before(sureAt) {
 			sureAt = watched
--- a/core/fleet/silent_test.go
+++ b/core/fleet/silent_test.go
@@ -86,16 +86,72 @@
 }
 
 // TestHolderChangesWhileMembersWait has a new holder find a member that the old
-// one told to leave a silent first host.
+// one told to leave a silent first host: whatever of the old one's words it
+// has heard last, it waits.
 func TestHolderChangesWhileMembersWait(t *testing.T) {
-	expectPromises(t, func(w *world, current *holder) {
-		head, member := w.replicaOf()
-		head.cut = true
-		for member.group != "" {
-			w.run(current, step)
-		}
-		next := &holder{planner: fleet.NewPlanner(fleet.DefaultPolicy(), "llm"), fence: current.fence + 1}
-		w.run(next, 20*time.Second)
-		assert.Assert(w.t, member.group != "", "the member is used again")
-	})
+	for _, test := range []struct {
+		name string
+		word func(words []fleet.Told, left int) fleet.Told
+	}{
+		{"no word", func([]fleet.Told, int) fleet.Told { return fleet.Told{} }},
+		{"the last word", func(words []fleet.Told, _ int) fleet.Told { return words[len(words)-1] }},
+		{"a word from just before", func(words []fleet.Told, left int) fleet.Told {
+			word := words[left]
+			word.At = word.At.Add(500 * time.Millisecond) // it was long on its way
+			return word
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			expectPromises(t, func(w *world, current *holder) {
+				head, member := w.replicaOf()
+				head.cut = true
+				left := 0
+				for member.group != "" {
+					left = len(current.words)
+					w.run(current, step)
+				}
+				w.run(current, 2*time.Second)
+				next := &holder{planner: fleet.NewPlanner(fleet.DefaultPolicy(), "llm"), fence: current.fence + 1, told: test.word(current.words, left)}
+				w.run(next, 20*time.Second)
+				assert.Assert(w.t, member.group != "", "the member is used again")
+			})
+		})
+	}
+}
+
+// TestNewHolderKnowsWhatTheLastOneFreed has a host without a partner when the
+// holder changes. With the last holder's word it joins the next one at once;
+// without it, only once a first host that it may have left must have broken.
+func TestNewHolderKnowsWhatTheLastOneFreed(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		heard bool
+		limit time.Duration
+	}{{"heard", true, 1500 * time.Millisecond}, {"not heard", false, 5 * time.Second}} {
+		t.Run(test.name, func(t *testing.T) {
+			expectPromises(t, func(w *world, current *holder) {
+				head, member := w.replicaOf()
+				member.alive = false
+				var spare *runner
+				for _, id := range w.ids {
+					if w.runners[id].group == "" {
+						spare = w.runners[id]
+					}
+				}
+				spare.alive = false
+				w.run(current, 3*time.Second)
+				next := &holder{planner: fleet.NewPlanner(fleet.DefaultPolicy(), "llm"), fence: current.fence + 1}
+				if test.heard {
+					next.told = current.words[len(current.words)-1]
+				}
+				w.restart(spare)
+				began := w.now
+				for head.group == "" && w.now.Before(began.Add(10*time.Second)) {
+					w.run(next, step)
+				}
+				took := w.now.Sub(began)
+				assert.Assert(w.t, (took < 2*time.Second) == test.heard && took < test.limit, "it took %s", took)
+			})
+		})
+	}
 }
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -75,6 +75,10 @@
 }
 
 func (turn *turn) countStage(supply supply, id string, model site.Model) {
+	if turn.planner.memberOf(id) != nil {
+		supply.reserve[model.Name]++
+		return
+	}
 	if from := turn.preparedFor(id); turn.planner.track(id).lastModel == "" {
 		supply.prepared[from]--
 	}
@@ -102,25 +106,45 @@
 		if last == "" || model.Name == last || turn.known[id].Holds(model.Name) {
 			continue
 		}
-		if value := secondValue * (1 + supply.needs[model.Name]) * float64(model.Size); value > bestValue {
+		value := min(1, secondValue*(1+supply.needs[model.Name])*float64(model.Size))
+		if turn.planner.memberOf(id) != nil {
+			value = max(value, supply.reserveValue(model))
+		}
+		if value > bestValue {
 			best, bestValue = model, value
 		}
 	}
 	if len(turn.Engine.Models) > 2 && len(turn.known[id].Staged) > 0 && !turn.known[id].Holds(last) {
 		return site.Model{}, 0 // it has a second one already
 	}
-	return best, min(bestValue, 1)
+	return best, bestValue
+}
+
+// reserveLeast is how many hosts of a domain that serve other models should have
+// a model's weights, to complete its replicas there.
+const reserveLeast = 2
+
+// reserveValue rates weights on a host that serves another model. Hosts that
+// wait for one more are completed by it as by an idle one: of a broken replica
+// of eight, seven wait, and no idle host of the domain may come for long.
+func (supply supply) reserveValue(model site.Model) float64 {
+	waiting := supply.prepared[model.Name] % max(model.Size, 1)
+	if supply.needs[model.Name] < 1 || waiting == 0 || supply.reserve[model.Name] >= reserveLeast {
+		return 0
+	}
+	return 1 + supply.needs[model.Name]/float64(model.Size-waiting)
 }
 
 // supply is what a domain has of each model, by the model's name.
 type supply struct {
 	prepared map[string]int     // free endpoints with the weights, or about to have them
 	hosts    map[string]int     // in replicas
+	reserve  map[string]int     // hosts of other models\' replicas with the weights, or about to have them
 	needs    map[string]float64 // of all domains together
 }
 
 func (turn *turn) supplyOf(domain string, ids []string, needs map[string]float64) supply {
-	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, needs: needs}
+	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, reserve: map[string]int{}, needs: needs}
 	for _, id := range ids {
 		for _, model := range turn.Engine.Models {
 			if turn.readinessOf(id, model.Name) < readyCold {
@@ -129,13 +153,25 @@
 		}
 	}
 	for _, replica := range turn.planner.sorted() {
-		if turn.known[replica.head()].Domain == domain {
-			supply.hosts[replica.model.Name] += replica.model.Size
+		if turn.known[replica.head()].Domain != domain {
+			continue
+		}
+		supply.hosts[replica.model.Name] += replica.model.Size
+		for _, id := range replica.members {
+			turn.countReserve(supply, replica, id)
 		}
 	}
 	return supply
 }
 
+func (turn *turn) countReserve(supply supply, replica *replica, id string) {
+	for _, model := range turn.Engine.Models {
+		if model.Name != replica.model.Name && turn.readinessOf(id, model.Name) < readyCold {
+			supply.reserve[model.Name]++
+		}
+	}
+}
+
 // preparedFor gives the model whose weights an endpoint's host has or is about
 // to have; "" for none.
 func (turn *turn) preparedFor(id string) string {
--- a/core/fleet/stage_test.go
+++ b/core/fleet/stage_test.go
@@ -138,3 +138,59 @@
 		})
 	}
 }
+
+// TestStrandedHostsAreCompleted has three hosts of a broken replica of four wait
+// while both models lack replicas: one of two hosts ends for them.
+func TestStrandedHostsAreCompleted(t *testing.T) {
+	for _, test := range []struct {
+		stranded int
+		closes   int
+	}{{3, 1}, {1, 0}} {
+		t.Run(fmt.Sprint(test.stranded), func(t *testing.T) {
+			listed := serving(1)
+			inFlight := map[string]int{}
+			for _, endpoint := range listed {
+				inFlight[endpoint.ID] = 10 // they are busy
+			}
+			for i := range 8 {
+				free := fleet.Endpoint{ID: fmt.Sprintf("f-%d", i), Domain: "d-0", Born: time.Unix(1, 0), Counted: true, Staged: []string{"large"}, Draining: i >= test.stranded}
+				listed = append(listed, free)
+			}
+			planner := fleet.NewPlanner(fleet.DefaultPolicy(), "llm")
+			commands := planner.Plan(fleet.Input{Now: time.Unix(1000, 0), Fence: 1, Engine: engine, Endpoints: listed, InFlight: inFlight, Dead: map[string]bool{}})
+			commands = append(commands, planner.Plan(fleet.Input{Now: time.Unix(1000, 1e8), Fence: 1, Engine: engine, Endpoints: listed, InFlight: inFlight, Dead: map[string]bool{}})...)
+			assert.Equal(t, closed(commands), test.closes)
+		})
+	}
+}
+
+// TestWaitingHostsGetTheirLoad has three hosts of a broken replica of four wait
+// in a domain where nobody else has the weights, and an empty host in another
+// domain. Of the loads that begin, one completes the four.
+func TestWaitingHostsGetTheirLoad(t *testing.T) {
+	listed := serving(1)
+	for i := range listed {
+		listed[i].Staged = []string{"small"}
+	}
+	for i := range 3 {
+		listed = append(listed, fleet.Endpoint{ID: fmt.Sprintf("f-%d", i), Domain: "d-0", Born: time.Unix(1, 0), Counted: true, Staged: []string{"large"}})
+	}
+	listed = append(listed, fresh("a-new")...)
+	for _, leaving := range fresh("l-1", "l-2", "l-3", "l-4", "l-5", "l-6", "l-7", "l-8") {
+		leaving.Draining = true // so that replicas are lacking
+		listed = append(listed, leaving)
+	}
+	few := *engine
+	few.LoadsAtOnce, few.LoadsPerSec = 2, 1
+	planner := fleet.NewPlanner(fleet.DefaultPolicy(), "llm")
+	input := fleet.Input{Now: time.Unix(1000, 0), Fence: 1, Engine: &few, Endpoints: listed, InFlight: map[string]int{}, Dead: map[string]bool{}}
+	var first fleet.Command
+	for _, command := range planner.Plan(input) {
+		if _, ok := command.Order.(fleet.Stage); ok {
+			first = command
+			break
+		}
+	}
+	assert.Equal(t, first.Order, fleet.Order(fleet.Stage{Model: "large"}))
+	assert.Assert(t, first.Endpoint[0] == 'e', first.Endpoint)
+}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -25,6 +25,7 @@
 	alive   bool
 	cut     bool // nobody hears it or reaches it, and it serves on
 	born    time.Time
+	freeAt  time.Time // since when it belongs to nothing
 	orders  int64
 	epoch   int64
 	group   string
@@ -64,7 +65,7 @@
 	for d := range domains {
 		for i := range each {
 			id := fmt.Sprintf("e%d-%d", d, i)
-			w.runners[id] = &runner{id: id, domain: fmt.Sprintf("d%d", d), alive: true, born: w.now}
+			w.runners[id] = &runner{id: id, domain: fmt.Sprintf("d%d", d), alive: true, born: w.now, freeAt: w.now}
 			w.ids = append(w.ids, id)
 		}
 	}
@@ -93,6 +94,7 @@
 		}
 		if runner.group == "" {
 			endpoint.Membership = fleet.Membership{}
+			endpoint.FreeSince = runner.freeAt
 		}
 		if runner.staged != "" {
 			endpoint.Staged = []string{runner.staged}
@@ -146,6 +148,7 @@
 		}
 		runner.former, runner.formerH = runner.group, runner.members[0]
 		runner.group, runner.members, runner.phase, runner.stalled = "", nil, fleet.PhaseNone, time.Time{}
+		runner.freeAt = w.now
 		runner.orders++
 		return fleet.Held{}
 	case fleet.Stage:
@@ -252,6 +255,8 @@
 	planner *fleet.Planner
 	fence   int64
 	frozen  bool
+	told    fleet.Told // by the holder before
+	words   []fleet.Told
 }
 
 // deliver sends a command with the fate drawn for it.
@@ -274,11 +279,34 @@
 		return
 	}
 	input := fleet.Input{Now: w.now, Fence: holder.fence, Engine: engine, Endpoints: w.seen(), Dead: map[string]bool{}, InFlight: map[string]int{}}
+	input.Told = holder.told
+	holder.words = append(holder.words, fleet.Told{Fence: holder.fence, At: w.now, Held: heldOf(holder.planner, w.now)})
 	for _, command := range holder.planner.Plan(input) {
 		w.deliver(holder, command, rapid.SampledFrom(fates).Draw(w.t, "fate"))
 	}
 }
 
+func heldOf(planner *fleet.Planner, now time.Time) map[string]bool {
+	held := map[string]bool{}
+	for _, id := range planner.Held(now) {
+		held[id] = true
+	}
+	return held
+}
+
+// told draws which word of a holder is the last that another node heard: from
+// before its latest plans or long ago, and heard up to half a second late.
+func (w *world) told(holder *holder) fleet.Told {
+	if len(holder.words) == 0 {
+		return fleet.Told{}
+	}
+	ago := rapid.IntRange(1, min(len(holder.words), 30)).Draw(w.t, "word")
+	told := holder.words[len(holder.words)-ago]
+	late := time.Duration(rapid.IntRange(0, 500).Draw(w.t, "heard late")) * time.Millisecond
+	told.At = told.At.Add(late)
+	return told
+}
+
 // TestPromisesOfPlacement runs holders that replace one another over runners
 // that die, restart under their id, are cut off and return, while orders and
 // answers are lost or late.
@@ -287,12 +315,19 @@
 		w := newWorld(t, 2, 6)
 		fates := []string{"answered", "answered", "answered", "answered", "answer lost", "late", "dropped"}
 		current := &holder{planner: fleet.NewPlanner(fleet.DefaultPolicy(), "llm"), fence: 1}
+		var former *holder // goes on beside the new one for a while
+		var formerUntil time.Time
 		for range rapid.IntRange(100, 400).Draw(t, "steps") {
 			w.trouble(rapid.IntRange(0, 60).Draw(t, "trouble"))
 			if rapid.IntRange(0, 80).Draw(t, "change of holder") == 0 {
-				current = &holder{planner: fleet.NewPlanner(fleet.DefaultPolicy(), "llm"), fence: current.fence + 1}
+				told := w.told(current)
+				former, formerUntil = current, w.now.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "former goes on"))*time.Second)
+				current = &holder{planner: fleet.NewPlanner(fleet.DefaultPolicy(), "llm"), fence: current.fence + 1, told: told}
 			}
 			w.plan(current, fates)
+			if w.now.Before(formerUntil) {
+				w.plan(former, fates)
+			}
 			w.advance()
 			if w.broken != "" {
 				t.Fatalf("after %s: %s", w.now.Sub(time.Unix(1000, 0)), w.broken)
@@ -325,7 +360,7 @@
 }
 
 func (w *world) restart(old *runner) {
-	w.runners[old.id] = &runner{id: old.id, domain: old.domain, alive: true, born: w.now, staged: old.staged}
+	w.runners[old.id] = &runner{id: old.id, domain: old.domain, alive: true, born: w.now, freeAt: w.now, staged: old.staged}
 }
 
 // TestAllServeAfterCalm has every runner alive and every order answered: all
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -27,7 +27,7 @@
 		candidates = pool.Models[wish.Model]
 	}
 	limit := limitOf(policy, pool, wish)
-	best, score := pick(policy, sample(candidates, wish), wish)
+	best, score := pick(policy, sample(policy, candidates, wish), wish)
 	if best == nil || score.taken > limit {
 		best, score = pick(policy, candidates, wish)
 	}
@@ -40,24 +40,53 @@
 	return Send{Candidate: best}
 }
 
-// sample draws some candidates by the request's random point.
+// sample draws some candidates by the request's random point: of this zone and
+// a few others where it has many, else of all.
 //
 // Many nodes that all send to the least loaded replica of the same stale
 // picture overload it before the next picture comes: 35 requests in half a
 // second go to one of seven. Two drawn at random, of which the better one is
-// taken, spread them nearly as well as fresh knowledge would.
-func sample(candidates []*Candidate, wish Wish) []*Candidate {
+// taken, spread them nearly as well as fresh knowledge would. Of 60 replicas in
+// four zones 3 drawn alike leave out this zone for two fifths of the requests;
+// 3 of its 15 and 2 of the others keep at home what it can serve. A model with
+// 12 replicas is drawn from all: its 3 here are seldom loaded like the others.
+func sample(policy Policy, candidates []*Candidate, wish Wish) []*Candidate {
 	if wish.Sample <= 0 || wish.Sample >= len(candidates) {
 		return candidates
 	}
 	random := rand.New(rand.NewPCG(math.Float64bits(wish.Point), uint64(len(candidates))))
-	drawn := make([]*Candidate, 0, wish.Sample)
-	for _, i := range random.Perm(len(candidates))[:wish.Sample] {
-		drawn = append(drawn, candidates[i])
+	order := random.Perm(len(candidates))
+	drawn := make([]*Candidate, 0, wish.Sample+policy.SampleFar)
+	near, far := wish.Sample, policy.SampleFar
+	uniform := countNear(candidates) < policy.SampleZone
+	for _, i := range order {
+		candidate := candidates[i]
+		switch {
+		case uniform:
+			if len(drawn) < wish.Sample {
+				drawn = append(drawn, candidate)
+			}
+		case candidate.Near && near > 0:
+			near--
+			drawn = append(drawn, candidate)
+		case !candidate.Near && far > 0:
+			far--
+			drawn = append(drawn, candidate)
+		}
 	}
 	return drawn
 }
 
+func countNear(candidates []*Candidate) int {
+	count := 0
+	for _, candidate := range candidates {
+		if candidate.Near {
+			count++
+		}
+	}
+	return count
+}
+
 // rating is a candidate's share of slots taken, and that with its penalties.
 type rating struct {
 	taken float64
--- a/core/reach/choose_test.go
+++ b/core/reach/choose_test.go
@@ -190,3 +190,38 @@
 		expectChoice(t, poolOf(replica("full", true, 10), replica("also", true, 10), replica("room", true, 1)), asked, "room")
 	}
 }
+
+// TestSampleKeepsToTheZone has many replicas in four zones: most requests stay
+// in their own while it has room, and leave it when it has none.
+func TestSampleKeepsToTheZone(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		here, there int // requests in flight at the replicas of this zone and of the others
+		least, most int // of 100 requests that stay
+	}{
+		{"alike", 4, 4, 100, 100},
+		{"a little busier here", 5, 4, 90, 100},
+		{"full here", 10, 4, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var candidates []*reach.Candidate
+			for i := range 60 {
+				near := i%4 == 0
+				inFlight := test.there
+				if near {
+					inFlight = test.here
+				}
+				candidates = append(candidates, replica(fmt.Sprintf("r-%d", i), near, inFlight))
+			}
+			stay := 0
+			for i := range 100 {
+				asked := wish()
+				asked.Sample, asked.Point = reach.DefaultPolicy().SampleOf(75), float64(i)/100
+				if reach.Choose(reach.DefaultPolicy(), poolOf(candidates...), asked).(reach.Send).Candidate.Near {
+					stay++
+				}
+			}
+			assert.Assert(t, stay >= test.least && stay <= test.most, "%d of 100 stay", stay)
+		})
+	}
+}
--- a/core/reach/policy.go
+++ b/core/reach/policy.go
@@ -10,6 +10,8 @@
 	LeastDue     time.Duration // the least that prompts are measured by, where the objective is near or past
 	TieWidth     float64       // how far a node's fixed offsets move like candidates apart
 	Sample       int           // candidates that are compared where many nodes choose by the same stale picture
+	SampleFar    int           // added to these of other zones, where they are drawn in this one
+	SampleZone   int           // candidates in this zone from which on they are
 	SampleNodes  int           // nodes from which on that is so
 	Waiting      float64       // requests beyond a replica's slots, as part of the slots, that still meet the objective
 	BackWaiting  float64       // the same for a request that was turned away before
@@ -24,7 +26,7 @@
 // DefaultPolicy fits objectives of some hundred milliseconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		FarPenalty: 0.12, SlowPenalty: 0.3, PromptWeight: 1, LeastDue: 100 * time.Millisecond, TieWidth: 0.06, Sample: 3, SampleNodes: 13, Waiting: 0.06, BackWaiting: 0.3, UrgentExtra: 0.03,
+		FarPenalty: 0.12, SlowPenalty: 0.3, PromptWeight: 1, LeastDue: 100 * time.Millisecond, TieWidth: 0.06, Sample: 3, SampleFar: 2, SampleZone: 6, SampleNodes: 13, Waiting: 0.06, BackWaiting: 0.3, UrgentExtra: 0.03,
 		PlainWaiting: 1.0, FailPenalty: 3, RetryLeast: 300 * time.Millisecond, RetryMost: 2 * time.Second,
 		ServiceTime: 1500 * time.Millisecond,
 	}
--- a/core/talk/arrange.go
+++ b/core/talk/arrange.go
@@ -1,6 +1,7 @@
 package talk
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,10 +20,12 @@
 
 // Part is what one node does among the others.
 type Part struct {
-	Mesh  bool     // all nodes talk to all
-	Leads bool     // it reads the platform's tables for its zone, and sums its zone up
-	Calls []string // the nodes that it calls in each round
-	Size  int      // nodes of its zone, itself included
+	Mesh    bool     // all nodes talk to all
+	Leads   bool     // it reads the platform's tables for its zone, and sums its zone up
+	Leader  string   // of its zone
+	Leaders []string // of all zones
+	Calls   []string // the nodes that it calls in each round
+	Size    int      // nodes of its zone, itself included
 }
 
 // Arrange gives a node's part. In every zone the first node that is not down,
@@ -36,7 +39,9 @@
 func Arrange(self Node, others []Node) Part {
 	part := Part{Mesh: len(others) < MostMesh, Size: 1}
 	leaders := leadersOf(self, others)
-	part.Leads = leaders[self.Zone] == self.Name
+	part.Leader = leaders[self.Zone]
+	part.Leaders = slices.Sorted(maps.Values(leaders))
+	part.Leads = part.Leader == self.Name
 	for _, other := range others {
 		if other.Zone == self.Zone {
 			part.Size++
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -39,6 +39,7 @@
 	ready     atomic.Bool
 	holding   atomic.Bool // the placement lease is held
 	leads     atomic.Bool // this node reads the platform for its zone
+	informed  atomic.Bool // a leader tells this node of changes
 	started   time.Time
 	ctx       context.Context
 	operators operators
@@ -47,6 +48,7 @@
 	placement placement
 	demand    demand
 	serving   map[string]int // replicas of each model, as last logged
+	storeAt   time.Time      // when the store last answered
 	slept     time.Duration  // how far the clock that counts suspensions was ahead at the last tick
 	leaving   bool
 	changed   bool // the picture has to be drawn anew
@@ -151,7 +153,7 @@
 		_, done := typed.outcome.(rows.Done)
 		control.peers.written, control.peers.writing = done, false
 	case claimed:
-		control.placement.learnClaim(typed, now)
+		control.learnClaim(typed, now)
 	case leave:
 		control.giveUp(typed, now)
 	}
@@ -159,6 +161,7 @@
 
 func (control *Control) learnTable(change tableChanged, now time.Time) {
 	if change.from == fromStore {
+		control.storeAt = now
 		control.regained(change.table, now)
 	}
 	switch change.table {
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -107,6 +107,9 @@
 	}
 	known.byID[entry.Key] = endpoint
 	known.changedAt[entry.Key] = now
+	if known.isLost(entry.Key) {
+		control.probe(entry.Key, now) // it lives, for the store at least
+	}
 	if !had || endpoint.Draining != before.Draining || endpoint.Membership != before.Membership {
 		event.Log(control.log, event.EndpointChanged, zap.String("endpoint", entry.Key), zap.String("address", endpoint.Address),
 			zap.Bool("draining", endpoint.Draining), zap.String("replica", endpoint.Membership.Replica),
@@ -157,7 +160,7 @@
 	}
 	for id, again := range known.lost {
 		if now.After(again) {
-			known.lost[id] = now.Add(lostProbe)
+			known.lost[id] = now.Add(control.lostPause())
 			control.probe(id, now)
 		}
 	}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -28,21 +28,31 @@
 // nodes' versions show it sooner, unless all channels go silent at once.
 var leaderWaits = [tableCount]time.Duration{2 * time.Second, 2 * time.Second, 5 * time.Second, 4 * time.Second}
 
-// memberWait is the same for the others, which the leader tells of changes.
-const memberWait = 20 * time.Second
+// memberWait is the same for the others, which the leader tells of changes; the
+// store holds a feed for 30 s at most.
+const memberWait = 28 * time.Second
+
+// holderPause is how long the node that places replicas lets changes gather;
+// it plans ten times a second.
+const holderPause = 60 * time.Millisecond
 
 // feedPauses are how long a node lets changes gather before it asks for the
-// next ones; the one that places replicas takes them as they come.
+// next ones.
 var feedPauses = [tableCount]time.Duration{0, 200 * time.Millisecond, time.Second, 0}
 
 // dutyPause is how long a node waits before it looks again whether it has to
 // follow a table.
 const dutyPause = 200 * time.Millisecond
 
-// follows tells whether this node reads a table itself: all nodes the
-// configuration and the nodes, the rest only leaders and who places.
+// follows tells whether this node reads a table itself: leaders and who places
+// do. The rest read the configuration and the nodes too where no leader tells
+// them of changes: 75 nodes that each follow both make 15 calls for a change
+// and 12 a second for none.
 func (control *Control) follows(table int) bool {
-	return table == tableConfig || table == tableNodes || control.leads.Load() || control.holding.Load()
+	if control.leads.Load() || control.holding.Load() {
+		return true
+	}
+	return (table == tableConfig || table == tableNodes) && !control.informed.Load()
 }
 
 const (
@@ -67,9 +77,7 @@
 			pause = retryLeast
 			whole, next = true, batch.Next
 			control.tell(tableChanged{table: table, batch: batch, from: fromStore})
-			if feedPauses[table] > 0 && !control.holding.Load() {
-				wait(ctx, feedPauses[table])
-			}
+			wait(ctx, control.gathers(table))
 			continue
 		case errors.Is(err, platform.ErrHistory):
 			whole = false
@@ -81,6 +89,14 @@
 	}
 }
 
+// gathers is how long changes of a table gather before the next call.
+func (control *Control) gathers(table int) time.Duration {
+	if control.holding.Load() {
+		return min(holderPause, feedPauses[table])
+	}
+	return feedPauses[table]
+}
+
 func (control *Control) fetch(ctx context.Context, table int, whole bool, next int64) (platform.Batch, error) {
 	if !whole {
 		return control.store.Read(ctx, tableNames[table])
@@ -93,6 +109,9 @@
 }
 
 func wait(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -18,15 +18,21 @@
 
 // learnNodes takes in the rows of nodes.
 func (control *Control) learnNodes(change tableChanged) {
+	peers := control.peers
 	for _, entry := range change.batch.Entries {
+		if entry.Version < peers.rows[entry.Key].Version {
+			continue // another node told of it before
+		}
 		row, err := control.store.Row(tableNames[tableNodes], entry)
 		if err != nil {
 			event.Log(control.log, event.RowUnreadable, zap.String("row", entry.Key), zap.Error(err))
 			continue
 		}
 		control.learnNode(entry.Key, row)
-		control.copyNode(entry)
+		peers.rows[entry.Key] = entry
+		peers.version = max(peers.version, entry.Version)
 	}
+	control.copyNodes()
 	if change.from == fromStore {
 		control.writeSelf()
 	}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,11 +33,13 @@
 	http     *http.Client
 	nodes    map[string]*peer
 	rows     map[string]platform.Entry // of nodes, as the store gave them
+	version  int64                     // of the newest of them
 	written  bool
 	writing  bool
 	behind   [tableCount]time.Time // since when a peer has known more
 	fetching [tableCount]bool
 	part     talk.Part
+	missed   []string                      // endpoints that this zone's leader misses
 	wide     atomic.Pointer[gossip.Digest] // all nodes, summed up by a leader; nil in a mesh
 	near     atomic.Pointer[gossip.Digest] // this zone's nodes, summed up by its leader; nil in a mesh
 }
@@ -104,6 +107,8 @@
 	}
 	peers.part = talk.Arrange(talk.Node{Name: peers.self, Zone: control.settings.Zone}, others)
 	control.leads.Store(peers.part.Leads)
+	leader := peers.nodes[peers.part.Leader]
+	control.informed.Store(!peers.part.Mesh && leader != nil && !leader.digest.Blind && now.Before(leader.heardAt.Add(digestTerm)))
 }
 
 // silent tells whether a node that should call, or answer, has not for a while.
@@ -174,6 +179,11 @@
 		digest.Lost = append(digest.Lost, id)
 	}
 	digest.Versions = control.versions()
+	if placement := &control.placement; placement.held {
+		digest.Fence, digest.Turn, digest.Held = placement.fence, placement.turn, placement.freed(time.Now())
+	}
+	digest.StoreAge = int64(time.Since(control.storeAt))
+	digest.Blind = !control.operators.silentSince[tableConfig].IsZero()
 	control.digest.Store(digest)
 }
 
@@ -183,6 +193,7 @@
 		versions[tableConfig] = control.operators.index.Config.Version
 	}
 	versions[tableEndpoints] = control.endpoints.version
+	versions[tableNodes] = control.peers.version
 	return versions
 }
 
@@ -228,11 +239,28 @@
 	found.heardAt = now
 	found.talking = false
 	found.down = false
+	control.learnLost(digest, now)
+	control.placement.learnTold(digest, now)
+}
+
+// learnLost looks at the endpoints that another node misses, and at those that
+// this zone's leader misses no more.
+func (control *Control) learnLost(digest gossip.Digest, now time.Time) {
+	known, peers := &control.endpoints, control.peers
 	for _, id := range digest.Lost {
-		if !control.endpoints.isLost(id) {
+		if !known.isLost(id) && now.After(known.probedAt[id].Add(hintPause)) {
+			control.probe(id, now)
+		}
+	}
+	if digest.Node != peers.part.Leader {
+		return
+	}
+	for _, id := range peers.missed {
+		if known.isLost(id) && !slices.Contains(digest.Lost, id) {
 			control.probe(id, now)
 		}
 	}
+	peers.missed = digest.Lost
 }
 
 // shareLoads gives each endpoint the other nodes' requests in flight.
@@ -257,11 +285,7 @@
 // catchUp fetches a table from a node that has known more of it for a while:
 // the store does not answer this node, or its feed has gone silent.
 func (control *Control) catchUp(now time.Time) {
-	grace := behindGrace
-	if !control.follows(tableEndpoints) {
-		grace = 0 // the leader's news are the only ones
-	}
-	for _, table := range []int{tableConfig, tableEndpoints} {
+	for _, table := range []int{tableConfig, tableEndpoints, tableNodes} {
 		ahead := control.ahead(table, now)
 		switch {
 		case ahead == nil:
@@ -269,6 +293,10 @@
 		case control.peers.behind[table].IsZero():
 			control.peers.behind[table] = now
 		}
+		grace := behindGrace
+		if !control.follows(table) {
+			grace = 0 // the leader's news are the only ones
+		}
 		since := control.peers.behind[table]
 		if ahead != nil && !control.peers.fetching[table] && !now.Before(since.Add(grace)) {
 			control.peers.behind[table] = now
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,10 +12,13 @@
 	"hickorybend/core/lease"
 	"hickorybend/core/rows"
 	"hickorybend/io/event"
+	"hickorybend/io/gossip"
 )
 
 const (
 	leaseName   = "placement"
+	claimPause  = 600 * time.Millisecond // after a claim that the store did not answer
+	goOnAge     = time.Second            // without an answer of the store, after which it counts as away
 	takeJitter  = 200 * time.Millisecond // so that not all nodes take a free lease at once
 	quietLimit  = 30 * time.Second       // after the start, loads are no longer taken for free
 	censusEvery = time.Second            // between two log lines about the state
@@ -34,9 +38,14 @@
 	fence    int64
 	row      rows.Row
 	fenceRow rows.Row
+	turn     int64      // plans so far under this fencing number
+	told     fleet.Told // by the latest holder, this node perhaps
+	toldTurn int64
 	planners map[string]*fleet.Planner
 	policy   fleet.Policy
 	delay    time.Duration
+	claimAt  time.Time // not before this, the next claim
+	mayGoOn  bool      // it held the lease, and knows of no later holder
 	censusAt time.Time // when the state is logged next
 }
 
@@ -62,9 +71,15 @@
 }
 
 // learnClaim takes in what became of a transaction on the lease.
-func (placement *placement) learnClaim(claimed claimed, now time.Time) {
+func (control *Control) learnClaim(claimed claimed, now time.Time) {
+	placement := &control.placement
 	placement.claiming = false
 	placement.claim.Resolve(claimed.action, claimed.outcome, now)
+	if _, unknown := claimed.outcome.(rows.Unknown); unknown {
+		placement.claimAt = now.Add(claimPause/2 + rand.N(claimPause/2))
+		return
+	}
+	control.storeAt = now
 	if _, done := claimed.outcome.(rows.Done); !done {
 		return
 	}
@@ -75,6 +90,28 @@
 	}
 }
 
+// learnTold takes in what another node says of who places.
+func (placement *placement) learnTold(digest gossip.Digest, now time.Time) {
+	if !digest.Later(placement.told.Fence, placement.toldTurn) {
+		return
+	}
+	placement.told = fleet.Told{Fence: digest.Fence, At: now, Held: map[string]bool{}}
+	placement.toldTurn = digest.Turn
+	for _, id := range digest.Held {
+		placement.told.Held[id] = true
+	}
+}
+
+// freed lists the endpoints of all services whose last first host may still
+// serve.
+func (placement *placement) freed(now time.Time) []string {
+	var held []string
+	for _, planner := range placement.planners {
+		held = append(held, planner.Held(now)...)
+	}
+	return held
+}
+
 func txnOf(action lease.Action) rows.Txn {
 	switch typed := action.(type) {
 	case lease.Renew:
@@ -108,6 +145,11 @@
 	placement := &control.placement
 	control.claimNow(now)
 	fence, held := placement.claim.Held(now)
+	placement.mayGoOn = placement.mayGoOn || held
+	held = held && !control.leaving
+	if !held && control.goesOn(now) {
+		fence, held = placement.fence, true
+	}
 	if held != placement.held {
 		placement.held = held
 		control.holding.Store(held)
@@ -117,10 +159,11 @@
 		}
 		event.Log(control.log, noted, zap.Int64("fence", fence))
 	}
-	if !held || control.leaving || control.operators.index == nil || !control.endpoints.known {
+	if !held || control.operators.index == nil || !control.endpoints.known {
 		return
 	}
 	placement.hold(fence)
+	placement.turn++
 	for i := range control.operators.index.Config.Services {
 		if service := &control.operators.index.Config.Services[i]; service.Engine != nil {
 			control.planService(service.Name, now)
@@ -128,22 +171,67 @@
 	}
 }
 
-// hold begins anew under another fencing number. Under the same one nobody else
-// has placed anything meanwhile, and the planners go on: new ones would form
-// replicas under epochs that were used.
+// goesOn tells whether this node places on though its lease has run out: the
+// store answers none of the nodes that it hears, and those are most. Nobody can
+// take the lease then; were one of the others cut off and the store within its
+// reach, the two would place beside one another for a while, which the orders'
+// epochs and conditions allow. It ends with the first word of a later holder. A
+// node that leaves goes on too: it cannot hand the lease over.
+func (control *Control) goesOn(now time.Time) bool {
+	placement := &control.placement
+	if !placement.mayGoOn || now.Sub(control.storeAt) < goOnAge {
+		return false
+	}
+	if placement.told.Fence > placement.fence {
+		placement.mayGoOn = false
+		return false
+	}
+	return control.peers.noneServed(now)
+}
+
+// noneServed tells whether most of the nodes that this one exchanges with are
+// heard, and the store answers none of them.
+func (peers *peers) noneServed(now time.Time) bool {
+	leaders, heard := 0, 0
+	for name, found := range peers.nodes {
+		if !peers.part.Mesh && !slices.Contains(peers.part.Leaders, name) {
+			continue
+		}
+		leaders++
+		if now.After(found.heardAt.Add(digestTerm)) {
+			continue
+		}
+		heard++
+		if time.Duration(found.digest.StoreAge) < goOnAge {
+			return false
+		}
+	}
+	return 2*heard >= leaders
+}
+
+// hold begins anew under another fencing number. Under the same one, or the one
+// after it, nobody else has placed anything meanwhile, and the planners go on:
+// they know what new ones would have to wait for.
 func (placement *placement) hold(fence int64) {
 	if fence == placement.fence {
 		return
 	}
-	placement.fence = fence
+	next := fence == placement.fence+1
+	placement.fence, placement.turn = fence, 0
+	if next {
+		return
+	}
 	placement.planners = map[string]*fleet.Planner{}
 }
 
 func (control *Control) claimNow(now time.Time) {
 	placement := &control.placement
-	if placement.claiming || control.leaving || !placement.rowsRead || !control.follows(tableLease) {
+	if placement.claiming || control.leaving || !placement.rowsRead || !control.follows(tableLease) || now.Before(placement.claimAt) {
 		return
 	}
+	if !placement.held && now.Before(placement.told.At.Add(digestTerm)) {
+		return // another node places, with the lease or, while the store is away, without
+	}
 	action := placement.claim.Next(now, placement.delay, uuid.NewString())
 	txn := txnOf(action)
 	if len(txn.Steps) == 0 {
@@ -166,7 +254,7 @@
 	input := fleet.Input{
 		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.endpoints.of(name),
 		Dead: map[string]bool{}, InFlight: map[string]int{}, Quiet: control.quiet(now),
-		Work: control.demand.lately.Lately(),
+		Work: control.demand.lately.Lately(), Told: placement.told,
 	}
 	control.countOrders(input.Endpoints, input.Quiet, now)
 	for id := range control.endpoints.lost {
@@ -178,6 +266,11 @@
 	for _, command := range planner.Plan(input) {
 		control.send(name, command)
 	}
+	if now.Sub(control.storeAt) >= goOnAge {
+		for _, id := range planner.Moving() {
+			control.probe(id, now) // no row tells how they get on
+		}
+	}
 	if now.After(placement.censusAt) {
 		placement.censusAt = now.Add(censusEvery)
 		census := planner.Census(input)
@@ -231,6 +324,10 @@
 	_, begun := done.reply.(fleet.Begun)
 	if (begun || held && left) && endpoint.Orders == done.command.Orders {
 		endpoint.Orders++ // a leave is done at once, and counts
+		if left {
+			endpoint.Membership = fleet.Membership{}
+			endpoint.FreeSince = now
+		}
 		control.endpoints.byID[endpoint.ID] = endpoint
 	}
 	switch done.reply.(type) {
--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"testing"
+	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"hickorybend/core/fleet"
+	"hickorybend/io/gossip"
+	"hickorybend/io/meter"
 )
 
 // TestPlannersOutliveALapseOfTheLease has the lease lapse and come back: under
-// the same fencing number the planner goes on, under another it begins anew.
+// the same fencing number, or the next one, nobody else has placed anything and
+// the planner goes on; under a later one it begins anew.
 func TestPlannersOutliveALapseOfTheLease(t *testing.T) {
 	placement := newPlacement(Defaults())
 	placement.hold(3)
@@ -18,5 +23,68 @@
 	placement.hold(3)
 	assert.Assert(t, placement.planners["llm"] == planner)
 	placement.hold(4)
+	assert.Assert(t, placement.planners["llm"] == planner)
+	placement.hold(6)
 	assert.Equal(t, len(placement.planners), 0)
 }
+
+// holderOf is the control of a node that has held the lease under number 3, with
+// three others of its mesh.
+func holderOf(now time.Time) *Control {
+	settings := Defaults()
+	settings.Node = "node-0"
+	control := NewControl(settings, nil, nil, zap.NewNop(), meter.New())
+	control.storeAt = now.Add(-2 * goOnAge)
+	control.placement.fence, control.placement.mayGoOn = 3, true
+	control.peers.part.Mesh = true
+	for _, name := range []string{"node-1", "node-2", "node-3"} {
+		control.peers.nodes[name] = &peer{heardAt: now, digest: gossip.Digest{Node: name, StoreAge: int64(2 * goOnAge)}}
+	}
+	return control
+}
+
+// TestPlacementWhileTheStoreIsAway has a holder whose lease runs out: it places
+// on only where the store answers nobody it hears, it hears most, and nobody
+// has held the lease since.
+func TestPlacementWhileTheStoreIsAway(t *testing.T) {
+	now := time.Now()
+	silence := func(control *Control, names ...string) {
+		for _, name := range names {
+			control.peers.nodes[name].heardAt = now.Add(-2 * digestTerm)
+		}
+	}
+	for _, test := range []struct {
+		name   string
+		change func(control *Control)
+		goesOn bool
+	}{
+		{"away for all", func(*Control) {}, true},
+		{"one node is dead", func(control *Control) { silence(control, "node-1") }, true},
+		{"most are silent", func(control *Control) { silence(control, "node-1", "node-2") }, false},
+		{"it answers another node", func(control *Control) { control.peers.nodes["node-2"].digest.StoreAge = int64(goOnAge / 2) }, false},
+		{"it answers this node", func(control *Control) { control.storeAt = now.Add(-goOnAge / 2) }, false},
+		{"somebody took the lease", func(control *Control) {
+			control.placement.learnTold(gossip.Digest{Fence: 4, Turn: 1}, now)
+		}, false},
+		{"it never held the lease, or its host slept", func(control *Control) { control.placement.mayGoOn = false }, false},
+		{"it is leaving", func(control *Control) { control.leaving = true }, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			control := holderOf(now)
+			test.change(control)
+			assert.Equal(t, control.goesOn(now), test.goesOn)
+		})
+	}
+}
+
+// TestWordOfAHolder takes in words out of order: the latest of the highest
+// fencing number stands.
+func TestWordOfAHolder(t *testing.T) {
+	now := time.Now()
+	placement := newPlacement(Defaults())
+	placement.learnTold(gossip.Digest{Fence: 3, Turn: 7, Held: []string{"e-1"}}, now)
+	placement.learnTold(gossip.Digest{Fence: 3, Turn: 6}, now.Add(time.Second))
+	assert.DeepEqual(t, placement.told, fleet.Told{Fence: 3, At: now, Held: map[string]bool{"e-1": true}})
+	placement.learnTold(gossip.Digest{Fence: 4, Turn: 1}, now.Add(time.Second))
+	assert.DeepEqual(t, placement.told, fleet.Told{Fence: 4, At: now.Add(time.Second), Held: map[string]bool{}})
+}
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -14,6 +14,8 @@
 	probeTries = 2
 	probePause = 350 * time.Millisecond // between two probes of one endpoint
 	lostProbe  = time.Second            // between two probes of an endpoint that was lost
+	lostTold   = 5 * time.Second        // the same where a leader tells when it is back
+	hintPause  = 700 * time.Millisecond // after a probe, before another node's word leads to the next
 	reportLag  = 500 * time.Millisecond // how old a report's contents may be
 )
 
@@ -79,7 +81,7 @@
 		control.changed = control.changed || wasLost
 		return
 	}
-	known.lost[probe.id] = now.Add(lostProbe)
+	known.lost[probe.id] = now.Add(control.lostPause())
 	if wasLost {
 		return
 	}
@@ -91,6 +93,15 @@
 	}
 }
 
+// lostPause is the time between two probes of a lost endpoint: 75 nodes that
+// each ask 30 of them every second would make most of all probes.
+func (control *Control) lostPause() time.Duration {
+	if control.informed.Load() {
+		return lostTold
+	}
+	return lostProbe
+}
+
 // learnReport takes in what an endpoint said when it was asked. A report is a
 // little old: a row that came shortly before it was asked for goes before it.
 func (control *Control) learnReport(probe probed) {
--- a/io/edge/seeds.go
+++ b/io/edge/seeds.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"hickorybend/io/gossip"
-	"hickorybend/platform"
 )
 
 const (
@@ -51,17 +50,12 @@
 	return addresses
 }
 
-// copyNode keeps the rows of nodes for those that start while the store is away.
-func (control *Control) copyNode(entry platform.Entry) {
-	rows := control.peers.rows
-	if entry.Removed {
-		delete(rows, entry.Key)
-	} else {
-		rows[entry.Key] = entry
-	}
-	table := &gossip.Table{}
-	for _, row := range rows {
-		table.Entries = append(table.Entries, gossip.Entry{Key: row.Key, Value: row.Value, Version: row.Version})
+// copyNodes keeps the rows of nodes for other nodes: those that start while the
+// store is away, and those that a leader tells of changes.
+func (control *Control) copyNodes() {
+	table := &gossip.Table{Version: control.peers.version}
+	for _, row := range control.peers.rows {
+		table.Entries = append(table.Entries, gossip.Entry{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
 	}
 	control.copies[tableNodes].Store(table)
 }
--- a/io/edge/wake.go
+++ b/io/edge/wake.go
@@ -35,6 +35,7 @@
 	}
 	event.Log(control.log, event.HostSlept, zap.Duration("slept", slept))
 	control.placement.claim.Drop()
+	control.placement.mayGoOn = false
 }
 
 // suspended tells how far the clock that counts suspensions is ahead of the
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -41,6 +41,15 @@
 		}
 	}
 	digest.Visited = digest.Visited || other.Visited
+	if other.Later(digest.Fence, digest.Turn) {
+		digest.Fence, digest.Turn, digest.Held = other.Fence, other.Turn, other.Held
+	}
+}
+
+// Later tells whether a digest has newer word of who places than that of a
+// fencing number and turn.
+func (digest Digest) Later(fence, turn int64) bool {
+	return digest.Fence > fence || digest.Fence == fence && digest.Turn > turn
 }
 
 // Take takes one node's requests out of a sum.
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -32,6 +32,11 @@
 	Lost     []string         `cbor:"4,keyasint,omitempty"` // endpoints that answer this node nothing
 	Visited  bool             `cbor:"5,keyasint,omitempty"` // a caller has come
 	Leaving  bool             `cbor:"6,keyasint,omitempty"`
+	Blind    bool             `cbor:"10,keyasint,omitempty"` // the platform does not answer this node
+	StoreAge int64            `cbor:"14,keyasint,omitempty"` // nanoseconds since the platform's store last answered this node
+	Fence    int64            `cbor:"11,keyasint,omitempty"` // of who places, whom the two below are from
+	Turn     int64            `cbor:"12,keyasint,omitempty"` // its plans so far
+	Held     []string         `cbor:"13,keyasint,omitempty"` // endpoints whose last first host may still serve
 }
 
 // Entry is a row as the platform's store gave it.
