Placement: a replica revived after its first host left is noticed

Change: after a confirmed leave the endpoint counts as showing nothing. A holder that has not planned yet says nothing of what it freed: its word would say that nothing waits.

--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -178,6 +178,7 @@
 	default:
 		return
 	}
+	planner.track(endpoint).shown = "" // if it shows the replica again, another holder has revived it
 	switch {
 	case found.head() == endpoint:
 		planner.release(found)
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -256,6 +256,7 @@
 	fence   int64
 	frozen  bool
 	told    fleet.Told // by the holder before
+	planned bool // it has nothing to say before
 	words   []fleet.Told
 }
 
@@ -280,7 +281,10 @@
 	}
 	input := fleet.Input{Now: w.now, Fence: holder.fence, Engine: engine, Endpoints: w.seen(), Dead: map[string]bool{}, InFlight: map[string]int{}}
 	input.Told = holder.told
-	holder.words = append(holder.words, fleet.Told{Fence: holder.fence, At: w.now, Held: heldOf(holder.planner, w.now)})
+	if holder.planned {
+		holder.words = append(holder.words, fleet.Told{Fence: holder.fence, At: w.now, Held: heldOf(holder.planner, w.now)})
+	}
+	holder.planned = true
 	for _, command := range holder.planner.Plan(input) {
 		w.deliver(holder, command, rapid.SampledFrom(fates).Draw(w.t, "fate"))
 	}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -179,7 +179,7 @@
 		digest.Lost = append(digest.Lost, id)
 	}
 	digest.Versions = control.versions()
-	if placement := &control.placement; placement.held {
+	if placement := &control.placement; placement.held && placement.turn > 0 { // before its first plan it knows of nothing
 		digest.Fence, digest.Turn, digest.Held = placement.fence, placement.turn, placement.freed(time.Now())
 	}
 	digest.StoreAge = int64(time.Since(control.storeAt))
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -327,6 +327,7 @@
 		if left {
 			endpoint.Membership = fleet.Membership{}
 			endpoint.FreeSince = now
+			control.endpoints.changedAt[endpoint.ID] = now // a report may be older
 		}
 		control.endpoints.byID[endpoint.ID] = endpoint
 	}
