Orders that nobody answers are sent again after 0.7 s

Ruled out: orders that land twice (the same join is held already, a late one of an earlier epoch is refused).

--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -29,7 +29,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Stall: 6 * time.Second, StallMargin: 700 * time.Millisecond, LateOrder: 12500 * time.Millisecond, Settle: 1300 * time.Millisecond,
-		StrayGrace: 3 * time.Second, ToldLag: time.Second, OrderRetry: 1200 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
+		StrayGrace: 3 * time.Second, ToldLag: time.Second, OrderRetry: 700 * time.Millisecond, RefusedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormLimit: 6 * time.Second,
 		RetireLimit: 1500 * time.Millisecond, Reserve: 0.03, ConvertLimit: 2500 * time.Millisecond, ConvertNeed: 1.15, HighLoad: 0.75, LoadPace: 0.8, ShareMemory: 4 * time.Second,
 		ConvertPart: 0.04, SecondPart: 0.6,
 	}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -256,7 +256,7 @@
 	fence   int64
 	frozen  bool
 	told    fleet.Told // by the holder before
-	planned bool // it has nothing to say before
+	planned bool       // it has nothing to say before
 	words   []fleet.Told
 }
 
