--- a/core/fleet/census.go
+++ b/core/fleet/census.go
@@ -33,7 +33,7 @@
 	}
 	for _, endpoint := range input.Endpoints {
 		track := planner.track(endpoint.ID)
-		if input.Now.Before(track.sureAt) {
+		if planner.unsure(input, endpoint) {
 			census.Waiting++
 		}
 		if !endpoint.Counted {
--- a/core/fleet/ready.go
+++ b/core/fleet/ready.go
@@ -59,7 +59,7 @@
 			track := turn.planner.track(id)
 			former := turn.known[id].Membership.Replica
 			stray := former != "" && !turn.planner.ended[former]
-			return stray || track.pending || turn.unsure(id)
+			return stray || track.pending || turn.planner.unsure(turn.Input, turn.known[id])
 		})
 	}
 	return domains
@@ -73,21 +73,20 @@
 // half a second old at most; an endpoint that was free at 18.5 s and is not
 // named may join at once, one that was seen free at 19.8 s may have been told
 // to leave after the word was given.
-func (turn *turn) unsure(id string) bool {
-	sureAt := turn.planner.track(id).sureAt
-	if !turn.Now.Before(sureAt) {
+func (planner *Planner) unsure(input Input, endpoint Endpoint) bool {
+	sureAt := planner.track(endpoint.ID).sureAt
+	if !input.Now.Before(sureAt) {
 		return false
 	}
-	since := turn.known[id].FreeSince
-	told := turn.Told
-	if told.Fence == turn.Fence-1 && !told.Held[id] && !since.IsZero() && since.Before(told.At.Add(-turn.planner.policy.ToldLag)) {
+	since, told := endpoint.FreeSince, input.Told
+	if told.Fence == input.Fence-1 && !told.Held[endpoint.ID] && !since.IsZero() && since.Before(told.At.Add(-planner.policy.ToldLag)) {
 		return false
 	}
 	if !since.IsZero() {
-		watched := since.Add(turn.planner.policy.Stall + turn.planner.policy.StallMargin)
+		watched := since.Add(planner.policy.Stall + planner.policy.StallMargin)
 		if watched.Before(sureAt) {
 			sureAt = watched
 		}
 	}
-	return turn.Now.Before(sureAt)
+	return input.Now.Before(sureAt)
 }
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -55,9 +55,9 @@
 break_one "members freed while the first host may serve" core/fleet/adopt.go 'if turn.Now.After(replica.brokenAt) {' 'if true {' ./core/fleet TestFirstHostCutOff
 break_one "members of a first host that has not left" core/fleet/adopt.go 'turn.send(head.ID, Leave{Replica: replica.name, Epoch: replica.epoch})' 'turn.planner.release(replica)' ./core/fleet TestMemberCutOff
 break_one "opened before every member is ready" core/fleet/form.go 'if phase := turn.known[id].Membership.Phase; phase != PhaseReady && phase != PhaseOpen {' 'if phase := turn.known[id].Membership.Phase; phase == PhaseBroken {' ./core/fleet 'TestPromisesOfPlacement|CutOff'
-break_one "a new holder that is sure at once" core/fleet/ready.go 'return turn.Now.Before(sureAt)' 'return false' ./core/fleet TestHolderChangesWhileMembersWait
-break_one "a new holder that frees what is named as held" core/fleet/ready.go '!told.Held[id] && ' '' ./core/fleet TestHolderChangesWhileMembersWait
-break_one "a word that counts for what came after it" core/fleet/ready.go 'since.Before(told.At.Add(-turn.planner.policy.ToldLag))' 'since.Before(told.At.Add(turn.planner.policy.LateOrder))' ./core/fleet TestHolderChangesWhileMembersWait
+break_one "a new holder that is sure at once" core/fleet/ready.go 'return input.Now.Before(sureAt)' 'return false' ./core/fleet TestHolderChangesWhileMembersWait
+break_one "a new holder that frees what is named as held" core/fleet/ready.go '!told.Held[endpoint.ID] && ' '' ./core/fleet TestHolderChangesWhileMembersWait
+break_one "a word that counts for what came after it" core/fleet/ready.go 'since.Before(told.At.Add(-planner.policy.ToldLag))' 'since.Before(told.At.Add(planner.policy.LateOrder))' ./core/fleet TestHolderChangesWhileMembersWait
 break_one "shares decided by the first requests" core/fleet/demand.go 'prior := float64(hosts) * memory.Seconds()' 'prior := 0.001' ./core/fleet TestFirstRequestsCloseNothing
 break_one "loads without a pace" core/fleet/stage.go 'for turn.mayLoad() && turn.stageBest' 'for turn.stageBest' ./core/fleet TestLoadsArePaced
 break_one "a bare 503 read as not run" io/entry/whole.go 'promises(status) && !site.Repeatable(visit.route.Call)' 'false' ./platform/fakes TestOnceUnderFaults
