--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The front door: what can be done with a checkout.
 
-.PHONY: build run run-muscat smoke test check bench month slopes soak faults faults-short fuzz breaks experiment clean
+.PHONY: build run run-muscat smoke test check bench month slopes soak faults faults-short faults-breaks fuzz breaks experiment clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -48,10 +48,13 @@
 faults: build
 	bin/hbsoak --seeds $(SEEDS) --jobs 3
 
-# The same for a moment, and the seeds that ever failed.
+# Two seeds, and those that ever had a finding.
 faults-short: build
-	bin/hbsoak --seeds 1,2 --length 5s --jobs 2
-	bin/hbsoak --seeds io/soak/testdata/seeds.txt --length 15s --jobs 2
+	bin/hbsoak --seeds 1,2,io/soak/testdata/seeds.txt --jobs 3
+
+# Breaks mechanisms of a node in a copy and checks that a seed notices.
+faults-breaks:
+	scripts/soak-breaks.sh
 
 fuzz:
 	go test ./core/relay -run '^$$' -fuzz FuzzChunk -fuzztime 60s
--- a/cmd/hbsoak/main.go
+++ b/cmd/hbsoak/main.go
@@ -21,7 +21,7 @@
 	flags := ff.NewFlagSet("hbsoak")
 	bin := flags.StringLong("bin", "bin", "the folder of the programs")
 	dir := flags.StringLong("dir", filepath.Join(os.TempDir(), "hbsoak"), "where settings and logs go; those of seeds without findings are removed")
-	seeds := flags.StringLong("seeds", "1", "the seeds, as in 1,4,10-19; or a file with a seed at the start of each line")
+	seeds := flags.StringLong("seeds", "1", "the seeds, as in 1,4,10-19; a file stands for the seeds at the start of its lines")
 	jobs := flags.IntLong("jobs", 2, "seeds that run at once")
 	var size soak.Size
 	flags.IntVar(&size.Nodes, 0, "nodes", 3, "nodes")
@@ -48,19 +48,18 @@
 // errSeeds says that the seeds cannot be read.
 var errSeeds = errors.New("hbsoak: the seeds cannot be read")
 
-// parseSeeds reads a list of numbers and ranges, or a file of them.
+// parseSeeds reads a list of numbers, ranges and files of seeds.
 func parseSeeds(text string) ([]uint64, error) {
-	if content, err := os.ReadFile(text); err == nil {
-		var first []string
-		for line := range strings.Lines(string(content)) {
-			if fields := strings.Fields(line); len(fields) > 0 && !strings.HasPrefix(fields[0], "#") {
-				first = append(first, fields[0])
-			}
-		}
-		text = strings.Join(first, ",")
-	}
 	var seeds []uint64
 	for part := range strings.SplitSeq(text, ",") {
+		if content, err := os.ReadFile(part); err == nil {
+			listed, err := parseSeeds(firstWords(string(content)))
+			if err != nil {
+				return nil, errors.Wrapf(err, "file %s", part)
+			}
+			seeds = append(seeds, listed...)
+			continue
+		}
 		from, to, ranged := strings.Cut(part, "-")
 		low, errLow := strconv.ParseUint(from, 10, 64)
 		high, errHigh := low, error(nil)
@@ -77,6 +76,17 @@
 	return seeds, nil
 }
 
+// firstWords lists the first word of each line that is no comment.
+func firstWords(text string) string {
+	var words []string
+	for line := range strings.Lines(text) {
+		if fields := strings.Fields(line); len(fields) > 0 && !strings.HasPrefix(fields[0], "#") {
+			words = append(words, fields[0])
+		}
+	}
+	return strings.Join(words, ",")
+}
+
 const mostSeeds = 100_000 // of one range
 
 func runAll(ctx context.Context, seeds []uint64, jobs int, config soak.Config) error {
--- /dev/null
+++ b/cmd/hbsoak/main_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestParseSeeds reads numbers, ranges and files, and refuses the rest.
+func TestParseSeeds(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "seeds.txt")
+	assert.NilError(t, os.WriteFile(file, []byte("# comment\n7 a cause\n\n9\n"), 0o600))
+	for _, test := range []struct {
+		text string
+		want []uint64
+	}{
+		{"4", []uint64{4}},
+		{"1,3-5", []uint64{1, 3, 4, 5}},
+		{"2," + file, []uint64{2, 7, 9}},
+		{"5-3", nil},
+		{"one", nil},
+		{"1-9999999999", nil},
+		{"", nil},
+	} {
+		got, err := parseSeeds(test.text)
+		if test.want == nil {
+			assert.ErrorIs(t, err, errSeeds, test.text)
+			continue
+		}
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, test.want)
+	}
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -49,7 +49,8 @@
 	demand    demand
 	serving   map[string]int // replicas of each model, as last logged
 	storeAt   time.Time      // when the store last answered
-	slept     time.Duration  // how far the clock that counts suspensions was ahead at the last tick
+	suspended func(steady time.Duration) (time.Duration, error)
+	slept     time.Duration // how far the clock that counts suspensions was ahead at the last tick
 	leaving   bool
 	changed   bool // the picture has to be drawn anew
 }
@@ -60,7 +61,7 @@
 	control := &Control{
 		settings: settings, store: store, engine: engine, log: log, meter: meter,
 		visited: func() bool { return false }, asked: func() map[string]time.Duration { return nil }, lost: func([]string) {},
-		messages: make(chan message, mostWaiting), serving: map[string]int{},
+		messages: make(chan message, mostWaiting), serving: map[string]int{}, suspended: suspended,
 	}
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"hickorybend/core/fleet"
+	"hickorybend/core/rows"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
 )
@@ -77,6 +78,35 @@
 	}
 }
 
+// TestHostSlept has the host of a holder suspended for five seconds, which the
+// steady clock does not count: what it held by that clock is over.
+func TestHostSlept(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name  string
+		slept time.Duration
+		keeps bool
+	}{{"awake", 10 * time.Millisecond, true}, {"asleep", 5 * time.Second, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			control := holderOf(now)
+			ahead := time.Hour // since the host's start, of earlier sleeps
+			control.suspended = func(time.Duration) (time.Duration, error) { return ahead, nil }
+			control.start(now)
+			placement := &control.placement
+			assert.NilError(t, placement.claim.Observe(placement.row, placement.fenceRow, now))
+			taken := placement.claim.Next(now.Add(time.Second), 0, "write-1")
+			control.learnClaim(claimed{action: taken, outcome: rows.Done{}}, now)
+			_, held := placement.claim.Held(now.Add(time.Second))
+			assert.Assert(t, held)
+			ahead += test.slept
+			control.wake(now.Add(1100 * time.Millisecond))
+			_, held = placement.claim.Held(now.Add(1100 * time.Millisecond))
+			assert.Equal(t, held, test.keeps)
+			assert.Equal(t, placement.mayGoOn, test.keeps)
+		})
+	}
+}
+
 // TestWordOfAHolder takes in words out of order: the latest of the highest
 // fencing number stands.
 func TestWordOfAHolder(t *testing.T) {
--- a/io/edge/wake.go
+++ b/io/edge/wake.go
@@ -15,7 +15,7 @@
 
 func (control *Control) start(now time.Time) {
 	control.started = now
-	if ahead, err := suspended(0); err == nil {
+	if ahead, err := control.suspended(0); err == nil {
 		control.slept = ahead
 	}
 }
@@ -24,7 +24,7 @@
 // time, so a lease that seems to hold may long be another node's, and what was
 // believed fresh is not.
 func (control *Control) wake(now time.Time) {
-	ahead, err := suspended(now.Sub(control.started))
+	ahead, err := control.suspended(now.Sub(control.started))
 	if err != nil {
 		return // a host without that clock is not suspended
 	}
--- /dev/null
+++ b/scripts/soak-breaks.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Breaks one mechanism of the node after the other in a copy of the tree and
+# plays soak seeds until one has a finding. Arguments: the seeds, 1-3 if none.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+seeds=${1:-1-3}
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+missed=0
+
+# break_one NAME FILE OLD NEW PROMISE
+break_one() {
+	local name=$1 file=$2 old=$3 new=$4 promise=$5
+	rm -rf "$copy/tree"
+	mkdir "$copy/tree"
+	git ls-files -z | xargs -0 cp --parents -t "$copy/tree"
+	if ! OLD=$old NEW=$new perl -0pi -e 'BEGIN { $found = 0 } $found += s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { $? = !$found }' "$copy/tree/$file"; then
+		echo "$name: the code to break is not in $file"
+		missed=1
+		return
+	fi
+	if ! (cd "$copy/tree" && go build -o bin/ ./cmd/hickorybend ./cmd/standin ./cmd/hbsoak >"$copy/log" 2>&1); then
+		echo "$name: the break does not build"
+		tail -n 5 "$copy/log"
+		missed=1
+		return
+	fi
+	(cd "$copy/tree" && bin/hbsoak --bin bin --dir "$copy/soak" --seeds "$seeds" --jobs 3 >"$copy/log" 2>&1)
+	if grep -q "$promise" "$copy/log"; then
+		echo "$name: noticed ($promise) by seeds $(grep -E '^seed [0-9]+:.* [1-9][0-9]* findings' "$copy/log" | sed 's/^seed \([0-9]*\):.*/\1/' | sort -n | paste -sd,)"
+	else
+		echo "$name: NOT NOTICED by seeds $seeds"
+		tail -n 5 "$copy/log"
+		missed=1
+	fi
+}
+
+break_one "a call that may run once is sent again" core/site/config.go 'default:
+		return false
+	}' 'default:
+		return true
+	}' "at most once"
+break_one "not run said of what may have run" io/entry/answer.go 'case !visit.ran:' 'case true:' "not run means not run"
+break_one "members freed while the first host may serve" core/fleet/adopt.go 'turn.send(head.ID, Leave{Replica: replica.name, Epoch: replica.epoch})' 'turn.planner.release(replica)' "one replica a host"
+break_one "opened before every member is ready" core/fleet/form.go 'if phase := turn.known[id].Membership.Phase; phase != PhaseReady && phase != PhaseOpen {' 'if phase := turn.known[id].Membership.Phase; phase == PhaseBroken {' "whole replicas"
+break_one "a broken stream that looks complete" io/entry/stream.go 'panic(http.ErrAbortHandler)' 'return' "whole answers"
+break_one "streams that begin anew where they broke" io/entry/stream.go 'visit.requestTo(candidate, relay.last)' 'visit.requestTo(candidate, "")' "whole answers"
+break_one "changes that only the store tells of, once" io/edge/follow.go 'for ctx.Err() == nil {' 'for range 20 {' "changes everywhere"
+break_one "leaving endpoints that get new requests" io/edge/publish.go 'if !endpoint.Draining {' 'if true {' "drains respected"
+break_one "the caller's key passed on" platform/headers.go 'header.Del("Authorization")' '' "requests as they came"
+break_one "a node that ends at once when it leaves" io/edge/edge.go 'for parts.Entry.Open() > 0 && time.Now().Before(end) {' 'for false {' "answers not lost"
+
+exit "$missed"
