Soak: bounds of time hold only while the machine keeps up

The runners' beats came late, so the first hosts stood still as they should, and streams were moved and cut. Change: a runner that was not heard for 0.4 s was not calm then, nor was the machine when the soak's own clock was looked at 0.15 s late. Both are traces of the run itself; the bounds stay. Tests: two more cases of TestJudgeOfTimes.

--- a/io/soak/calm.go
+++ b/io/soak/calm.go
@@ -37,7 +37,7 @@
 func (calm *calm) was(from, to time.Time, parts ...string) bool {
 	calm.mutex.Lock()
 	defer calm.mutex.Unlock()
-	for _, part := range parts {
+	for _, part := range append(parts, partMachine) {
 		for _, span := range calm.spans[part] {
 			if span.from.Before(to) && (span.to.IsZero() || span.to.After(from.Add(-contact))) {
 				return false
@@ -47,6 +47,31 @@
 	return true
 }
 
+// note takes in a trouble that is over.
+func (calm *calm) note(part string, from, to time.Time) { calm.begin(part, from)(to) }
+
+const (
+	watchEvery = 20 * time.Millisecond  // between two looks at the clock
+	watchLate  = 150 * time.Millisecond // a look so late shows that the machine does not keep up
+)
+
+// watch notes when the machine does not run what is due: then no bound of time
+// says anything of the programs.
+func (calm *calm) watch(done <-chan struct{}) {
+	for last := time.Now(); ; {
+		select {
+		case <-done:
+			return
+		case <-time.After(watchEvery):
+		}
+		now := time.Now()
+		if now.Sub(last) > watchEvery+watchLate {
+			calm.note(partMachine, last, now)
+		}
+		last = now
+	}
+}
+
 // The names of the parts.
 func partNode(node int) string      { return "node " + string(rune('1'+node)) }
 func partPlanned(node int) string   { return partNode(node) + " as planned" }
@@ -54,4 +79,7 @@
 func partStoreOf(node int) string   { return "store link of " + partNode(node) }
 func partRunner(name string) string { return "runner " + name }
 
-const partStore = "store"
+const (
+	partStore   = "store"
+	partMachine = "machine"
+)
--- a/io/soak/judge.go
+++ b/io/soak/judge.go
@@ -145,6 +145,7 @@
 	if standing.Group != "" && (standing.Group != found.last.Group || standing.Epoch != found.last.Epoch) {
 		judge.checkJoin(found, standing)
 	}
+	judge.noteSilence(standing.ID, found.heardAt)
 	found.Standing, found.heardAt = standing, judge.now()
 	if standing.Group != "" {
 		found.last = standing
@@ -155,6 +156,14 @@
 	return judge.whole(standing)
 }
 
+// noteSilence takes in that a runner was not heard for so long that the first
+// host of its replica stood still.
+func (judge *judge) noteSilence(id string, heardAt time.Time) {
+	if now := judge.now(); !heardAt.IsZero() && now.Sub(heardAt) > beatTerm {
+		judge.calm.note(partRunner(id), heardAt, now)
+	}
+}
+
 // checkJoin wants the first host of a runner's former replica unable to serve.
 func (judge *judge) checkJoin(found *runner, standing fakes.Standing) {
 	former := found.last
@@ -369,6 +378,9 @@
 		parts = append(parts, partRunner(run.Runner))
 		if head := judge.runners[run.Runner]; head != nil {
 			for _, id := range head.last.Members {
+				if member := judge.runners[id]; member != nil {
+					judge.noteSilence(id, member.heardAt)
+				}
 				parts = append(parts, partRunner(id))
 			}
 		}
--- a/io/soak/judge_test.go
+++ b/io/soak/judge_test.go
@@ -174,6 +174,19 @@
 			b.pass(2 * time.Second)
 			lose(b)
 		}, nil},
+		{"answers lost where a member was silent meanwhile", func(b *bench) {
+			b.beat("r", "g", "open", 1, "r", "m")
+			b.beat("m", "g", "ready", 1, "r", "m")
+			b.pass(time.Second)
+			b.beat("r", "g", "open", 1, "r", "m")
+			b.beat("m", "g", "ready", 1, "r", "m")
+			lose(b)
+		}, nil},
+		{"answers lost while the machine did not keep up", func(b *bench) {
+			b.calm.note(partMachine, b.at, b.at.Add(time.Second))
+			b.pass(time.Second)
+			lose(b)
+		}, nil},
 		{"work for a runner that leaves", func(b *bench) {
 			b.draining("r")
 			b.pass(changeLimit + time.Second)
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -108,6 +108,7 @@
 		}
 	}
 	go site.dropSilent()
+	go calm.watch(site.closed)
 	return site, site.start()
 }
 
