--- a/core/fleet/demand.go
+++ b/core/fleet/demand.go
@@ -10,19 +10,19 @@
 // Demand is the hosts' time that callers lately asked of each model. What is
 // older counts less.
 type Demand struct {
-	half   time.Duration
 	lately map[string]float64 // hosts' seconds
 	at     time.Time
 }
 
-// NewDemand makes a record in which work loses half of its weight in a time.
-func NewDemand(half time.Duration) *Demand {
-	return &Demand{half: half, lately: map[string]float64{}}
-}
+// demandHalf is the time in which work asked loses half of its weight.
+const demandHalf = 4 * time.Second
+
+// NewDemand makes an empty record.
+func NewDemand() *Demand { return &Demand{lately: map[string]float64{}} }
 
 // Add takes in what was asked since the last time, in hosts' seconds.
 func (demand *Demand) Add(now time.Time, asked map[string]float64) {
-	kept := math.Exp2(-float64(now.Sub(demand.at)) / float64(demand.half))
+	kept := math.Exp2(-float64(now.Sub(demand.at)) / float64(demandHalf))
 	demand.at = now
 	for model := range demand.lately {
 		demand.lately[model] *= kept
--- a/core/fleet/stage_test.go
+++ b/core/fleet/stage_test.go
@@ -122,7 +122,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			planner := fleet.NewPlanner(fleet.DefaultPolicy(), "llm")
 			now := time.Unix(1000, 0)
-			demand := fleet.NewDemand(4 * time.Second)
+			demand := fleet.NewDemand()
 			demand.Add(now, test.asked)
 			input := fleet.Input{Fence: 1, Engine: &site.Engine{Slots: 17, Models: []site.Model{
 				{Name: "large", Size: 4, Share: 0, Pace: 1}, {Name: "small", Size: 2, Share: 1, Pace: 1},
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -66,7 +66,7 @@
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
 	control.placement = newPlacement(settings)
-	control.demand = demand{before: map[string]map[string]int64{}, lately: fleet.NewDemand(demandHalf)}
+	control.demand = demand{before: map[string]map[string]int64{}, lately: fleet.NewDemand()}
 	control.leads.Store(true) // until other nodes are known
 	control.picture.Store(&reach.Picture{Nodes: 1})
 	control.digest.Store(&gossip.Digest{Node: settings.Node})
--- a/io/edge/demand.go
+++ b/io/edge/demand.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	demandEvery = time.Second     // between two looks at what callers ask
-	demandHalf  = 4 * time.Second // in which work asked loses half of its weight
+	demandEvery = time.Second // between two looks at what callers ask
 )
 
 // demand is the work that callers of all nodes lately asked of each model.
