--- a/cmd/hbsoak/main.go
+++ b/cmd/hbsoak/main.go
@@ -25,7 +25,7 @@
 	jobs := flags.IntLong("jobs", 2, "seeds that run at once")
 	var size soak.Size
 	flags.IntVar(&size.Nodes, 0, "nodes", 3, "nodes")
-	flags.IntVar(&size.Models, 0, "models", 10, "model runners")
+	flags.IntVar(&size.Models, 0, "models", 12, "model runners")
 	flags.IntVar(&size.Plains, 0, "plains", 3, "plain runners")
 	flags.IntVar(&size.Callers, 0, "callers", 12, "callers")
 	flags.DurationVar(&size.Length, 0, "length", 15*time.Second, "how long the troubles last")
--- a/io/soak/apply.go
+++ b/io/soak/apply.go
@@ -169,7 +169,7 @@
 	healed(time.Now())
 }
 
-const drainLimit = 12 * time.Second // for a runner to leave once it was asked to
+const drainLimit = 20 * time.Second // for a runner to leave once it was asked to
 
 // drainRunner has a runner leave; another one gets its address.
 func (site *site) drainRunner(slot *slot) {
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -36,7 +36,7 @@
 	portCallers  = 7001
 	portReady    = 7002
 	portPeers    = 7003
-	domainSize   = 5
+	domainSize   = 6 // a replica of three, one of two, and a spare
 )
 
 // site is the deployment under trouble: the store, nodes and runners, with a
