Rows written before an outage do not replace what endpoints said since

Ruled out: the change of the fencing number at 26.3 s (the planner keeps its record); a second holder (there was none).

--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -29,6 +29,7 @@
 	removed   map[string]int64
 	missing   map[string]time.Time // rows that went while the store was away, with the deadline of belief
 	lost      map[string]time.Time // endpoints that answer nothing, with when to ask again
+	toldAt    map[string]time.Time // when an endpoint last told of itself by a report that stands
 	changedAt map[string]time.Time // when the last row came
 	probedAt  map[string]time.Time
 	probing   map[string]bool
@@ -39,7 +40,7 @@
 	return endpoints{
 		removed: map[string]int64{},
 		byID:    map[string]fleet.Endpoint{}, values: map[string]platform.Entry{}, missing: map[string]time.Time{},
-		lost: map[string]time.Time{}, changedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
+		lost: map[string]time.Time{}, toldAt: map[string]time.Time{}, changedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
 
@@ -96,6 +97,14 @@
 		known.byID[entry.Key] = before
 		return
 	}
+	if had && control.older(before, endpoint, now) {
+		if endpoint.Beat > before.Beat {
+			control.probe(entry.Key, now) // it is another row than the one known
+		}
+		before.Beat, before.Draining = endpoint.Beat, endpoint.Draining
+		known.byID[entry.Key] = before
+		return
+	}
 	if had && endpoint.Born.Equal(before.Born) {
 		endpoint.Orders, endpoint.Counted, endpoint.FreeSince = before.Orders, before.Counted, before.FreeSince
 	}
@@ -117,6 +126,20 @@
 	}
 }
 
+// older tells whether a row may be older than what the endpoint said itself
+// while the store was away. What the store shows on its return was written before
+// it went: a host that joined a replica at 20 s, with the store away from 18 s to
+// 26 s, still shows its last one in the row read at 26.1 s.
+func (control *Control) older(before, row fleet.Endpoint, now time.Time) bool {
+	known := &control.endpoints
+	told := known.toldAt[row.ID]
+	if !row.Born.Equal(before.Born) || !told.After(known.changedAt[row.ID]) {
+		return false
+	}
+	back := control.operators.backAt[tableEndpoints]
+	return row.Beat == before.Beat || !back.IsZero() && now.Before(back.Add(believeGone)) && told.Before(back)
+}
+
 // forget drops an endpoint whose row is gone.
 func (control *Control) forget(id string, version int64, now time.Time) {
 	known := &control.endpoints
@@ -145,6 +168,7 @@
 	delete(known.missing, id)
 	delete(known.lost, id)
 	delete(known.changedAt, id)
+	delete(known.toldAt, id)
 	control.changed = true
 }
 
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -179,7 +179,7 @@
 // node that leaves goes on too: it cannot hand the lease over.
 func (control *Control) goesOn(now time.Time) bool {
 	placement := &control.placement
-	if !placement.mayGoOn || now.Sub(control.storeAt) < goOnAge {
+	if !control.settings.PlaceAlone || !placement.mayGoOn || now.Sub(control.storeAt) < goOnAge {
 		return false
 	}
 	if placement.told.Fence > placement.fence {
--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -33,7 +33,7 @@
 // three others of its mesh.
 func holderOf(now time.Time) *Control {
 	settings := Defaults()
-	settings.Node = "node-0"
+	settings.Node, settings.PlaceAlone = "node-0", true
 	control := NewControl(settings, nil, nil, zap.NewNop(), meter.New())
 	control.storeAt = now.Add(-2 * goOnAge)
 	control.placement.fence, control.placement.mayGoOn = 3, true
@@ -68,6 +68,7 @@
 			control.placement.learnTold(gossip.Digest{Fence: 4, Turn: 1}, now)
 		}, false},
 		{"it never held the lease, or its host slept", func(control *Control) { control.placement.mayGoOn = false }, false},
+		{"it is not set to", func(control *Control) { control.settings.PlaceAlone = false }, false},
 		{"it is leaving", func(control *Control) { control.leaving = true }, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -117,6 +117,7 @@
 		control.endpoints.byID[probe.id] = known
 		return
 	}
+	control.endpoints.toldAt[probe.id] = probe.asked
 	report.Draining, report.Beat, report.FreeSince = known.Draining, known.Beat, known.FreeSince
 	control.endpoints.byID[probe.id] = report
 	if report.Membership != known.Membership {
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -25,6 +25,7 @@
 	Notice         time.Duration `json:"notice"` // for the balancer to miss readiness twice, within the grace
 	Stall          time.Duration `json:"stall"`  // before a replica that lost a member breaks
 	Retry          Retry         `json:"retry"`
+	PlaceAlone     bool          `json:"place-without-store"` // go on placing while the store answers no node
 	HeaderTime     time.Duration `json:"header-time"`
 	HeaderBytes    int           `json:"header-bytes"`
 }
