Staging: who serves is known from the loop, supplies come from one pass

Cause: in choosing a load each host was looked up among all members of all replicas, once for each model, and each domain sorted all replicas to find its own: with 216 endpoints some 40,000 comparisons for a load, ten plans a second. Whether hosts that serve may load was counted anew for each replica. The wanted replicas were kept as state of the planner only to be logged. Ruled out: a change of what is planned. Change: a load carries whether its endpoint serves; supplies are filled in one pass over the replicas; the state of placement works out what is wanted when it is logged. Digest.Leaving and Endpoint.Busy, which nobody read, are gone. Conclusion: no behaviour changes.

--- a/core/fleet/census.go
+++ b/core/fleet/census.go
@@ -15,8 +15,10 @@
 
 // Census counts what the last plan left.
 func (planner *Planner) Census(input Input) Census {
-	census := Census{Endpoints: len(input.Endpoints), Serving: map[string]int{}, UnderWay: map[string]int{}, Prepared: map[string]int{}}
-	census.Wanted = planner.wanted
+	census := Census{Endpoints: len(input.Endpoints), Serving: map[string]int{}, UnderWay: map[string]int{}, Prepared: map[string]int{}, Wanted: map[string]float64{}}
+	for _, need := range (&turn{Input: input, planner: planner}).needs() {
+		census.Wanted[need.model.Name] = need.wanted
+	}
 	taken := map[string]bool{}
 	for _, replica := range planner.replicas {
 		counted := census.UnderWay
--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -32,7 +32,6 @@
 	Domain     string
 	Slots      int
 	Draining   bool
-	Busy       bool      // an order is under way
 	Beat       int64     // count of its rows in one life
 	Orders     int64     // count of the orders it accepted in one life
 	Counted    bool      // Orders is known
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -139,7 +139,7 @@
 		return false
 	}
 	count := 0
-	for _, replica := range turn.planner.sorted() {
+	for _, replica := range turn.planner.replicas {
 		if replica.model.Name == need.model.Name && turn.known[replica.head()].Domain == domain {
 			count++
 		}
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -24,12 +24,11 @@
 func (turn *turn) needs() []need {
 	usable := float64(len(turn.Endpoints)) * (1 - turn.planner.policy.Reserve)
 	var needs []need
-	turn.planner.wanted = map[string]float64{}
 	for _, model := range turn.Engine.Models {
 		share := shareOf(model, len(turn.Endpoints), turn.planner.policy.ShareMemory, turn.Work)
 		found := need{model: model, wanted: usable * share / float64(max(model.Size, 1))}
 		inFlight := 0
-		for _, replica := range turn.planner.sorted() {
+		for _, replica := range turn.planner.replicas {
 			if replica.model.Name == model.Name && replica.stage < stageRetiring {
 				found.replicas++
 				inFlight += turn.InFlight[replica.head()]
@@ -39,7 +38,6 @@
 		if found.load > turn.planner.policy.HighLoad {
 			found.wanted = max(found.wanted, float64(found.replicas)+1)
 		}
-		turn.planner.wanted[model.Name] = found.wanted
 		needs = append(needs, found)
 	}
 	return needs
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -43,7 +43,6 @@
 	loads    []time.Time
 	promised map[string]promise // by domain
 	newest   time.Time
-	wanted   map[string]float64
 	sureAt   time.Time // when a silent first host whose members the holder before told to leave must have broken
 }
 
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -22,43 +22,60 @@
 
 // stageBest starts the most valuable load of all domains, if there is one.
 func (turn *turn) stageBest(domains map[string][]string, supplies map[string]supply) bool {
-	var chosen string
-	var best site.Model
-	bestValue := 0.0
-	consider := func(id string, model site.Model, value float64) {
-		if value > bestValue || value == bestValue && value > 0 && id < chosen {
-			chosen, best, bestValue = id, model, value
-		}
-	}
+	var best load
 	for domain, ids := range domains {
 		for _, id := range ids {
 			if turn.mayStage(id) {
-				model, value := turn.bestStage(supplies[domain], id)
-				consider(id, model, value)
+				best = best.or(turn.bestStage(supplies[domain], id))
 			}
 		}
 	}
-	for _, replica := range turn.planner.sorted() {
-		if replica.stage != stageServing || !turn.maySecond() {
+	if turn.maySecond() {
+		best = best.or(turn.bestSecond(supplies))
+	}
+	if best.id == "" {
+		return false
+	}
+	turn.countStage(supplies[turn.known[best.id].Domain], best)
+	turn.send(best.id, Stage{Model: best.model.Name})
+	track := turn.planner.track(best.id)
+	track.staging = best.model.Name
+	track.stagedBy = turn.Now.Add(2 * best.model.LoadTime)
+	turn.planner.loads = append(turn.planner.loads, turn.Now)
+	return true
+}
+
+// bestSecond rates the loads of second models onto hosts that serve.
+func (turn *turn) bestSecond(supplies map[string]supply) load {
+	var best load
+	for _, replica := range turn.planner.replicas {
+		if replica.stage != stageServing {
 			continue
 		}
 		for _, id := range replica.members {
 			if turn.mayStage(id) {
-				model, value := turn.secondStage(supplies[turn.known[id].Domain], id)
-				consider(id, model, value)
+				best = best.or(turn.secondStage(supplies[turn.known[id].Domain], id, true))
 			}
 		}
 	}
-	if chosen == "" {
-		return false
+	return best
+}
+
+// load is a model's weights for an endpoint's host, with what they are worth.
+type load struct {
+	id     string
+	model  site.Model
+	value  float64
+	serves bool // the endpoint belongs to a replica
+}
+
+// or gives the more valuable load; of alike ones that of the first name, so
+// that equal inputs give equal plans.
+func (load load) or(other load) load {
+	if other.value > load.value || other.value == load.value && other.value > 0 && other.id < load.id {
+		return other
 	}
-	turn.countStage(supplies[turn.known[chosen].Domain], chosen, best)
-	turn.send(chosen, Stage{Model: best.Name})
-	track := turn.planner.track(chosen)
-	track.staging = best.Name
-	track.stagedBy = turn.Now.Add(2 * best.LoadTime)
-	turn.planner.loads = append(turn.planner.loads, turn.Now)
-	return true
+	return load
 }
 
 // supplies works out what each domain has of each model.
@@ -69,20 +86,26 @@
 	}
 	supplies := map[string]supply{}
 	for domain := range turn.domains() {
-		supplies[domain] = turn.supplyOf(domain, idle[domain], scores)
+		supplies[domain] = turn.supplyOf(idle[domain], scores)
+	}
+	for _, replica := range turn.planner.replicas {
+		if supply, found := supplies[turn.known[replica.head()].Domain]; found {
+			supply.hosts[replica.model.Name] += replica.model.Size
+			turn.countReserve(supply, replica)
+		}
 	}
 	return supplies
 }
 
-func (turn *turn) countStage(supply supply, id string, model site.Model) {
-	if turn.planner.memberOf(id) != nil {
-		supply.reserve[model.Name]++
+func (turn *turn) countStage(supply supply, load load) {
+	if load.serves {
+		supply.reserve[load.model.Name]++
 		return
 	}
-	if from := turn.preparedFor(id); turn.planner.track(id).lastModel == "" {
+	if from := turn.preparedFor(load.id); turn.planner.track(load.id).lastModel == "" {
 		supply.prepared[from]--
 	}
-	supply.prepared[model.Name]++
+	supply.prepared[load.model.Name]++
 }
 
 func (turn *turn) mayStage(id string) bool {
@@ -98,26 +121,25 @@
 // secondStage picks the weights for the host of an endpoint that joins its last
 // model's replicas at once without them: those of another model make it ready
 // for both.
-func (turn *turn) secondStage(supply supply, id string) (site.Model, float64) {
+func (turn *turn) secondStage(supply supply, id string, serves bool) load {
 	last := turn.planner.track(id).lastModel
-	var best site.Model
-	bestValue := 0.0
+	best := load{id: id, serves: serves}
 	for _, model := range turn.Engine.Models {
 		if last == "" || model.Name == last || turn.known[id].Holds(model.Name) {
 			continue
 		}
 		value := min(1, secondValue*(1+supply.needs[model.Name])*float64(model.Size))
-		if turn.planner.memberOf(id) != nil {
+		if serves {
 			value = max(value, supply.reserveValue(model))
 		}
-		if value > bestValue {
-			best, bestValue = model, value
+		if value > best.value {
+			best.model, best.value = model, value
 		}
 	}
 	if len(turn.Engine.Models) > 2 && len(turn.known[id].Staged) > 0 && !turn.known[id].Holds(last) {
-		return site.Model{}, 0 // it has a second one already
+		return load{} // it has a second one already
 	}
-	return best, bestValue
+	return best
 }
 
 // reserveLeast is how many hosts of a domain that serve other models should have
@@ -139,11 +161,11 @@
 type supply struct {
 	prepared map[string]int     // free endpoints with the weights, or about to have them
 	hosts    map[string]int     // in replicas
-	reserve  map[string]int     // hosts of other models\' replicas with the weights, or about to have them
+	reserve  map[string]int     // hosts of other models' replicas with the weights, or about to have them
 	needs    map[string]float64 // of all domains together
 }
 
-func (turn *turn) supplyOf(domain string, ids []string, needs map[string]float64) supply {
+func (turn *turn) supplyOf(ids []string, needs map[string]float64) supply {
 	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, reserve: map[string]int{}, needs: needs}
 	for _, id := range ids {
 		for _, model := range turn.Engine.Models {
@@ -152,22 +174,15 @@
 			}
 		}
 	}
-	for _, replica := range turn.planner.sorted() {
-		if turn.known[replica.head()].Domain != domain {
-			continue
-		}
-		supply.hosts[replica.model.Name] += replica.model.Size
-		for _, id := range replica.members {
-			turn.countReserve(supply, replica, id)
-		}
-	}
 	return supply
 }
 
-func (turn *turn) countReserve(supply supply, replica *replica, id string) {
-	for _, model := range turn.Engine.Models {
-		if model.Name != replica.model.Name && turn.readinessOf(id, model.Name) < readyCold {
-			supply.reserve[model.Name]++
+func (turn *turn) countReserve(supply supply, replica *replica) {
+	for _, id := range replica.members {
+		for _, model := range turn.Engine.Models {
+			if model.Name != replica.model.Name && turn.readinessOf(id, model.Name) < readyCold {
+				supply.reserve[model.Name]++
+			}
 		}
 	}
 }
@@ -186,13 +201,12 @@
 // bestStage picks the model that a free endpoint should get the weights of. An
 // endpoint that has some already changes only to complete a replica, and only
 // if it is itself of no use where it is.
-func (turn *turn) bestStage(supply supply, id string) (site.Model, float64) {
+func (turn *turn) bestStage(supply supply, id string) load {
 	if turn.planner.track(id).lastModel != "" {
-		return turn.secondStage(supply, id)
+		return turn.secondStage(supply, id, false)
 	}
 	from := turn.preparedFor(id)
-	var best site.Model
-	bestValue := 0.0
+	best := load{id: id}
 	for _, model := range turn.Engine.Models {
 		if model.Name == from || model.Size == 0 {
 			continue
@@ -202,11 +216,11 @@
 			old, _ := turn.Engine.Model(from)
 			value = supply.swapValue(model, old)
 		}
-		if value > bestValue {
-			best, bestValue = model, value
+		if value > best.value {
+			best.model, best.value = model, value
 		}
 	}
-	return best, bestValue
+	return best
 }
 
 // coverPart scales the worth of a spare for later against that of a host that
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -395,7 +395,7 @@
 			hosts += model.Size
 		}
 		if hosts < 8 {
-			census := current.planner.Census(fleet.Input{Now: w.now, Endpoints: w.seen()})
+			census := current.planner.Census(fleet.Input{Now: w.now, Engine: engine, Endpoints: w.seen()})
 			t.Fatalf("%d of 12 hosts serve: %+v", hosts, census)
 		}
 	})
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -162,7 +162,7 @@
 }
 
 func (control *Control) refreshDigest() {
-	digest := &gossip.Digest{Node: control.settings.Node, Zone: control.settings.Zone, InFlight: map[string]int{}, Prompts: map[string]int{}, Visited: control.visited() || control.anyVisited(), Leaving: control.leaving}
+	digest := &gossip.Digest{Node: control.settings.Node, Zone: control.settings.Zone, InFlight: map[string]int{}, Prompts: map[string]int{}, Visited: control.visited() || control.anyVisited()}
 	for id, load := range control.endpoints.loads {
 		if own := load.Own(); own > 0 {
 			digest.InFlight[id] = own
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -27,11 +27,10 @@
 	Zone     string           `cbor:"9,keyasint"`
 	Versions []int64          `cbor:"2,keyasint"` // of the tables that nodes follow, in their order
 	InFlight map[string]int   `cbor:"3,keyasint,omitempty"`
-	Prompts  map[string]int   `cbor:"7,keyasint,omitempty"` // tokens not answered yet
-	Asked    map[string]int64 `cbor:"8,keyasint,omitempty"` // nanoseconds of hosts' time asked of each model since the start
-	Lost     []string         `cbor:"4,keyasint,omitempty"` // endpoints that answer this node nothing
-	Visited  bool             `cbor:"5,keyasint,omitempty"` // a caller has come
-	Leaving  bool             `cbor:"6,keyasint,omitempty"`
+	Prompts  map[string]int   `cbor:"7,keyasint,omitempty"`  // tokens not answered yet
+	Asked    map[string]int64 `cbor:"8,keyasint,omitempty"`  // nanoseconds of hosts' time asked of each model since the start
+	Lost     []string         `cbor:"4,keyasint,omitempty"`  // endpoints that answer this node nothing
+	Visited  bool             `cbor:"5,keyasint,omitempty"`  // a caller has come
 	Blind    bool             `cbor:"10,keyasint,omitempty"` // the platform does not answer this node
 	StoreAge int64            `cbor:"14,keyasint,omitempty"` // nanoseconds since the platform's store last answered this node
 	Fence    int64            `cbor:"11,keyasint,omitempty"` // of who places, whom the two below are from
