Explaining a request: two readings of the logs, one way to show a line

Cause: the logs were read three times, where the comment says twice, and the lines before, at and after the end were printed by three loops. Ruled out: other output. Change: the second reading keeps the lines of the time around the request, and what touches it is chosen from those; the shown lines are sorted by time. Conclusion: a third less reading.

--- a/cmd/hbctl/explain.go
+++ b/cmd/hbctl/explain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
@@ -66,19 +67,10 @@
 		return shell.Exit{Code: shell.CodeFailed, Message: err.Error()}
 	}
 	ended := story.Ends[0].At
-	show := func(line trace.Line) { fmt.Printf("%+8.3f s  %s\n", line.At.Sub(ended).Seconds(), line) }
-	for _, line := range story.Before {
-		if line.At.Before(ended) {
-			show(line)
-		}
-	}
-	for _, line := range story.Ends {
-		show(line)
-	}
-	for _, line := range story.Before {
-		if !line.At.Before(ended) {
-			show(line)
-		}
+	lines := slices.Concat(story.Ends, story.Before)
+	slices.SortStableFunc(lines, func(a, b trace.Line) int { return a.At.Compare(b.At) })
+	for _, line := range lines {
+		fmt.Printf("%+8.3f s  %s\n", line.At.Sub(ended).Seconds(), line)
 	}
 	return nil
 }
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -47,7 +47,7 @@
 	maxLine  = 1 << 20
 )
 
-// Find reads the logs twice: for the request, and for what touches it.
+// Find reads the logs twice: for the request, and for the lines around it.
 func Find(request string, sources []Source) (Story, error) {
 	story := Story{Request: request}
 	err := read(sources, func(line Line) {
@@ -62,14 +62,18 @@
 		return story, errors.Wrapf(ErrUnknown, "%s", request)
 	}
 	scope := newScope(story.Ends)
-	if err := read(sources, scope.learn); err != nil {
-		return story, err
-	}
+	var near []Line
 	err = read(sources, func(line Line) {
+		if scope.within(line.At) {
+			scope.learn(line)
+			near = append(near, line)
+		}
+	})
+	for _, line := range near {
 		if scope.touches(line) {
 			story.Before = append(story.Before, line)
 		}
-	})
+	}
 	slices.SortStableFunc(story.Before, func(a, b Line) int { return a.At.Compare(b.At) })
 	return story, err
 }
@@ -108,7 +112,7 @@
 func (scope *scope) learn(line Line) {
 	replica, _ := line.Fields["replica"].(string)
 	endpoint, _ := line.Fields["endpoint"].(string)
-	if replica != "" && scope.names[endpoint] && scope.within(line.At) {
+	if replica != "" && scope.names[endpoint] {
 		scope.names[replica] = true
 	}
 }
@@ -119,7 +123,7 @@
 // endpoints, replicas or its model, or is of its node itself. Of other nodes
 // only what they did counts, not how they saw what this one saw too.
 func (scope *scope) touches(line Line) bool {
-	if !scope.within(line.At) || line.Number == event.RequestEnded.Number {
+	if line.Number == event.RequestEnded.Number {
 		return false
 	}
 	own := scope.nodes[line.Source]
