Nodes: whether a peer is fresh is asked in one place

Cause: the same comparison of when a peer was heard stood in six places. Change: peer.fresh; a probe asks isLost like everything else. Measured: the tests of io/edge and of whole nodes.

--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -108,14 +108,16 @@
 	peers.part = talk.Arrange(talk.Node{Name: peers.self, Zone: control.settings.Zone}, others)
 	control.leads.Store(peers.part.Leads)
 	leader := peers.nodes[peers.part.Leader]
-	control.informed.Store(!peers.part.Mesh && leader != nil && !leader.digest.Blind && now.Before(leader.heardAt.Add(digestTerm)))
+	control.informed.Store(!peers.part.Mesh && leader != nil && !leader.digest.Blind && leader.fresh(now))
 }
 
+// fresh tells whether the node was heard of late enough for its word to count.
+func (peer *peer) fresh(now time.Time) bool { return now.Before(peer.heardAt.Add(digestTerm)) }
+
 // silent tells whether a node that should call, or answer, has not for a while.
 func (peer *peer) silent(now time.Time, peers *peers) bool {
-	heard := !peer.heardAt.IsZero() && now.Before(peer.heardAt.Add(digestTerm))
 	exchanges := peers.part.Mesh || peers.part.Leads && peer.zone != peers.zone
-	return exchanges && !peer.heardAt.IsZero() && !heard
+	return exchanges && !peer.heardAt.IsZero() && !peer.fresh(now)
 }
 
 // told is what a node of a zone is told: in a mesh, and by a member, this
@@ -140,7 +142,7 @@
 	near, wide := *control.digest.Load(), *control.digest.Load()
 	near, wide = near.Copy(), wide.Copy()
 	for _, found := range peers.nodes {
-		if now.After(found.heardAt.Add(digestTerm)) {
+		if !found.fresh(now) {
 			continue
 		}
 		wide.Add(found.digest)
@@ -267,7 +269,7 @@
 func (control *Control) shareLoads(now time.Time) {
 	others, prompts := map[string]int{}, map[string]int{}
 	for _, found := range control.peers.nodes {
-		if now.After(found.heardAt.Add(digestTerm)) {
+		if !found.fresh(now) {
 			continue
 		}
 		for id, count := range found.digest.InFlight {
@@ -310,7 +312,7 @@
 	own := control.versions()[table]
 	var best *peer
 	for _, found := range control.peers.nodes {
-		if now.After(found.heardAt.Add(digestTerm)) || len(found.digest.Versions) <= table || found.digest.Versions[table] <= own {
+		if !found.fresh(now) || len(found.digest.Versions) <= table || found.digest.Versions[table] <= own {
 			continue
 		}
 		if best == nil || found.digest.Versions[table] > best.digest.Versions[table] {
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -198,7 +198,7 @@
 			continue
 		}
 		leaders++
-		if now.After(found.heardAt.Add(digestTerm)) {
+		if !found.fresh(now) {
 			continue
 		}
 		heard++
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -74,7 +74,7 @@
 	if !found {
 		return
 	}
-	_, wasLost := known.lost[probe.id]
+	wasLost := known.isLost(probe.id)
 	if probe.alive {
 		delete(known.lost, probe.id)
 		control.learnReport(probe)
