Logs and metrics tell how old a node's copy of a table is

Change: each node keeps a watermark for each table, the time up to which its copy is known to be complete (core/fresh). No decision uses any of it yet.

--- /dev/null
+++ b/core/fresh/watermark.go
@@ -0,0 +1,30 @@
+package fresh
+
+import "time"
+
+// Watermark is the time up to which a copy of a table is known to be complete: the
+// copy has every change that the store acknowledged before At. All times are of
+// this node's monotonic clock.
+type Watermark struct {
+	At time.Time // zero before the first confirmation
+}
+
+// Advance records that the copy is complete up to a time. An earlier one than the
+// known has no effect, since confirmations may arrive out of order.
+func (watermark *Watermark) Advance(at time.Time) {
+	if at.After(watermark.At) {
+		watermark.At = at
+	}
+}
+
+// Age returns how long ago the copy was last known to be complete, or Unknown if
+// it never was.
+func (watermark Watermark) Age(now time.Time) time.Duration {
+	if watermark.At.IsZero() {
+		return Unknown
+	}
+	return max(0, now.Sub(watermark.At))
+}
+
+// Unknown is the age of a copy that was never known to be complete.
+const Unknown time.Duration = 1<<63 - 1
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -37,6 +37,7 @@
 	snapshot        atomic.Pointer[reach.Snapshot]
 	digest          atomic.Pointer[gossip.Digest]            // this node's own
 	publishedTables [tableCount]atomic.Pointer[gossip.Table] // what other nodes may fetch
+	copies          copies
 	ready           atomic.Bool
 	placing         atomic.Bool // this node places replicas; see placement.active
 	isLeader        atomic.Bool // this node reads the platform's tables for its zone
@@ -64,6 +65,7 @@
 		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, abortAttempts: func([]string) {},
 		messages: make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
 	}
+	control.copies = newCopies(settings)
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
 	control.placement = newPlacement(settings)
@@ -81,6 +83,12 @@
 // not draining.
 func (control *Control) Ready() bool { return control.ready.Load() }
 
+// EndpointsAge returns how long ago the endpoints were last known to be as the
+// store has them.
+func (control *Control) EndpointsAge(now time.Time) time.Duration {
+	return control.copies.publishedAge(tableEndpoints, now)
+}
+
 // Suspect requests a probe of an endpoint and its replica. It never blocks.
 func (control *Control) Suspect(endpoint string) {
 	select {
@@ -120,6 +128,7 @@
 			control.snapshotStale = false
 			control.publish(time.Now())
 		}
+		control.copies.publish()
 	}
 }
 
@@ -145,7 +154,7 @@
 	case tableUnavailable:
 		control.handleTableUnavailable(typed, now)
 	case digestReceived:
-		control.handlePeerDigest(typed.digest, now)
+		control.handlePeerDigest(typed, now)
 	case peerUnresponsive:
 		control.peers.markExchangeFailed(typed.node, now)
 	case endpointSuspected:
@@ -181,6 +190,7 @@
 	case tableLease:
 		control.handleLease(change, now)
 	}
+	control.copies.confirm(change.table, change.batch.ConfirmedAt)
 }
 
 // handleTableUnavailable records and logs the start of a table's outage.
@@ -208,6 +218,7 @@
 	control.checkSuspension(now)
 	control.checkEndpointDeadlines(now)
 	control.exchangeDigests(now)
+	control.reportAges(now)
 	control.updateDemand(now)
 	control.runPlacement(now)
 	ready := control.config.index != nil && control.endpoints.loaded && !control.draining
--- /dev/null
+++ b/io/edge/copies.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorybend/core/fresh"
+	"hickorybend/io/event"
+	"hickorybend/io/gossip"
+)
+
+// nodesBound is the time within which a change of the nodes' addresses should be
+// known everywhere. No rule sets it: a node with a stale address is unresponsive.
+const nodesBound = 25 * time.Second
+
+// copies is how old this node's copies of the tables are.
+type copies struct {
+	watermarks [tableCount]fresh.Watermark
+	policies   [tableCount]fresh.Policy
+	stale      [tableCount]time.Time                 // the time up to which the copy was complete when it became out of date; zero while it is not
+	published  [tableCount]atomic.Pointer[time.Time] // the watermarks, for other goroutines
+}
+
+func newCopies(settings Settings) copies {
+	return copies{policies: [tableCount]fresh.Policy{
+		tableConfig: fresh.PolicyFor(settings.ConfigBound), tableEndpoints: fresh.PolicyFor(settings.DrainBound), tableNodes: fresh.PolicyFor(nodesBound),
+	}}
+}
+
+// hasAge reports whether the age of a table's copy is tracked. That of the lease
+// is not: only its holder and the nodes that may acquire it read it, and each
+// write of it is conditional on the version read.
+func hasAge(table int) bool { return table != tableLease }
+
+// confirm records that a copy is complete up to a time.
+func (copies *copies) confirm(table int, at time.Time) {
+	copies.watermarks[table].Advance(at)
+}
+
+// publish publishes the watermarks. It follows the publication of the snapshot,
+// which then has what they vouch for.
+func (copies *copies) publish() {
+	for table, watermark := range copies.watermarks {
+		if published := copies.published[table].Load(); published == nil || *published != watermark.At {
+			copies.published[table].Store(&watermark.At)
+		}
+	}
+}
+
+func (copies *copies) age(table int, now time.Time) time.Duration {
+	return copies.watermarks[table].Age(now)
+}
+
+// publishedAge returns the age of a copy. It is safe for use by other goroutines.
+func (copies *copies) publishedAge(table int, now time.Time) time.Duration {
+	at := copies.published[table].Load()
+	if at == nil {
+		return fresh.Unknown
+	}
+	return fresh.Watermark{At: *at}.Age(now)
+}
+
+// confirmedAt returns the watermarks of all tables, for the digest.
+func (copies *copies) confirmedAt() []time.Time {
+	times := make([]time.Time, tableCount)
+	for table := range tableCount {
+		times[table] = copies.watermarks[table].At
+	}
+	return times
+}
+
+// confirmByPeer confirms the copies that are at least as new as those of another
+// node, which has replied with its digest to a request sent at askedAt. A digest
+// that was sent unasked confirms nothing: it may have been on its way for long.
+func (control *Control) confirmByPeer(digest gossip.Digest, askedAt time.Time) {
+	versions := control.versions()
+	for table := range tableCount {
+		if !hasAge(table) || len(digest.Versions) <= table || versions[table] < digest.Versions[table] {
+			continue
+		}
+		if at, known := digest.ConfirmedBy(table, askedAt); known {
+			control.copies.confirm(table, at)
+		}
+	}
+}
+
+// reportAges updates the gauges of the copies' ages, and logs when a copy becomes
+// out of date and when it is up to date again.
+func (control *Control) reportAges(now time.Time) {
+	copies := &control.copies
+	for table := range tableCount {
+		watermark := copies.watermarks[table]
+		if !hasAge(table) || watermark.At.IsZero() {
+			continue // a node without a copy is not ready
+		}
+		age := watermark.Age(now)
+		control.meter.Gauge("table_age_seconds_"+tableNames[table], age.Seconds())
+		stale := age >= copies.policies[table].StaleAfter
+		switch {
+		case stale && copies.stale[table].IsZero():
+			copies.stale[table] = watermark.At
+			event.Log(control.log, event.CopyStale, zap.String("table", tableNames[table]), zap.Duration("age", age),
+				zap.Int64("version", control.versions()[table]), zap.Bool("reads", control.follows(table)),
+				zap.Bool("store-unreachable", !control.config.unavailableSince[table].IsZero()), zap.String("leader", control.peers.role.Leader))
+		case !stale && !copies.stale[table].IsZero():
+			event.Log(control.log, event.CopyFresh, zap.String("table", tableNames[table]), zap.Duration("gap", watermark.At.Sub(copies.stale[table])))
+			copies.stale[table] = time.Time{}
+		}
+	}
+}
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -60,17 +60,17 @@
 		present[entry.Key] = !entry.Removed
 		endpoints.version = max(endpoints.version, entry.Version)
 		if entry.Removed {
-			control.handleRemoval(entry.Key, entry.Version, now)
+			control.handleRemoval(entry.Key, entry.Version, change.from, now)
 			continue
 		}
 		delete(endpoints.removals, entry.Key)
-		control.handleEndpointRow(entry, now)
+		control.handleEndpointRow(entry, change.from, now)
 	}
 	if change.batch.Full {
 		endpoints.loaded = true
 		for id := range endpoints.byID {
 			if !present[id] {
-				control.handleRemoval(id, endpoints.version, now)
+				control.handleRemoval(id, endpoints.version, change.from, now)
 			}
 		}
 	}
@@ -85,7 +85,7 @@
 // only that the endpoint is draining. From one that may be older than the
 // endpoint's last report it takes only the sequence number and whether the
 // endpoint is draining.
-func (control *Control) handleEndpointRow(entry platform.Entry, now time.Time) {
+func (control *Control) handleEndpointRow(entry platform.Entry, from source, now time.Time) {
 	endpoints := &control.endpoints
 	endpoint, err := platform.DecodeEndpoint(entry.Key, entry.Value)
 	if err != nil {
@@ -127,7 +127,8 @@
 	if !found || endpoint.Draining != previous.Draining || endpoint.Membership != previous.Membership {
 		event.Log(control.log, event.EndpointChanged, zap.String("endpoint", entry.Key), zap.String("address", endpoint.Address),
 			zap.Bool("draining", endpoint.Draining), zap.String("replica", endpoint.Membership.Replica),
-			zap.String("phase", string(endpoint.Membership.Phase)), zap.Int64("beat", endpoint.Sequence))
+			zap.String("phase", string(endpoint.Membership.Phase)), zap.Int64("beat", endpoint.Sequence),
+			zap.String("from", string(from)), zap.Int64("version", entry.Version), zap.Duration("age", control.copies.age(tableEndpoints, now)))
 	}
 }
 
@@ -149,7 +150,7 @@
 
 // handleRemoval removes an endpoint whose row is missing. Just after a store
 // outage it first waits for removalGrace.
-func (control *Control) handleRemoval(id string, version int64, now time.Time) {
+func (control *Control) handleRemoval(id string, version int64, from source, now time.Time) {
 	endpoints := &control.endpoints
 	if _, found := endpoints.byID[id]; !found {
 		return
@@ -159,18 +160,19 @@
 		endpoints.missingUntil[id] = recoveredAt.Add(removalGrace)
 		return
 	}
-	control.removeEndpoint(id, version)
+	control.removeEndpoint(id, version, from, now)
 }
 
 // removeEndpoint removes an endpoint. Peers fetch the removal under this version.
-func (control *Control) removeEndpoint(id string, version int64) {
+func (control *Control) removeEndpoint(id string, version int64, from source, now time.Time) {
 	endpoints := &control.endpoints
 	endpoints.removals[id] = version
 	if len(endpoints.removals) > maxRemovals {
 		endpoints.removals = map[string]int64{}
 		endpoints.compactedVersion = endpoints.version
 	}
-	event.Log(control.log, event.EndpointGone, zap.String("endpoint", id), zap.String("replica", endpoints.byID[id].Membership.Replica))
+	event.Log(control.log, event.EndpointGone, zap.String("endpoint", id), zap.String("replica", endpoints.byID[id].Membership.Replica),
+		zap.String("from", string(from)), zap.Int64("version", version), zap.Duration("age", control.copies.age(tableEndpoints, now)))
 	delete(endpoints.byID, id)
 	delete(endpoints.rows, id)
 	delete(endpoints.missingUntil, id)
@@ -187,7 +189,7 @@
 	for id, deadline := range endpoints.missingUntil {
 		if !now.Before(deadline) {
 			endpoints.version++ // so that peers that have all rows up to the current version fetch the removal too
-			control.removeEndpoint(id, endpoints.version)
+			control.removeEndpoint(id, endpoints.version, fromGrace, now)
 			control.publishEndpointTable()
 		}
 	}
--- a/io/edge/endpoints_test.go
+++ b/io/edge/endpoints_test.go
@@ -27,7 +27,7 @@
 	control.ctx = ctx
 	receiveRow := func(sequence int, replica string, at time.Time) {
 		value := fmt.Sprintf(`{"service":"llm","address":"127.0.0.1:1","state":"ready","sequence":%d,"born":1000,"group":{"name":%q,"epoch":1,"state":"ready"}}`, sequence, replica)
-		control.handleEndpointRow(platform.Entry{Key: "e-1", Value: []byte(value), Version: 1}, at)
+		control.handleEndpointRow(platform.Entry{Key: "e-1", Value: []byte(value), Version: 1}, fromStore, at)
 	}
 	expectReplica := func(replica string) {
 		t.Helper()
--- a/io/edge/message.go
+++ b/io/edge/message.go
@@ -23,12 +23,13 @@
 	from  source
 }
 
-// source is where rows were read.
+// source is where rows were read, or why one counts as removed.
 type source string
 
 const (
 	fromStore source = "store"
 	fromPeer  source = "peer"
+	fromGrace source = "grace" // it has not come back within removalGrace
 )
 
 // tableUnavailable reports that the store did not answer a read or poll of a
@@ -40,7 +41,8 @@
 
 // digestReceived carries another node's digest.
 type digestReceived struct {
-	digest gossip.Digest
+	digest  gossip.Digest
+	askedAt time.Time // when this node asked for it; zero if the other node sent it unasked
 }
 
 // peerUnresponsive reports that another node did not answer an exchange.
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -160,12 +160,13 @@
 
 // exchange sends a digest to another node and enqueues the digest in its reply.
 func (control *Control) exchange(name string, client *gossip.Client, digest gossip.Digest) {
-	reply, err := client.Exchange(control.ctx, digest)
+	askedAt := time.Now()
+	reply, err := client.Exchange(control.ctx, digest.WithAges(askedAt))
 	if err != nil {
 		control.enqueue(peerUnresponsive{node: name})
 		return
 	}
-	control.enqueue(digestReceived{digest: reply})
+	control.enqueue(digestReceived{digest: reply, askedAt: askedAt})
 }
 
 // refreshDigest builds this node's own digest.
@@ -186,7 +187,7 @@
 	for id := range control.endpoints.unresponsive {
 		digest.Unresponsive = append(digest.Unresponsive, id)
 	}
-	digest.Versions = control.versions()
+	digest.Versions, digest.ConfirmedAt = control.versions(), control.copies.confirmedAt()
 	// Before its first planning pass a holder does not know which endpoints are quarantined.
 	if placement := &control.placement; placement.active && placement.planCount > 0 {
 		digest.Fence, digest.PlanCount, digest.Quarantined = placement.fence, placement.planCount, placement.quarantined(time.Now())
@@ -224,11 +225,11 @@
 	control.enqueue(digestReceived{digest: digest})
 	clusterDigest := control.peers.clusterDigest.Load()
 	if clusterDigest == nil || digest.Zone != control.settings.Zone {
-		return control.outgoingDigest(digest.Zone)
+		return control.outgoingDigest(digest.Zone).WithAges(time.Now())
 	}
 	reply := clusterDigest.Copy()
 	reply.Subtract(digest)
-	return reply
+	return reply.WithAges(time.Now())
 }
 
 // Table returns the changes in a table after a version, for another node.
@@ -236,16 +237,22 @@
 	if table < 0 || table >= tableCount {
 		return gossip.Table{}
 	}
+	confirmedAt := control.copies.published[table].Load() // before the table, which may then be newer
 	published := control.publishedTables[table].Load()
 	if published == nil {
 		return gossip.Table{}
 	}
-	return published.ChangesAfter(after)
+	changes := published.ChangesAfter(after)
+	if confirmedAt != nil && !confirmedAt.IsZero() {
+		changes.Age = int64(max(1, time.Since(*confirmedAt)))
+	}
+	return changes
 }
 
 // handlePeerDigest stores another node's digest and applies what it reports about
 // endpoints and the lease's holder.
-func (control *Control) handlePeerDigest(digest gossip.Digest, now time.Time) {
+func (control *Control) handlePeerDigest(received digestReceived, now time.Time) {
+	digest := received.digest
 	peer := control.peers.nodes[digest.Node]
 	if peer == nil {
 		return // its row has not been read yet
@@ -254,6 +261,7 @@
 	peer.digestReceivedAt = now
 	peer.exchanging = false
 	peer.lastExchangeFailed = false
+	control.confirmByPeer(digest, received.askedAt)
 	control.reconcileUnresponsive(digest, now)
 	control.placement.updateHolderReport(digest, now)
 }
@@ -344,6 +352,7 @@
 // fetchFromPeer fetches the changes in a table after a version and enqueues them.
 func (control *Control) fetchFromPeer(client *gossip.Client, table int, after int64) {
 	defer control.enqueue(tableFetched{table: table})
+	askedAt := time.Now()
 	received, err := client.Fetch(control.ctx, table, after)
 	if err != nil {
 		event.Log(control.log, event.PeerUnresponsive, zap.Error(err))
@@ -353,6 +362,9 @@
 		return // the peer has no rows either
 	}
 	batch := platform.Batch{Version: received.Version, Full: received.Full}
+	if received.Age > 0 {
+		batch.ConfirmedAt = askedAt.Add(-time.Duration(received.Age))
+	}
 	for _, entry := range received.Entries {
 		batch.Entries = append(batch.Entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version, Removed: entry.Removed})
 	}
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -21,15 +21,21 @@
 	Seeds             []string      `json:"seeds"`       // addresses of some hosts that run nodes; their port is ignored
 	FirstStart        bool          `json:"first-start"` // all nodes start for the first time, and no replica has been placed before
 	MemoryMB          int           `json:"memory-mb"`
-	Grace             time.Duration `json:"grace"`  // from SIGTERM until the platform kills the process
-	DrainDelay        time.Duration `json:"notice"` // for the load balancer to see two failed readiness checks; part of the grace
-	StallTimeout      time.Duration `json:"stall"`  // how long a replica that lost a member stalls before it breaks
+	Grace             time.Duration `json:"grace"`        // from SIGTERM until the platform kills the process
+	DrainDelay        time.Duration `json:"notice"`       // for the load balancer to see two failed readiness checks; part of the grace
+	DrainBound        time.Duration `json:"drain-bound"`  // after the store's acknowledgment that an endpoint leaves, no request may reach it
+	ConfigBound       time.Duration `json:"config-bound"` // after the store's acknowledgment, a configuration must be in force
+	StallTimeout      time.Duration `json:"stall"`        // how long a replica that lost a member stalls before it breaks
 	Retry             Retry         `json:"retry"`
 	PlaceWithoutStore bool          `json:"place-without-store"` // continue placing while the store answers no node
 	HeaderTimeout     time.Duration `json:"header-time"`
 	HeaderBytes       int           `json:"header-bytes"`
 }
 
+// minBound is the shortest bound that nodes can keep: they exchange digests every
+// 100 ms, and a read of the store may have to be sent twice.
+const minBound = 1500 * time.Millisecond
+
 // Retry is the retry budget that all nodes share.
 type Retry struct {
 	Ratio  float64       `json:"ratio"`  // retries allowed for each request
@@ -43,7 +49,8 @@
 // DefaultSettings returns the values of settings that the file leaves out.
 func DefaultSettings() Settings {
 	return Settings{
-		MemoryMB: 256, Grace: 8 * time.Second, DrainDelay: 3200 * time.Millisecond, StallTimeout: 6 * time.Second,
+		MemoryMB: 256, Grace: 8 * time.Second, DrainDelay: 3200 * time.Millisecond,
+		DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, StallTimeout: 6 * time.Second,
 		Retry: Retry{Ratio: 0.1, Extra: 20, Window: 10 * time.Second}, HeaderTimeout: 10 * time.Second, HeaderBytes: 64 << 10,
 	}
 }
@@ -77,6 +84,12 @@
 	if settings.Grace < time.Second {
 		doc.AddFault("grace", "at least 1s", settings.Grace.String())
 	}
+	if settings.DrainBound < minBound {
+		doc.AddFault("drain-bound", "at least "+minBound.String(), settings.DrainBound.String())
+	}
+	if settings.ConfigBound < minBound {
+		doc.AddFault("config-bound", "at least "+minBound.String(), settings.ConfigBound.String())
+	}
 	if settings.MemoryMB < 32 {
 		doc.AddFault("memory-mb", "at least 32", "less")
 	}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -29,6 +29,7 @@
 	pool        *pool.Pool
 	snapshot    *atomic.Pointer[reach.Snapshot]
 	suspect     func(endpoint string)
+	age         func(now time.Time) time.Duration // of the endpoints in the snapshot
 	log         *zap.Logger
 	meter       *meter.Meter
 	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
@@ -71,12 +72,18 @@
 	return func(server *Server) { server.suspect = suspect }
 }
 
+// WithEndpointsAge sets the function that returns how old the knowledge of the
+// endpoints is.
+func WithEndpointsAge(age func(now time.Time) time.Duration) Option {
+	return func(server *Server) { server.age = age }
+}
+
 // New creates a server that routes by the snapshot that the control loop
 // publishes.
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
-		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {},
+		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, age: func(time.Time) time.Duration { return 0 },
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -31,6 +31,8 @@
 	OutcomeUnknown        = Event{205, "outcome of a transaction is not known", zap.WarnLevel}
 	RowUnreadable         = Event{206, "stored row cannot be decoded", zap.ErrorLevel}
 	PeerUnresponsive      = Event{207, "another node does not answer", zap.WarnLevel}
+	CopyStale             = Event{208, "copy of a table is out of date", zap.WarnLevel}
+	CopyFresh             = Event{209, "copy of a table is up to date again", zap.InfoLevel}
 	LeaseAcquired         = Event{301, "lease acquired", zap.InfoLevel}
 	LeaseLost             = Event{302, "lease lost", zap.WarnLevel}
 	LeaseReleased         = Event{303, "lease released", zap.InfoLevel}
@@ -67,7 +69,7 @@
 func All() []Event {
 	return []Event{
 		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LogLinesDropped, SettingsReread, ReadinessChanged, DrainTimedOut, HostSuspended,
-		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive,
+		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh,
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // Copy returns a copy whose maps, which are not nil, and list Unresponsive are its
@@ -71,3 +72,27 @@
 		}
 	}
 }
+
+// WithAges returns the digest with its ages as of now. A digest is sent up to one
+// round after it was built, or later if the node's control loop stands still.
+func (digest Digest) WithAges(now time.Time) Digest {
+	digest.Ages = make([]int64, len(digest.ConfirmedAt))
+	for table, confirmedAt := range digest.ConfirmedAt {
+		digest.Ages[table] = -1
+		if !confirmedAt.IsZero() {
+			digest.Ages[table] = int64(now.Sub(confirmedAt))
+		}
+	}
+	return digest
+}
+
+// ConfirmedBy returns the time up to which the sender's copy of a table was
+// complete, on the clock of a node that asked for the digest at askedAt. It
+// reports false if the sender does not know. The sender built its reply after
+// askedAt, so its copy was at most this old then.
+func (digest Digest) ConfirmedBy(table int, askedAt time.Time) (time.Time, bool) {
+	if len(digest.Ages) <= table || digest.Ages[table] < 0 || askedAt.IsZero() {
+		return time.Time{}, false
+	}
+	return askedAt.Add(-time.Duration(digest.Ages[table])), true
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -36,6 +36,8 @@
 	Fence            int64            `cbor:"11,keyasint,omitempty"` // fencing number of the placement lease whose holder reports PlanCount and Quarantined
 	PlanCount        int64            `cbor:"12,keyasint,omitempty"` // planning passes that the holder has made under this fencing number
 	Quarantined      []string         `cbor:"13,keyasint,omitempty"` // endpoints whose previous first host may still serve, so that they may not join another replica
+	Ages             []int64          `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
+	ConfirmedAt      []time.Time      `cbor:"-"`                     // the same as times of the node's own clock
 }
 
 // Entry is a row as the platform's store returned it.
@@ -51,7 +53,8 @@
 	Entries          []Entry `cbor:"1,keyasint"`
 	Version          int64   `cbor:"2,keyasint"`
 	Full             bool    `cbor:"3,keyasint,omitempty"`
-	CompactedVersion int64   `cbor:"-"` // Entries list removals after this version only
+	Age              int64   `cbor:"4,keyasint,omitempty"` // nanoseconds since the copy was known to be complete; 0 if that is not known
+	CompactedVersion int64   `cbor:"-"`                    // Entries list removals after this version only
 }
 
 // ChangesAfter returns the changes after a version, or the full table if removals
