A node's copy of the endpoints has the store's versions only

What callers saw: DRAIN.

Cause: a node that gave up waiting for a lapsed row raised its version by one so that peers fetch the removal. The store gives the same number to its next change, and peers that have the number already never ask for it. The property test found three more ways to the same state: a full read that finds a row missing lists the removal under an old version; rows that came and went before a full read are known to nobody who fetches from it; an answer of the store that arrives late brings back a removed row.

Ruled out: that peers did not reach a reader; their copies passed for 0.28 to 0.76 s old when they had lacked the change for 2 s.

Change: a removal is recorded and passed on at once under the store's version, with what is left of its grace, and each node forgets the endpoint itself. A copy knows up to which store version it is complete, apart from its newest change; a peer needs nothing if its own copy is complete up to the newest change and the last full read of the other. Rows that a complete copy lacks and that are no newer were removed. Digests carry two more numbers; nodes of an older build ignore them.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -128,7 +128,7 @@
 			control.snapshotStale = false
 			control.publish(time.Now())
 		}
-		control.copies.publish()
+		control.copies.publish(control.endpoints.completeVersion)
 	}
 }
 
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -19,8 +19,14 @@
 type copies struct {
 	watermarks [tableCount]fresh.Watermark
 	policies   [tableCount]fresh.Policy
-	stale      [tableCount]time.Time                 // the time up to which the copy was complete when it became out of date; zero while it is not
-	published  [tableCount]atomic.Pointer[time.Time] // the watermarks, for other goroutines
+	stale      [tableCount]time.Time                    // the time up to which the copy was complete when it became out of date; zero while it is not
+	published  [tableCount]atomic.Pointer[confirmation] // for other goroutines
+}
+
+// confirmation says up to when a copy is complete.
+type confirmation struct {
+	at      time.Time
+	version int64 // the store's; 0 for tables other than that of the endpoints
 }
 
 func newCopies(settings Settings) copies {
@@ -41,10 +47,14 @@
 
 // publish publishes the watermarks. It follows the publication of the snapshot,
 // which then has what they vouch for.
-func (copies *copies) publish() {
+func (copies *copies) publish(endpointsVersion int64) {
 	for table, watermark := range copies.watermarks {
-		if published := copies.published[table].Load(); published == nil || *published != watermark.At {
-			copies.published[table].Store(&watermark.At)
+		current := confirmation{at: watermark.At}
+		if table == tableEndpoints {
+			current.version = endpointsVersion
+		}
+		if published := copies.published[table].Load(); published == nil || *published != current {
+			copies.published[table].Store(&current)
 		}
 	}
 }
@@ -55,11 +65,11 @@
 
 // publishedAge returns the age of a copy. It is safe for use by other goroutines.
 func (copies *copies) publishedAge(table int, now time.Time) time.Duration {
-	at := copies.published[table].Load()
-	if at == nil {
+	published := copies.published[table].Load()
+	if published == nil {
 		return fresh.Unknown
 	}
-	return fresh.Watermark{At: *at}.Age(now)
+	return fresh.Watermark{At: published.at}.Age(now)
 }
 
 // confirmedAt returns the watermarks of all tables, for the digest.
@@ -71,15 +81,21 @@
 	return times
 }
 
-// confirmByPeer confirms the copies that are at least as new as those of another
-// node, which has replied with its digest to a request sent at askedAt. A digest
-// that was sent unasked confirms nothing: it may have been on its way for long.
+// confirmByPeer confirms the copies that have all that another node's have, when
+// that node has replied with its digest to a request sent at askedAt. A digest
+// that was sent unasked confirms no time: it may have been on its way for long.
+//
+// For example, this node's copy of the endpoints is complete up to version 100,
+// and the peer's up to 140, but the newest change in it is 90. Then the table has
+// not changed from 90 to 140, and this node's copy is complete up to 140 as well.
 func (control *Control) confirmByPeer(digest gossip.Digest, askedAt time.Time) {
-	versions := control.versions()
 	for table := range tableCount {
-		if !hasAge(table) || len(digest.Versions) <= table || versions[table] < digest.Versions[table] {
+		if !hasAge(table) || len(digest.Versions) <= table || control.completeVersion(table) < requiredVersion(digest, table) {
 			continue
 		}
+		if table == tableEndpoints {
+			control.endpoints.completeVersion = max(control.endpoints.completeVersion, digest.Complete)
+		}
 		if at, known := digest.ConfirmedBy(table, askedAt); known {
 			control.copies.confirm(table, at)
 		}
--- /dev/null
+++ b/io/edge/copies_test.go
@@ -0,0 +1,278 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hickorybend/io/gossip"
+	"hickorybend/io/meter"
+	"hickorybend/io/pool"
+	"hickorybend/platform"
+)
+
+// tableModel is a store with one table of endpoints, and nodes that copy it from
+// the store and from each other. Answers may arrive late and out of order.
+type tableModel struct {
+	t       rapid.TB
+	now     time.Time
+	version int64
+	changes []platform.Entry // all changes, in the order of their versions
+	times   []time.Time      // when the store acknowledged them
+	nodes   []*tableNode
+	late    []func() // answers on their way
+}
+
+// tableNode is a node with the version from which it polls next, or 0 if it reads
+// the full table next.
+type tableNode struct {
+	control  *Control
+	pollFrom int64
+}
+
+func newTableModel(t rapid.TB, nodes int) *tableModel {
+	model := &tableModel{t: t, now: time.Now(), version: 1}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no probe is sent
+	for range nodes {
+		control := NewControl(DefaultSettings(), nil, platform.NewEngineClient(pool.New()), zap.NewNop(), meter.New())
+		control.ctx = ctx
+		model.nodes = append(model.nodes, &tableNode{control: control})
+	}
+	return model
+}
+
+// change writes or removes a row, as the store does for an endpoint.
+func (model *tableModel) change(key string, removed bool) {
+	model.version++
+	entry := platform.Entry{Key: key, Version: model.version, Removed: removed}
+	if !removed {
+		entry.Value = fmt.Appendf(nil, `{"service":"app","address":"127.0.0.1:1","state":"ready","sequence":%d,"born":1000}`, model.version)
+	}
+	model.changes, model.times = append(model.changes, entry), append(model.times, model.now)
+	model.now = model.now.Add(time.Millisecond)
+}
+
+// lastChange returns the last change of a row up to a version.
+func (model *tableModel) lastChange(key string, version int64) (platform.Entry, bool) {
+	for _, change := range slices.Backward(model.changes) {
+		if change.Key == key && change.Version <= version {
+			return change, true
+		}
+	}
+	return platform.Entry{}, false
+}
+
+// removedAfter reports whether a row was removed after a change.
+func (model *tableModel) removedAfter(change platform.Entry) bool {
+	return slices.ContainsFunc(model.changes, func(later platform.Entry) bool {
+		return later.Key == change.Key && later.Removed && later.Version > change.Version
+	})
+}
+
+// read returns the store's answer to a node's next read or poll. A full table is
+// read in two pages; pageAge is how many versions older the first one is.
+func (model *tableModel) read(node *tableNode, pageAge int64) platform.Batch {
+	batch := platform.Batch{Version: model.version, Full: node.pollFrom == 0, ConfirmedAt: model.now}
+	if batch.Full {
+		batch.Version = max(1, model.version-pageAge)
+		batch.ConfirmedAt = model.timeOf(batch.Version)
+	}
+	for _, change := range model.changes {
+		pageVersion := model.version
+		if change.Key < "e-3" {
+			pageVersion = batch.Version
+		}
+		last, _ := model.lastChange(change.Key, pageVersion)
+		isRow := last.Version == change.Version && !last.Removed
+		if batch.Full && isRow || !batch.Full && change.Version > node.pollFrom {
+			batch.Entries = append(batch.Entries, change)
+		}
+	}
+	return batch
+}
+
+// deliver hands a batch to a node, at once or late.
+func (model *tableModel) deliver(node *tableNode, batch platform.Batch, from source, late bool) {
+	apply := func() {
+		node.control.handleTable(tableChanged{table: tableEndpoints, batch: batch, from: from}, model.now)
+		node.control.copies.publish(node.control.endpoints.completeVersion)
+		if from == fromStore {
+			node.pollFrom = batch.Version
+		}
+	}
+	if late {
+		model.late = append(model.late, apply)
+		return
+	}
+	apply()
+}
+
+// fetch has a node fetch the changes that it lacks from one that is ahead, or
+// nothing if none is missing.
+func (model *tableModel) fetch(node, ahead *tableNode, late bool) {
+	digest := model.digest(ahead)
+	if requiredVersion(digest, tableEndpoints) <= node.control.endpoints.completeVersion {
+		return
+	}
+	table := ahead.control.Table(tableEndpoints, node.control.endpoints.completeVersion)
+	batch := platform.Batch{Version: max(table.Version, table.Complete), Full: table.Full, ConfirmedAt: ahead.control.copies.watermarks[tableEndpoints].At}
+	for _, entry := range table.Entries {
+		batch.Entries = append(batch.Entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version, Removed: entry.Removed, GraceLeft: time.Duration(entry.GraceLeft)})
+	}
+	model.deliver(node, batch, fromPeer, late)
+}
+
+// digest returns a node's digest.
+func (model *tableModel) digest(node *tableNode) gossip.Digest {
+	node.control.refreshDigest()
+	return node.control.digest.Load().WithAges(model.now)
+}
+
+// exchange has a node receive another's digest, which that built after the node
+// asked for it.
+func (model *tableModel) exchange(node, other *tableNode, late bool) {
+	askedAt, digest := model.now, model.digest(other)
+	apply := func() { node.control.confirmByPeer(digest, askedAt) }
+	if late {
+		model.late = append(model.late, apply)
+		return
+	}
+	apply()
+}
+
+// timeOf returns a time at which the store was at a version.
+func (model *tableModel) timeOf(version int64) time.Time {
+	for i, change := range model.changes {
+		if change.Version > version {
+			return model.times[i]
+		}
+	}
+	return model.now
+}
+
+// expectComplete checks that a node's copy has every change up to the version, and
+// every one acknowledged before the time, for which the node says so.
+func (model *tableModel) expectComplete(node *tableNode) {
+	endpoints := &node.control.endpoints
+	confirmedAt := node.control.copies.watermarks[tableEndpoints].At
+	for i, change := range model.changes {
+		last, _ := model.lastChange(change.Key, endpoints.completeVersion)
+		row, found := endpoints.rows[change.Key]
+		switch {
+		case model.times[i].Before(confirmedAt) && change.Version > endpoints.completeVersion:
+			model.t.Fatalf("version %d, but version %d was acknowledged before the watermark", endpoints.completeVersion, change.Version)
+		case last.Version == 0:
+		case last.Removed && found && row.Version < last.Version:
+			model.t.Fatalf("complete up to %d, but %s is not removed, which it was under %d", endpoints.completeVersion, change.Key, last.Version)
+		case !last.Removed && !found && !model.removedAfter(last): // the second page of a full table may be newer
+			model.t.Fatalf("complete up to %d without the row of %s, written under %d", endpoints.completeVersion, change.Key, last.Version)
+		case !last.Removed && found && row.Version < last.Version:
+			model.t.Fatalf("complete up to %d, but the row of %s is that of %d, not of %d", endpoints.completeVersion, change.Key, row.Version, last.Version)
+		}
+	}
+}
+
+// expectSameRows lets one node poll the store and the others fetch from it, and
+// checks that all have the store's rows then.
+func (model *tableModel) expectSameRows() {
+	reader := model.nodes[0]
+	model.deliver(reader, model.read(reader, 0), fromStore, false)
+	for i, node := range model.nodes {
+		model.fetch(node, reader, false)
+		for _, change := range model.changes {
+			last, _ := model.lastChange(change.Key, model.version)
+			row, found := node.control.endpoints.rows[change.Key]
+			if found == last.Removed || found && row.Version != last.Version {
+				model.t.Fatalf("node %d has version %d of %s, the last change is %+v", i, row.Version, change.Key, last)
+			}
+		}
+	}
+}
+
+// TestCopyHasAllChangesUpToItsVersion guards against changes that a node never
+// learns because it has their version already, and against copies that pass for
+// newer than they are: rows that lapse, full reads with missing rows, answers and
+// digests that arrive late, and tables fetched from peers, in any order.
+func TestCopyHasAllChangesUpToItsVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := newTableModel(t, 3)
+		key := rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("e-%d", rapid.IntRange(0, 4).Draw(t, "key")) })
+		node := rapid.Custom(func(t *rapid.T) *tableNode { return model.nodes[rapid.IntRange(0, 2).Draw(t, "node")] })
+		t.Repeat(map[string]func(*rapid.T){
+			"write":       func(t *rapid.T) { model.change(key.Draw(t, "row"), false) },
+			"remove":      func(t *rapid.T) { model.change(key.Draw(t, "row"), true) },
+			"other table": func(*rapid.T) { model.version++ },
+			"poll": func(t *rapid.T) {
+				node := node.Draw(t, "reader")
+				model.deliver(node, model.read(node, rapid.Int64Range(0, 3).Draw(t, "page age")), fromStore, rapid.Bool().Draw(t, "late"))
+			},
+			"compact": func(t *rapid.T) { node.Draw(t, "reader").pollFrom = 0 },
+			"fetch": func(t *rapid.T) {
+				model.fetch(node.Draw(t, "reader"), node.Draw(t, "ahead"), rapid.Bool().Draw(t, "late"))
+			},
+			"exchange": func(t *rapid.T) {
+				model.exchange(node.Draw(t, "reader"), node.Draw(t, "other"), rapid.Bool().Draw(t, "late"))
+			},
+			"late answer": func(t *rapid.T) {
+				if len(model.late) == 0 {
+					t.Skip("nothing is on its way")
+				}
+				i := rapid.IntRange(0, len(model.late)-1).Draw(t, "answer")
+				apply := model.late[i]
+				model.late = slices.Delete(model.late, i, i+1)
+				apply()
+			},
+			"outage": func(t *rapid.T) {
+				node.Draw(t, "reader").control.config.recoveredAt[tableEndpoints] = model.now
+			},
+			"time": func(*rapid.T) {
+				model.now = model.now.Add(time.Second)
+				for _, node := range model.nodes {
+					node.control.checkEndpointDeadlines(model.now)
+				}
+			},
+			"": func(*rapid.T) {
+				for _, node := range model.nodes {
+					model.expectComplete(node)
+				}
+			},
+		})
+		model.expectSameRows()
+	})
+}
+
+// TestDrainAfterRowsWereGivenUp guards against removals with versions of a node's
+// own: rows lapse and are given up by the node that reads the store; the next
+// change of the store is a drain, which its peer has to fetch.
+func TestDrainAfterRowsWereGivenUp(t *testing.T) {
+	model := newTableModel(t, 2)
+	reader, peer := model.nodes[0], model.nodes[1]
+	for i := range 5 {
+		model.change(fmt.Sprintf("e-%d", i), false)
+	}
+	model.deliver(reader, model.read(reader, 0), fromStore, false)
+	model.fetch(peer, reader, false)
+	reader.control.config.recoveredAt[tableEndpoints] = model.now
+	for i := range 4 {
+		model.change(fmt.Sprintf("e-%d", i), true)
+	}
+	model.deliver(reader, model.read(reader, 0), fromStore, false)
+	model.fetch(peer, reader, false)
+	assert.Equal(t, len(peer.control.endpoints.byID), 5) // the peer waits too
+	model.now = model.now.Add(2 * removalGrace)
+	for _, node := range model.nodes {
+		node.control.checkEndpointDeadlines(model.now)
+		assert.Equal(t, len(node.control.endpoints.byID), 1)
+	}
+	model.change("e-4", false)
+	model.deliver(reader, model.read(reader, 0), fromStore, false)
+	model.fetch(peer, reader, false)
+	assert.Equal(t, peer.control.endpoints.rows["e-4"].Version, model.version)
+}
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -24,9 +24,10 @@
 	loaded           bool // the full table has been read
 	byID             map[string]fleet.Endpoint
 	rows             map[string]platform.Entry // as stored, for peers that fetch the table
-	version          int64                     // of the newest row or removal
-	compactedVersion int64                     // removals up to this version may not be listed
-	removals         map[string]int64          // versions of the removals after compactedVersion
+	version          int64                     // the store's, of the newest change in the copy
+	completeVersion  int64                     // the store's, up to which the copy has every change; not below version
+	compactedVersion int64                     // the copy may have removals up to this version that are not listed
+	removals         map[string]int64          // the store's versions of removals, all of them after compactedVersion
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
@@ -44,58 +45,84 @@
 	}
 }
 
-// handleEndpoints applies rows of the endpoints table. A row that is missing just
-// after a store outage counts as removed only if it has not come back within
-// removalGrace.
+// handleEndpoints applies rows of the endpoints table, and leaves out those that
+// are older than the known ones: a slow answer of the store may arrive after newer
+// rows from a peer.
+//
+// All versions are the store's, so a peer whose copy is complete up to a version
+// need not fetch anything up to it. A version of this node's own would be given
+// out again by the store, and the change that gets it would never reach the peers
+// that already have that version.
 func (control *Control) handleEndpoints(change tableChanged, now time.Time) {
 	endpoints := &control.endpoints
-	if change.from == fromPeer && change.batch.Version <= endpoints.version {
+	if change.from == fromPeer && change.batch.Version <= endpoints.completeVersion {
 		return
 	}
-	if change.batch.Full {
-		endpoints.compactedVersion = max(endpoints.compactedVersion, endpoints.version)
-	}
-	present := map[string]bool{}
+	oldestNews := endpoints.oldestNews(change.batch)
+	listed := map[string]bool{}
 	for _, entry := range change.batch.Entries {
-		present[entry.Key] = !entry.Removed
-		endpoints.version = max(endpoints.version, entry.Version)
+		listed[entry.Key] = !entry.Removed
+		if entry.Version < oldestNews {
+			continue
+		}
+		// A table read page by page may have rows that are newer than its version.
+		endpoints.version = max(endpoints.version, min(entry.Version, change.batch.Version))
 		if entry.Removed {
-			control.handleRemoval(entry.Key, entry.Version, change.from, now)
+			control.handleRemoval(entry.Key, entry.Version, now.Add(entry.GraceLeft), change.from, now)
 			continue
 		}
 		delete(endpoints.removals, entry.Key)
 		control.handleEndpointRow(entry, change.from, now)
 	}
 	if change.batch.Full {
-		endpoints.loaded = true
-		for id := range endpoints.byID {
-			if !present[id] {
-				control.handleRemoval(id, endpoints.version, change.from, now)
-			}
-		}
-	}
-	if change.from == fromPeer {
-		endpoints.version = max(endpoints.version, change.batch.Version)
+		control.handleFullTable(change, listed, now)
 	}
+	endpoints.completeVersion = max(endpoints.completeVersion, change.batch.Version)
 	control.publishEndpointTable()
 	control.snapshotStale = true
 }
 
+// handleFullTable removes the endpoints that a full table does not list. Rows that
+// came and went before it are not known here, so peers whose copies are not
+// complete up to it have to fetch the full table too.
+func (control *Control) handleFullTable(change tableChanged, listed map[string]bool, now time.Time) {
+	endpoints := &control.endpoints
+	endpoints.loaded = true
+	endpoints.compactedVersion = max(endpoints.compactedVersion, change.batch.Version)
+	for id, row := range endpoints.rows {
+		if !listed[id] && row.Version <= change.batch.Version {
+			endpoints.version = max(endpoints.version, change.batch.Version)
+			control.handleRemoval(id, change.batch.Version, now, change.from, now)
+		}
+	}
+}
+
+// oldestNews returns the lowest version of a row in a batch that the copy may
+// lack. A full table that is as new as the copy is taken as it is. Of any other
+// batch, the copy has all changes up to its own version. For example, a copy that
+// was read in full at version 5 lacks a row that was removed under 4; an answer of
+// the store that was given at version 3, and arrives only now, has that row.
+func (endpoints *endpoints) oldestNews(batch platform.Batch) int64 {
+	if batch.Full && batch.Version >= endpoints.completeVersion {
+		return 0
+	}
+	return endpoints.completeVersion + 1
+}
+
 // handleEndpointRow applies one row. From a row older than the known one it takes
 // only that the endpoint is draining. From one that may be older than the
 // endpoint's last report it takes only the sequence number and whether the
 // endpoint is draining.
 func (control *Control) handleEndpointRow(entry platform.Entry, from source, now time.Time) {
 	endpoints := &control.endpoints
+	endpoints.rows[entry.Key] = entry // also if it cannot be decoded: peers have to drop what they know
+	delete(endpoints.missingUntil, entry.Key)
 	endpoint, err := platform.DecodeEndpoint(entry.Key, entry.Value)
 	if err != nil {
 		event.Log(control.log, event.RowUnreadable, zap.String("endpoint", entry.Key), zap.Error(err))
 		delete(endpoints.byID, entry.Key)
-		delete(endpoints.rows, entry.Key)
 		return
 	}
-	delete(endpoints.missingUntil, entry.Key)
-	endpoints.rows[entry.Key] = entry
 	previous, found := endpoints.byID[entry.Key]
 	if found && !endpoint.NotOlder(previous) {
 		previous.Draining = previous.Draining || endpoint.Draining
@@ -148,33 +175,37 @@
 	return row.Sequence == previous.Sequence || !recoveredAt.IsZero() && now.Before(recoveredAt.Add(removalGrace)) && reportedAt.Before(recoveredAt)
 }
 
-// handleRemoval removes an endpoint whose row is missing. Just after a store
-// outage it first waits for removalGrace.
-func (control *Control) handleRemoval(id string, version int64, from source, now time.Time) {
+// handleRemoval records that a row is gone from the store since a version. The
+// endpoint itself is forgotten at once, or, if the row may come back, at the end
+// of the grace: that of this node, or the one that a peer reports. Peers learn of
+// the removal at once and keep the grace themselves.
+func (control *Control) handleRemoval(id string, version int64, graceEnd time.Time, from source, now time.Time) {
 	endpoints := &control.endpoints
+	delete(endpoints.rows, id)
+	endpoints.removals[id] = version
+	if len(endpoints.removals) > maxRemovals {
+		endpoints.removals = map[string]int64{}
+		endpoints.compactedVersion = max(endpoints.compactedVersion, endpoints.version)
+	}
 	if _, found := endpoints.byID[id]; !found {
 		return
 	}
-	recoveredAt := control.config.recoveredAt[tableEndpoints]
-	if !recoveredAt.IsZero() && now.Before(recoveredAt.Add(removalGrace)) {
-		endpoints.missingUntil[id] = recoveredAt.Add(removalGrace)
+	if recoveredAt := control.config.recoveredAt[tableEndpoints]; !recoveredAt.IsZero() && recoveredAt.Add(removalGrace).After(graceEnd) {
+		graceEnd = recoveredAt.Add(removalGrace)
+	}
+	if now.Before(graceEnd) {
+		endpoints.missingUntil[id] = graceEnd
 		return
 	}
-	control.removeEndpoint(id, version, from, now)
+	control.forgetEndpoint(id, version, from, now)
 }
 
-// removeEndpoint removes an endpoint. Peers fetch the removal under this version.
-func (control *Control) removeEndpoint(id string, version int64, from source, now time.Time) {
+// forgetEndpoint forgets an endpoint whose row is gone.
+func (control *Control) forgetEndpoint(id string, version int64, from source, now time.Time) {
 	endpoints := &control.endpoints
-	endpoints.removals[id] = version
-	if len(endpoints.removals) > maxRemovals {
-		endpoints.removals = map[string]int64{}
-		endpoints.compactedVersion = endpoints.version
-	}
 	event.Log(control.log, event.EndpointGone, zap.String("endpoint", id), zap.String("replica", endpoints.byID[id].Membership.Replica),
 		zap.String("from", string(from)), zap.Int64("version", version), zap.Duration("age", control.copies.age(tableEndpoints, now)))
 	delete(endpoints.byID, id)
-	delete(endpoints.rows, id)
 	delete(endpoints.missingUntil, id)
 	delete(endpoints.unresponsive, id)
 	delete(endpoints.updatedAt, id)
@@ -182,15 +213,13 @@
 	control.snapshotStale = true
 }
 
-// checkEndpointDeadlines removes endpoints whose rows have not come back in time,
+// checkEndpointDeadlines forgets endpoints whose rows have not come back in time,
 // and probes unresponsive ones that are due.
 func (control *Control) checkEndpointDeadlines(now time.Time) {
 	endpoints := &control.endpoints
 	for id, deadline := range endpoints.missingUntil {
 		if !now.Before(deadline) {
-			endpoints.version++ // so that peers that have all rows up to the current version fetch the removal too
-			control.removeEndpoint(id, endpoints.version, fromGrace, now)
-			control.publishEndpointTable()
+			control.forgetEndpoint(id, endpoints.removals[id], fromGrace, now)
 		}
 	}
 	for id, nextProbeAt := range endpoints.unresponsive {
@@ -206,7 +235,7 @@
 	endpoints := &control.endpoints
 	table := &gossip.Table{Version: endpoints.version, CompactedVersion: endpoints.compactedVersion}
 	for id, version := range endpoints.removals {
-		table.Entries = append(table.Entries, gossip.Entry{Key: id, Version: version, Removed: true})
+		table.Entries = append(table.Entries, gossip.Entry{Key: id, Version: version, Removed: true, GraceEnd: endpoints.missingUntil[id]})
 	}
 	for _, entry := range endpoints.rows {
 		table.Entries = append(table.Entries, gossip.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version})
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -188,6 +188,7 @@
 		digest.Unresponsive = append(digest.Unresponsive, id)
 	}
 	digest.Versions, digest.ConfirmedAt = control.versions(), control.copies.confirmedAt()
+	digest.Complete, digest.Compacted = control.endpoints.completeVersion, control.endpoints.compactedVersion
 	// Before its first planning pass a holder does not know which endpoints are quarantined.
 	if placement := &control.placement; placement.active && placement.planCount > 0 {
 		digest.Fence, digest.PlanCount, digest.Quarantined = placement.fence, placement.planCount, placement.quarantined(time.Now())
@@ -237,14 +238,14 @@
 	if table < 0 || table >= tableCount {
 		return gossip.Table{}
 	}
-	confirmedAt := control.copies.published[table].Load() // before the table, which may then be newer
+	confirmation := control.copies.published[table].Load() // before the table, which may then be newer
 	published := control.publishedTables[table].Load()
 	if published == nil {
 		return gossip.Table{}
 	}
-	changes := published.ChangesAfter(after)
-	if confirmedAt != nil && !confirmedAt.IsZero() {
-		changes.Age = int64(max(1, time.Since(*confirmedAt)))
+	changes := published.ChangesAfter(after, time.Now())
+	if confirmation != nil && !confirmation.at.IsZero() {
+		changes.Age, changes.Complete = int64(max(1, time.Since(confirmation.at))), confirmation.version
 	}
 	return changes
 }
@@ -307,10 +308,10 @@
 	}
 }
 
-// catchUp fetches a table from a peer once a peer has had a higher version of it
-// for catchUpGrace: then the store does not answer this node, or the connection to
-// the store has stopped delivering. A node that does not poll the store for the
-// table fetches it at once.
+// catchUp fetches a table from a peer once a peer has had a change that this node
+// lacks for catchUpGrace: then the store does not answer this node, or the
+// connection to the store has stopped delivering. A node that does not poll the
+// store for the table fetches it at once.
 func (control *Control) catchUp(now time.Time) {
 	for _, table := range []int{tableConfig, tableEndpoints, tableNodes} {
 		ahead := control.peerAhead(table, now)
@@ -321,28 +322,47 @@
 			control.peers.behindSince[table] = now
 		}
 		grace := catchUpGrace
-		if !control.follows(table) {
+		if ahead != nil && ahead.digest.Versions[table] > control.completeVersion(table) && !control.follows(table) {
 			grace = 0 // changes come only from peers
 		}
 		since := control.peers.behindSince[table]
 		if ahead != nil && !control.peers.fetching[table] && !now.Before(since.Add(grace)) {
 			control.peers.behindSince[table] = now
 			control.peers.fetching[table] = true
-			go control.fetchFromPeer(ahead.client, table, control.versions()[table])
+			go control.fetchFromPeer(ahead.client, table, control.completeVersion(table))
 		}
 	}
 }
 
-// peerAhead returns the peer with the highest version of a table, or nil if none
-// is higher than this node's.
+// completeVersion returns the version up to which this node's copy of a table has
+// every change.
+func (control *Control) completeVersion(table int) int64 {
+	if table == tableEndpoints {
+		return control.endpoints.completeVersion
+	}
+	return control.versions()[table]
+}
+
+// requiredVersion returns the version up to which a copy of a table must be complete
+// to have all that the sender's copy had. The sender of a full table that was just
+// read has removals without knowing their versions.
+func requiredVersion(digest gossip.Digest, table int) int64 {
+	if table == tableEndpoints {
+		return max(digest.Versions[table], digest.Compacted)
+	}
+	return digest.Versions[table]
+}
+
+// peerAhead returns the peer that has the highest version of a table, or nil if
+// none has more than this node.
 func (control *Control) peerAhead(table int, now time.Time) *peer {
-	own := control.versions()[table]
+	own := control.completeVersion(table)
 	var best *peer
 	for _, peer := range control.peers.nodes {
-		if !peer.fresh(now) || len(peer.digest.Versions) <= table || peer.digest.Versions[table] <= own {
+		if !peer.fresh(now) || len(peer.digest.Versions) <= table || requiredVersion(peer.digest, table) <= own {
 			continue
 		}
-		if best == nil || peer.digest.Versions[table] > best.digest.Versions[table] {
+		if best == nil || requiredVersion(peer.digest, table) > requiredVersion(best.digest, table) {
 			best = peer
 		}
 	}
@@ -361,12 +381,14 @@
 	if len(received.Entries) == 0 {
 		return // the peer has no rows either
 	}
-	batch := platform.Batch{Version: received.Version, Full: received.Full}
+	batch := platform.Batch{Version: max(received.Version, received.Complete), Full: received.Full}
 	if received.Age > 0 {
 		batch.ConfirmedAt = askedAt.Add(-time.Duration(received.Age))
 	}
 	for _, entry := range received.Entries {
-		batch.Entries = append(batch.Entries, platform.Entry{Key: entry.Key, Value: entry.Value, Version: entry.Version, Removed: entry.Removed})
+		batch.Entries = append(batch.Entries, platform.Entry{
+			Key: entry.Key, Value: entry.Value, Version: entry.Version, Removed: entry.Removed, GraceLeft: time.Duration(entry.GraceLeft),
+		})
 	}
 	control.enqueue(tableChanged{table: table, batch: batch, from: fromPeer})
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -36,16 +36,20 @@
 	Fence            int64            `cbor:"11,keyasint,omitempty"` // fencing number of the placement lease whose holder reports PlanCount and Quarantined
 	PlanCount        int64            `cbor:"12,keyasint,omitempty"` // planning passes that the holder has made under this fencing number
 	Quarantined      []string         `cbor:"13,keyasint,omitempty"` // endpoints whose previous first host may still serve, so that they may not join another replica
+	Complete         int64            `cbor:"16,keyasint,omitempty"` // the store's version up to which the node's copy of the endpoints has every change
+	Compacted        int64            `cbor:"17,keyasint,omitempty"` // that copy has removals up to this version that the node can't list
 	Ages             []int64          `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
 	ConfirmedAt      []time.Time      `cbor:"-"`                     // the same as times of the node's own clock
 }
 
 // Entry is a row as the platform's store returned it.
 type Entry struct {
-	Key     string `cbor:"1,keyasint"`
-	Value   []byte `cbor:"2,keyasint,omitempty"`
-	Version int64  `cbor:"3,keyasint"`
-	Removed bool   `cbor:"4,keyasint,omitempty"`
+	Key       string    `cbor:"1,keyasint"`
+	Value     []byte    `cbor:"2,keyasint,omitempty"`
+	Version   int64     `cbor:"3,keyasint"`
+	Removed   bool      `cbor:"4,keyasint,omitempty"`
+	GraceLeft int64     `cbor:"5,keyasint,omitempty"` // nanoseconds for which a removed row may still come back after a store outage
+	GraceEnd  time.Time `cbor:"-"`                    // the same as a time of the node's own clock
 }
 
 // Table is a node's copy of a table, or the changes in it.
@@ -54,28 +58,25 @@
 	Version          int64   `cbor:"2,keyasint"`
 	Full             bool    `cbor:"3,keyasint,omitempty"`
 	Age              int64   `cbor:"4,keyasint,omitempty"` // nanoseconds since the copy was known to be complete; 0 if that is not known
+	Complete         int64   `cbor:"5,keyasint,omitempty"` // the store's version up to which the copy has every change, for the endpoints
 	CompactedVersion int64   `cbor:"-"`                    // Entries list removals after this version only
 }
 
-// ChangesAfter returns the changes after a version, or the full table if removals
-// since then may be missing.
-func (table Table) ChangesAfter(version int64) Table {
-	if version <= table.CompactedVersion {
-		full := Table{Version: table.Version, Full: true}
-		for _, entry := range table.Entries {
-			if !entry.Removed {
-				full.Entries = append(full.Entries, entry)
-			}
-		}
-		return full
-	}
-	changed := Table{Version: table.Version}
+// ChangesAfter returns the changes after a version as of now, or the full table if
+// removals since then are not listed. A full table lists removals only of rows
+// that may still come back.
+func (table Table) ChangesAfter(version int64, now time.Time) Table {
+	changes := Table{Version: table.Version, Full: version < table.CompactedVersion}
 	for _, entry := range table.Entries {
-		if entry.Version > version {
-			changed.Entries = append(changed.Entries, entry)
+		inGrace := entry.GraceEnd.After(now)
+		if inGrace {
+			entry.GraceLeft = int64(entry.GraceEnd.Sub(now))
+		}
+		if changes.Full && (!entry.Removed || inGrace) || !changes.Full && entry.Version > version {
+			changes.Entries = append(changes.Entries, entry)
 		}
 	}
-	return changed
+	return changes
 }
 
 // Local is this node, which answers the calls of others.
