The grace of removals runs from the end of an outage, not from any failed poll

Cause: for 2 s after the store is back a missing row is not believed. They ran from when this node's own poll of that table succeeded after any failure. That poll may be a long one, which returns only with the removal.

Change: the grace begins when something confirms the copy again, the store or a peer, after nothing has for 1.5 heartbeats of the endpoints (setting endpoint-heartbeat): a shorter outage lets no row lapse. The first poll after a failure does not wait for a change, so the end of the outage is noticed at once.

--- a/core/fresh/watermark.go
+++ b/core/fresh/watermark.go
@@ -6,7 +6,17 @@
 // copy has every change that the store acknowledged before At. All times are of
 // this node's monotonic clock.
 type Watermark struct {
-	At time.Time // zero before the first confirmation
+	At          time.Time // zero before the first confirmation
+	RecoveredAt time.Time // when the store's changes came through again after an outage; zero if there was none
+}
+
+// Arrive records that rows or a confirmation of the copy have arrived. If nothing
+// has confirmed the copy for as long as an outage takes in which endpoints' rows
+// lapse, such an outage has just ended.
+func (watermark *Watermark) Arrive(now time.Time, lapse time.Duration) {
+	if !watermark.At.IsZero() && watermark.Age(now) >= lapse {
+		watermark.RecoveredAt = now
+	}
 }
 
 // Advance records that the copy is complete up to a time. An earlier one than the
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -11,13 +11,12 @@
 	"hickorybend/platform"
 )
 
-// configState holds the operators' configuration in force, and the start and end
-// of the last store outage for each table.
+// configState holds the operators' configuration in force, and since when the
+// store has not answered this node, for each table.
 type configState struct {
 	index            *site.Index           // nil while no configuration is known
 	row              platform.Entry        // the configuration as stored
 	unavailableSince [tableCount]time.Time // when the outage began; zero while the store answers
-	recoveredAt      [tableCount]time.Time // when the store answered again after its last outage
 }
 
 // handleConfig puts a configuration in force if its version is higher than that
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -180,6 +180,7 @@
 		control.storeRepliedAt = now
 		control.markAvailable(change.table, now)
 	}
+	control.copies.arrive(change.table, now)
 	switch change.table {
 	case tableConfig:
 		control.handleConfig(change, now)
@@ -208,7 +209,6 @@
 		return
 	}
 	control.config.unavailableSince[table] = time.Time{}
-	control.config.recoveredAt[table] = now
 	event.Log(control.log, event.StoreBack, zap.String("table", tableNames[table]), zap.Duration("after", now.Sub(since)))
 }
 
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -31,7 +31,9 @@
 
 func newCopies(settings Settings) copies {
 	return copies{policies: [tableCount]fresh.Policy{
-		tableConfig: fresh.PolicyFor(settings.ConfigBound), tableEndpoints: fresh.PolicyFor(settings.DrainBound), tableNodes: fresh.PolicyFor(nodesBound),
+		tableConfig:    fresh.PolicyFor(settings.ConfigBound, settings.EndpointHeartbeat),
+		tableEndpoints: fresh.PolicyFor(settings.DrainBound, settings.EndpointHeartbeat),
+		tableNodes:     fresh.PolicyFor(nodesBound, settings.EndpointHeartbeat),
 	}}
 }
 
@@ -40,6 +42,12 @@
 // write of it is conditional on the version read.
 func hasAge(table int) bool { return table != tableLease }
 
+// arrive records that rows or a confirmation of a copy have arrived, before they
+// are applied.
+func (copies *copies) arrive(table int, now time.Time) {
+	copies.watermarks[table].Arrive(now, copies.policies[table].LapseAfter)
+}
+
 // confirm records that a copy is complete up to a time.
 func (copies *copies) confirm(table int, at time.Time) {
 	copies.watermarks[table].Advance(at)
@@ -88,7 +96,7 @@
 // For example, this node's copy of the endpoints is complete up to version 100,
 // and the peer's up to 140, but the newest change in it is 90. Then the table has
 // not changed from 90 to 140, and this node's copy is complete up to 140 as well.
-func (control *Control) confirmByPeer(digest gossip.Digest, askedAt time.Time) {
+func (control *Control) confirmByPeer(digest gossip.Digest, askedAt, now time.Time) {
 	for table := range tableCount {
 		if !hasAge(table) || len(digest.Versions) <= table || control.completeVersion(table) < requiredVersion(digest, table) {
 			continue
@@ -97,6 +105,7 @@
 			control.endpoints.completeVersion = max(control.endpoints.completeVersion, digest.Complete)
 		}
 		if at, known := digest.ConfirmedBy(table, askedAt); known {
+			control.copies.arrive(table, now)
 			control.copies.confirm(table, at)
 		}
 	}
--- a/io/edge/copies_test.go
+++ b/io/edge/copies_test.go
@@ -139,7 +139,7 @@
 // asked for it.
 func (model *tableModel) exchange(node, other *tableNode, late bool) {
 	askedAt, digest := model.now, model.digest(other)
-	apply := func() { node.control.confirmByPeer(digest, askedAt) }
+	apply := func() { node.control.confirmByPeer(digest, askedAt, model.now) }
 	if late {
 		model.late = append(model.late, apply)
 		return
@@ -230,7 +230,7 @@
 				apply()
 			},
 			"outage": func(t *rapid.T) {
-				node.Draw(t, "reader").control.config.recoveredAt[tableEndpoints] = model.now
+				node.Draw(t, "reader").control.copies.watermarks[tableEndpoints].RecoveredAt = model.now
 			},
 			"time": func(*rapid.T) {
 				model.now = model.now.Add(time.Second)
@@ -259,7 +259,7 @@
 	}
 	model.deliver(reader, model.read(reader, 0), fromStore, false)
 	model.fetch(peer, reader, false)
-	reader.control.config.recoveredAt[tableEndpoints] = model.now
+	reader.control.copies.watermarks[tableEndpoints].RecoveredAt = model.now
 	for i := range 4 {
 		model.change(fmt.Sprintf("e-%d", i), true)
 	}
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -16,7 +16,7 @@
 
 const (
 	maxRemovals  = 1000            // removals kept for peers; beyond that, peers that are behind fetch the full table
-	removalGrace = 2 * time.Second // after a store outage; within it missing rows may come back, and rows may date from before the outage
+	removalGrace = 2 * time.Second // after an outage that rows can lapse in; within it they may come back, and rows may date from before the outage
 )
 
 // endpoints is this node's view of the endpoints. The maps are by endpoint ID.
@@ -171,7 +171,7 @@
 	if !row.StartedAt.Equal(previous.StartedAt) || !reportedAt.After(endpoints.updatedAt[row.ID]) {
 		return false
 	}
-	recoveredAt := control.config.recoveredAt[tableEndpoints]
+	recoveredAt := control.copies.watermarks[tableEndpoints].RecoveredAt
 	return row.Sequence == previous.Sequence || !recoveredAt.IsZero() && now.Before(recoveredAt.Add(removalGrace)) && reportedAt.Before(recoveredAt)
 }
 
@@ -190,7 +190,7 @@
 	if _, found := endpoints.byID[id]; !found {
 		return
 	}
-	if recoveredAt := control.config.recoveredAt[tableEndpoints]; !recoveredAt.IsZero() && recoveredAt.Add(removalGrace).After(graceEnd) {
+	if recoveredAt := control.copies.watermarks[tableEndpoints].RecoveredAt; !recoveredAt.IsZero() && recoveredAt.Add(removalGrace).After(graceEnd) {
 		graceEnd = recoveredAt.Add(removalGrace)
 	}
 	if now.Before(graceEnd) {
--- a/io/edge/endpoints_test.go
+++ b/io/edge/endpoints_test.go
@@ -39,7 +39,7 @@
 	report.Membership = fleet.Membership{Replica: "large.b", Epoch: 2, Phase: fleet.PhaseOpen}
 	control.handleReport(probeResult{id: "e-1", alive: true, report: report, sentAt: outageStart.Add(2 * time.Second)})
 	expectReplica("large.b")
-	control.config.recoveredAt[tableEndpoints] = recovery
+	control.copies.watermarks[tableEndpoints].RecoveredAt = recovery
 	receiveRow(5, "large.a", recovery)
 	expectReplica("large.b")
 	receiveRow(6, "large.a", recovery.Add(100*time.Millisecond)) // written just before the outage
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -67,14 +67,15 @@
 func (control *Control) follow(ctx context.Context, table int) {
 	delay := minRetryDelay
 	var version int64
-	synced := false
+	synced, failed := false, false
 	for ctx.Err() == nil {
 		if !control.follows(table) {
 			synced = false // changes are missed meanwhile, so the next read is of the full table
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
-		batch, err := control.fetchFromStore(ctx, table, synced, version)
+		batch, err := control.fetchFromStore(ctx, table, synced, version, failed)
+		failed = err != nil
 		switch {
 		case err == nil:
 			delay = minRetryDelay
@@ -101,13 +102,17 @@
 }
 
 // fetchFromStore reads the full table unless synced, else polls for changes
-// after the version.
-func (control *Control) fetchFromStore(ctx context.Context, table int, synced bool, version int64) (platform.Batch, error) {
+// after the version. The store answers a poll after a failure at once, so that
+// this node does not notice only with the next change that the store is back.
+func (control *Control) fetchFromStore(ctx context.Context, table int, synced bool, version int64, failed bool) (platform.Batch, error) {
 	if !synced {
 		return control.store.Read(ctx, tableNames[table])
 	}
 	timeout := nonLeaderPollTimeout
-	if control.isLeader.Load() || control.placing.Load() {
+	switch {
+	case failed:
+		timeout = 0
+	case control.isLeader.Load() || control.placing.Load():
 		timeout = leaderPollTimeouts[table]
 	}
 	return control.store.Follow(ctx, tableNames[table], version, timeout)
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -262,7 +262,7 @@
 	peer.digestReceivedAt = now
 	peer.exchanging = false
 	peer.lastExchangeFailed = false
-	control.confirmByPeer(digest, received.askedAt)
+	control.confirmByPeer(digest, received.askedAt, now)
 	control.reconcileUnresponsive(digest, now)
 	control.placement.updateHolderReport(digest, now)
 }
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -21,11 +21,12 @@
 	Seeds             []string      `json:"seeds"`       // addresses of some hosts that run nodes; their port is ignored
 	FirstStart        bool          `json:"first-start"` // all nodes start for the first time, and no replica has been placed before
 	MemoryMB          int           `json:"memory-mb"`
-	Grace             time.Duration `json:"grace"`        // from SIGTERM until the platform kills the process
-	DrainDelay        time.Duration `json:"notice"`       // for the load balancer to see two failed readiness checks; part of the grace
-	DrainBound        time.Duration `json:"drain-bound"`  // after the store's acknowledgment that an endpoint leaves, no request may reach it
-	ConfigBound       time.Duration `json:"config-bound"` // after the store's acknowledgment, a configuration must be in force
-	StallTimeout      time.Duration `json:"stall"`        // how long a replica that lost a member stalls before it breaks
+	Grace             time.Duration `json:"grace"`              // from SIGTERM until the platform kills the process
+	DrainDelay        time.Duration `json:"notice"`             // for the load balancer to see two failed readiness checks; part of the grace
+	EndpointHeartbeat time.Duration `json:"endpoint-heartbeat"` // interval at which endpoints renew their rows
+	DrainBound        time.Duration `json:"drain-bound"`        // after the store's acknowledgment that an endpoint leaves, no request may reach it
+	ConfigBound       time.Duration `json:"config-bound"`       // after the store's acknowledgment, a configuration must be in force
+	StallTimeout      time.Duration `json:"stall"`              // how long a replica that lost a member stalls before it breaks
 	Retry             Retry         `json:"retry"`
 	PlaceWithoutStore bool          `json:"place-without-store"` // continue placing while the store answers no node
 	HeaderTimeout     time.Duration `json:"header-time"`
@@ -50,7 +51,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryMB: 256, Grace: 8 * time.Second, DrainDelay: 3200 * time.Millisecond,
-		DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, StallTimeout: 6 * time.Second,
+		EndpointHeartbeat: 1200 * time.Millisecond, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, StallTimeout: 6 * time.Second,
 		Retry: Retry{Ratio: 0.1, Extra: 20, Window: 10 * time.Second}, HeaderTimeout: 10 * time.Second, HeaderBytes: 64 << 10,
 	}
 }
