A node reads a table itself once its copy is too old

Cause: nothing bounded the age of what a node knows. Leaders and the node that places read the table; the others waited for a peer with a higher version, however long; a long poll on a dead connection was given up after 2.7 s, on other nodes after 28.7 s.

Change: every node follows the watermark of each copy. From an age of a fifth of the bound it asks the peer whose copy is the most up to date, from two fifths it reads the store itself, beside any pending poll, with timeouts and delays that grow with each failure (core/fresh Reader). The node that places, or each leader where the nodes form no mesh, polls with a wait of a fifth of the bound, so that nobody has to while all is well.

TestAgeIsBoundedWhileTheStoreAnswers proves the bound for any outage before and reads lost after it, for bounds of 1.5 to 5 s.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -39,9 +39,11 @@
 	publishedTables [tableCount]atomic.Pointer[gossip.Table] // what other nodes may fetch
 	copies          copies
 	ready           atomic.Bool
-	placing         atomic.Bool // this node places replicas; see placement.active
-	isLeader        atomic.Bool // this node reads the platform's tables for its zone
-	servedByLeader  atomic.Bool // the zone's leader reports changes to this node
+	placing         atomic.Bool             // this node places replicas; see placement.active
+	isLeader        atomic.Bool             // this node reads the platform's tables for its zone
+	servedByLeader  atomic.Bool             // the zone's leader reports changes to this node
+	inMesh          atomic.Bool             // every node exchanges digests with every other
+	retrying        [tableCount]atomic.Bool // the last poll of the table has failed
 	startedAt       time.Time
 	ctx             context.Context
 	config          configState
@@ -168,6 +170,8 @@
 	case nodeRowResult:
 		_, done := typed.outcome.(rows.Committed)
 		control.peers.rowWritten, control.peers.rowWriting = done, false
+	case copyRead:
+		control.handleCopyRead(typed, now)
 	case leaseResult:
 		control.handleLeaseResult(typed, now)
 	case drainRequest:
@@ -218,6 +222,7 @@
 	control.checkSuspension(now)
 	control.checkEndpointDeadlines(now)
 	control.exchangeDigests(now)
+	control.refreshCopies(now)
 	control.reportAges(now)
 	control.updateDemand(now)
 	control.runPlacement(now)
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -23,10 +23,9 @@
 // tableNames are the tables' names in the store.
 var tableNames = [tableCount]string{platform.TableOperator, platform.TableEndpoints, "nodes", lease.Partition}
 
-// leaderPollTimeouts are how long the store may hold a long poll of a leader, or
-// of the node that places replicas, while nothing changes. They bound the time
-// until a connection that has stopped delivering is noticed. The versions in
-// other nodes' digests reveal it sooner, unless all connections stop at once.
+// leaderPollTimeouts are how long the store may hold a long poll of a leader while
+// nothing changes. Whether the copy is up to date does not rest on them; see
+// refreshCopies.
 var leaderPollTimeouts = [tableCount]time.Duration{2 * time.Second, 2 * time.Second, 5 * time.Second, 4 * time.Second}
 
 // nonLeaderPollTimeout is the same for the other nodes, to which the leader
@@ -76,6 +75,7 @@
 		}
 		batch, err := control.fetchFromStore(ctx, table, synced, version, failed)
 		failed = err != nil
+		control.retrying[table].Store(failed)
 		switch {
 		case err == nil:
 			delay = minRetryDelay
@@ -108,14 +108,26 @@
 	if !synced {
 		return control.store.Read(ctx, tableNames[table])
 	}
-	timeout := nonLeaderPollTimeout
+	wait := control.pollWait(table)
+	if failed {
+		wait = 0
+	}
+	return control.store.Follow(ctx, tableNames[table], version, wait)
+}
+
+// pollWait returns how long the store may hold a poll while nothing changes. Where
+// the nodes form a mesh, the short polls of the one that places keep all copies
+// up to date; otherwise those of the leaders do, each for its zone.
+func (control *Control) pollWait(table int) time.Duration {
+	placing, isLeader := control.placing.Load(), control.isLeader.Load()
 	switch {
-	case failed:
-		timeout = 0
-	case control.isLeader.Load() || control.placing.Load():
-		timeout = leaderPollTimeouts[table]
+	case !placing && !isLeader:
+		return nonLeaderPollTimeout
+	case hasAge(table) && (placing || !control.inMesh.Load()):
+		return control.copies.policies[table].PollWait
+	default:
+		return leaderPollTimeouts[table]
 	}
-	return control.store.Follow(ctx, tableNames[table], version, timeout)
 }
 
 // sleep waits for the duration or until the context ends.
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -91,14 +91,20 @@
 		if peer.exchanging || now.Before(peer.nextExchangeAt) {
 			continue
 		}
-		peer.exchanging = true
-		peer.nextExchangeAt = now.Add(interval)
-		go control.exchange(name, peer.client, control.outgoingDigest(peer.zone))
+		control.startExchange(name, peer, now.Add(interval))
 	}
 	control.updatePeerLoads(now)
 	control.catchUp(now)
 }
 
+// startExchange starts an exchange with a node. The next one starts no sooner than
+// nextAt.
+func (control *Control) startExchange(name string, peer *peer, nextAt time.Time) {
+	peer.exchanging = true
+	peer.nextExchangeAt = nextAt
+	go control.exchange(name, peer.client, control.outgoingDigest(peer.zone))
+}
+
 // assignRole computes this node's role in the topology.
 func (control *Control) assignRole(now time.Time) {
 	peers := control.peers
@@ -108,6 +114,7 @@
 	}
 	peers.role = topo.Assign(topo.Node{Name: peers.self, Zone: control.settings.Zone}, others)
 	control.isLeader.Store(peers.role.IsLeader)
+	control.inMesh.Store(peers.role.Mesh)
 	leader := peers.nodes[peers.role.Leader]
 	control.servedByLeader.Store(!peers.role.Mesh && leader != nil && !leader.digest.StoreUnreachable && leader.fresh(now))
 }
