A request checks the age of what it is routed by

Cause: the age of the configuration and of the endpoints was bounded by the control loop alone, and not looked at where requests use them.

Ruled out: rejecting such requests. A node that reaches neither the store nor a peer is as good as the others at serving what is there.

Tests: TestRequestAfterSuspensionWaitsForConfirmation, and TestAgeInDigestGrowsWhileControlStandsStill for replies of a node whose control loop stands still; neither could be written before, as no copy had an age.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -85,12 +85,6 @@
 // not draining.
 func (control *Control) Ready() bool { return control.ready.Load() }
 
-// EndpointsAge returns how long ago the endpoints were last known to be as the
-// store has them.
-func (control *Control) EndpointsAge(now time.Time) time.Duration {
-	return control.copies.publishedAge(tableEndpoints, now)
-}
-
 // Suspect requests a probe of an endpoint and its replica. It never blocks.
 func (control *Control) Suspect(endpoint string) {
 	select {
@@ -170,6 +164,8 @@
 	case nodeRowResult:
 		_, done := typed.outcome.(rows.Committed)
 		control.peers.rowWritten, control.peers.rowWriting = done, false
+	case copiesStale:
+		control.refreshCopies(now)
 	case copyRead:
 		control.handleCopyRead(typed, now)
 	case leaseResult:
@@ -200,6 +196,7 @@
 
 // handleTableUnavailable records and logs the start of a table's outage.
 func (control *Control) handleTableUnavailable(unavailable tableUnavailable, now time.Time) {
+	control.copies.readFailed[unavailable.table].Store(true)
 	if control.config.unavailableSince[unavailable.table].IsZero() {
 		control.config.unavailableSince[unavailable.table] = now
 		event.Log(control.log, event.StoreDown, zap.String("table", tableNames[unavailable.table]), zap.Error(unavailable.cause))
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	watermarks [tableCount]fresh.Watermark
 	policies   [tableCount]fresh.Policy
 	readers    [tableCount]fresh.Reader
+	readFailed [tableCount]atomic.Bool                  // the last read or poll of the table has failed, and nothing has confirmed the copy since
 	stale      [tableCount]time.Time                    // the time up to which the copy was complete when it became out of date; zero while it is not
 	published  [tableCount]atomic.Pointer[confirmation] // for other goroutines
 }
@@ -54,6 +56,9 @@
 
 // confirm records that a copy is complete up to a time.
 func (copies *copies) confirm(table int, at time.Time) {
+	if at.After(copies.watermarks[table].At) {
+		copies.readFailed[table].Store(false)
+	}
 	copies.watermarks[table].Advance(at)
 }
 
@@ -196,6 +201,64 @@
 	control.handleTableUnavailable(tableUnavailable{table: read.table, cause: read.err}, now)
 }
 
+// confirmTimeout is how long a request waits for a copy that is out of date to be
+// confirmed. A read of the store usually takes 4 ms.
+const confirmTimeout = 150 * time.Millisecond
+
+// confirmPollInterval is the time between two looks at the copies meanwhile.
+const confirmPollInterval = 5 * time.Millisecond
+
+// copiesStale asks Control to refresh the copies now rather than at the next tick.
+type copiesStale struct{}
+
+func (copiesStale) message() {}
+
+// Confirm returns the age of the configuration and the endpoints that requests use,
+// which is that of the older copy. If it is out of date, Confirm first waits until
+// it has been confirmed. This is the case after the process has been suspended,
+// before the control loop has run. While the store does not answer, Confirm does
+// not wait: requests are served with what is known.
+func (control *Control) Confirm(ctx context.Context) time.Duration {
+	if !control.awaitsConfirmation(time.Now()) {
+		return control.snapshotAge(time.Now())
+	}
+	control.meter.Count("stale_snapshots", "")
+	select {
+	case control.messages <- copiesStale{}:
+	default: // the queue is full; the next tick refreshes the copies
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for ctx.Err() == nil && control.awaitsConfirmation(time.Now()) {
+		sleep(ctx, confirmPollInterval)
+	}
+	return control.snapshotAge(time.Now())
+}
+
+// awaitsConfirmation reports whether a copy that requests use is out of date, though
+// its last read has not failed. A node without a copy waits for none.
+func (control *Control) awaitsConfirmation(now time.Time) bool {
+	copies := &control.copies
+	for _, table := range requestTables {
+		age := copies.publishedAge(table, now)
+		if age != fresh.Unknown && age >= copies.policies[table].StaleAfter && !copies.readFailed[table].Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// requestTables are the tables whose copies requests use.
+var requestTables = []int{tableConfig, tableEndpoints}
+
+func (control *Control) snapshotAge(now time.Time) time.Duration {
+	var highest time.Duration
+	for _, table := range requestTables {
+		highest = max(highest, control.copies.publishedAge(table, now))
+	}
+	return highest
+}
+
 // reportAges updates the gauges of the copies' ages, and logs when a copy becomes
 // out of date and when it is up to date again.
 func (control *Control) reportAges(now time.Time) {
--- a/io/edge/copies_test.go
+++ b/io/edge/copies_test.go
@@ -276,3 +276,80 @@
 	model.fetch(peer, reader, false)
 	assert.Equal(t, peer.control.endpoints.rows["e-4"].Version, model.version)
 }
+
+// newFreshControl returns a node's control whose copies were confirmed at a time,
+// and that answers requests to refresh them with the given function.
+func newFreshControl(t *testing.T, confirmedAt time.Time, refresh func(*Control)) *Control {
+	control := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New())
+	for _, table := range requestTables {
+		control.copies.confirm(table, confirmedAt)
+	}
+	control.copies.publish(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		for {
+			select {
+			case <-control.messages:
+				refresh(control)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return control
+}
+
+// TestRequestAfterSuspensionWaitsForConfirmation guards against requests that are
+// routed by knowledge from before the process was suspended. Such a request waits
+// until the copies are confirmed, but neither if the store does not answer nor
+// for long.
+func TestRequestAfterSuspensionWaitsForConfirmation(t *testing.T) {
+	confirm := func(control *Control) {
+		for _, table := range requestTables {
+			control.copies.confirm(table, time.Now())
+		}
+		control.copies.publish(0)
+	}
+	fail := func(control *Control) {
+		for _, table := range requestTables {
+			control.copies.readFailed[table].Store(true)
+		}
+	}
+	ignore := func(*Control) {}
+	for _, test := range []struct {
+		name      string
+		age       time.Duration
+		refresh   func(*Control)
+		wantFresh bool
+		wantWait  bool
+	}{
+		{"up to date", 100 * time.Millisecond, ignore, true, false},
+		{"suspended", 5 * time.Second, confirm, true, false},
+		{"store does not answer", 5 * time.Second, fail, false, false},
+		{"control stands still", 5 * time.Second, ignore, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			control := newFreshControl(t, time.Now().Add(-test.age), test.refresh)
+			start := time.Now()
+			age := control.Confirm(context.Background())
+			assert.Equal(t, age < control.copies.policies[tableEndpoints].StaleAfter, test.wantFresh, "age %s", age)
+			assert.Equal(t, time.Since(start) >= confirmTimeout, test.wantWait)
+		})
+	}
+}
+
+// TestAgeInDigestGrowsWhileControlStandsStill guards against a node whose control
+// loop stands still, but whose replies go on and pass for up to date.
+func TestAgeInDigestGrowsWhileControlStandsStill(t *testing.T) {
+	control := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New())
+	control.ctx = context.Background()
+	control.copies.confirm(tableEndpoints, time.Now().Add(-time.Second))
+	control.copies.publish(0)
+	control.refreshDigest()
+	time.Sleep(30 * time.Millisecond)
+	reply := control.HandleDigest(gossip.Digest{Node: "other"})
+	assert.Assert(t, time.Duration(reply.Ages[tableEndpoints]) >= time.Second+30*time.Millisecond)
+	control.publishEndpointTable()
+	assert.Assert(t, time.Duration(control.Table(tableEndpoints, 0).Age) >= time.Second+30*time.Millisecond)
+}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -33,7 +33,7 @@
 	service      string
 	body         []byte
 	tried        []string      // IDs of the endpoints that it was sent to
-	endpointsAge time.Duration // how old the knowledge of the endpoints was at the last choice
+	snapshotAge  time.Duration // how old the snapshot was when it was last used
 	mayHaveRun   bool          // an endpoint may have run it
 	status       int
 	outcome      string
@@ -200,14 +200,19 @@
 	return &failure{cause: cause}
 }
 
+// loadSnapshot loads the current snapshot. Its age is determined first, so the
+// snapshot may be newer than that.
+func (request *request) loadSnapshot() {
+	request.snapshotAge = request.server.confirm(request.r.Context())
+	request.snapshot = request.server.snapshot.Load()
+}
+
 // choose picks an endpoint by the current snapshot, or rejects the request.
 // resumed reports whether the caller has received part of the response.
 func (request *request) choose(resumed bool) reach.Decision {
-	now := time.Now()
-	request.endpointsAge = request.server.age(now) // before the snapshot, which may then be newer
-	request.snapshot = request.server.snapshot.Load()
+	request.loadSnapshot()
 	return reach.Choose(request.server.routing, request.snapshot.Services[request.service], reach.Request{
-		Model: request.header.Model, Now: now, Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
+		Model: request.header.Model, Now: time.Now(), Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
 		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
 	})
 }
@@ -288,7 +293,7 @@
 	if request.route != nil {
 		fields = append(fields, zap.String("route", request.route.Name), zap.String("team", request.team),
 			zap.Strings("endpoints", request.tried), zap.Int64("config", request.snapshot.Index.Config.Version),
-			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Duration("age", request.endpointsAge))
+			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Duration("age", request.snapshotAge))
 	}
 	event.Log(request.server.log, event.RequestEnded, fields...)
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -29,7 +29,7 @@
 	pool        *pool.Pool
 	snapshot    *atomic.Pointer[reach.Snapshot]
 	suspect     func(endpoint string)
-	age         func(now time.Time) time.Duration // of the endpoints in the snapshot
+	confirm     func(ctx context.Context) time.Duration // see WithConfirm
 	log         *zap.Logger
 	meter       *meter.Meter
 	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
@@ -72,10 +72,10 @@
 	return func(server *Server) { server.suspect = suspect }
 }
 
-// WithEndpointsAge sets the function that returns how old the knowledge of the
-// endpoints is.
-func WithEndpointsAge(age func(now time.Time) time.Duration) Option {
-	return func(server *Server) { server.age = age }
+// WithConfirm sets the function that is called before each use of the snapshot. It
+// returns the snapshot's age, and may wait first until there is a newer one.
+func WithConfirm(confirm func(ctx context.Context) time.Duration) Option {
+	return func(server *Server) { server.confirm = confirm }
 }
 
 // New creates a server that routes by the snapshot that the control loop
@@ -83,7 +83,7 @@
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
-		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, age: func(time.Time) time.Duration { return 0 },
+		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, confirm: func(context.Context) time.Duration { return 0 },
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
@@ -189,8 +189,9 @@
 	server.inFlight.Add(1)
 	defer server.inFlight.Add(-1)
 	server.hadRequests.Store(true)
-	request := &request{server: server, w: w, r: r, receivedAt: time.Now(), snapshot: server.snapshot.Load()}
+	request := &request{server: server, w: w, r: r, receivedAt: time.Now()}
 	defer request.record()
+	request.loadSnapshot()
 	if server.stopsAt.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
