A peer's confirmation ends the outage of a table that a node does not read

Cause: such a node notes an outage when a read of its own fails, and makes no further call once a peer has confirmed its copy.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -178,7 +178,7 @@
 func (control *Control) handleTable(change tableChanged, now time.Time) {
 	if change.from == fromStore {
 		control.storeRepliedAt = now
-		control.markAvailable(change.table, now)
+		control.markAvailable(change.table, fromStore, now)
 	}
 	control.copies.arrive(change.table, now)
 	switch change.table {
@@ -204,13 +204,13 @@
 }
 
 // markAvailable ends the outage of a table, if there was one.
-func (control *Control) markAvailable(table int, now time.Time) {
+func (control *Control) markAvailable(table int, from source, now time.Time) {
 	since := control.config.unavailableSince[table]
 	if since.IsZero() {
 		return
 	}
 	control.config.unavailableSince[table] = time.Time{}
-	event.Log(control.log, event.StoreBack, zap.String("table", tableNames[table]), zap.Duration("after", now.Sub(since)))
+	event.Log(control.log, event.StoreBack, zap.String("table", tableNames[table]), zap.Duration("after", now.Sub(since)), zap.String("from", string(from)))
 }
 
 // tick runs the periodic work in a fixed order: placement comes after the steps
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -116,6 +116,9 @@
 		if at, known := digest.ConfirmedBy(table, askedAt); known {
 			control.copies.arrive(table, now)
 			control.copies.confirm(table, at)
+			if !control.follows(table) && at.After(control.config.unavailableSince[table]) {
+				control.markAvailable(table, fromPeer, now) // this node makes no calls from which it could notice
+			}
 		}
 	}
 }
