A suspension of the host ages what the node knows

What callers saw: nothing yet; found when looking for the cause of DRAIN elsewhere. Cause: the age of copies is counted by the monotonic clock, which stands still while a host is suspended. Change: the suspension that checkSuspension measures for the lease ages the copies too, so that they are confirmed before they are used. TestSuspensionEndsLease failed before: a copy passed for 0.1 s old after a suspension of 5 s.

--- a/core/fresh/watermark.go
+++ b/core/fresh/watermark.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// Suspend takes into account that the host was suspended, in which time the
+// monotonic clock stood still.
+func (watermark *Watermark) Suspend(duration time.Duration) {
+	if !watermark.At.IsZero() {
+		watermark.At = watermark.At.Add(-duration)
+	}
+}
+
 // Age returns how long ago the copy was last known to be complete, or Unknown if
 // it never was.
 func (watermark Watermark) Age(now time.Time) time.Duration {
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// suspend ages all copies by the time for which the host was suspended.
+func (copies *copies) suspend(duration time.Duration) {
+	for table := range copies.watermarks {
+		copies.watermarks[table].Suspend(duration)
+	}
+}
+
 func (copies *copies) age(table int, now time.Time) time.Duration {
 	return copies.watermarks[table].Age(now)
 }
--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -86,7 +86,8 @@
 
 // TestSuspensionEndsLease guards against a holder that keeps its lease when its
 // host was suspended for five seconds. The monotonic clock does not count them, so
-// the lease still seems held, but another node may have acquired it.
+// the lease still seems held, but another node may have acquired it. Copies that
+// seem up to date are five seconds older, too.
 func TestSuspensionEndsLease(t *testing.T) {
 	now := time.Now()
 	for _, test := range []struct {
@@ -105,8 +106,11 @@
 			control.handleLeaseResult(leaseResult{action: acquire, outcome: rows.Committed{}}, now)
 			_, held := placement.claim.Held(now.Add(time.Second))
 			assert.Assert(t, held)
+			control.copies.confirm(tableEndpoints, now.Add(time.Second))
 			offset += test.suspended
 			control.checkSuspension(now.Add(1100 * time.Millisecond))
+			stale := control.copies.age(tableEndpoints, now.Add(1100*time.Millisecond)) > control.copies.policies[tableEndpoints].StaleAfter
+			assert.Equal(t, stale, !test.held)
 			_, held = placement.claim.Held(now.Add(1100 * time.Millisecond))
 			assert.Equal(t, held, test.held)
 			assert.Equal(t, placement.isLatestHolder, test.held)
--- a/io/edge/suspend.go
+++ b/io/edge/suspend.go
@@ -23,7 +23,7 @@
 }
 
 // checkSuspension detects that the host was suspended, and then gives up the
-// lease. The monotonic clock does not count the time of a suspension, so another
+// lease and counts the time towards the age of the copies. The monotonic clock does not count the time of a suspension, so another
 // node may have acquired a lease that still seems held here, and state that seems
 // fresh is stale.
 func (control *Control) checkSuspension(now time.Time) {
@@ -39,6 +39,7 @@
 	event.Log(control.log, event.HostSuspended, zap.Duration("slept", suspended))
 	control.placement.claim.Invalidate()
 	control.placement.isLatestHolder = false
+	control.copies.suspend(suspended)
 }
 
 // bootClockOffset returns how far CLOCK_BOOTTIME, which counts suspensions, is
