A node that the store does not answer leads no zone while others are answered

Cause: only leaders and the node that places follow the lease. A leader was replaced when it did not answer its peers, not when the store did not answer it.

Change: the order of leaders puts nodes that the store does not answer, while it answers another, behind all others (topo.Node.WithoutStore). Such a node goes on polling the configuration, and leads again once it is answered. If the store answers nobody, the order is as before.

--- a/core/topo/assign.go
+++ b/core/topo/assign.go
@@ -16,8 +16,12 @@
 	Name         string
 	Zone         string
 	Unresponsive bool // it has not replied recently
+	WithoutStore bool // the store does not answer it, but does answer other nodes
 }
 
+// passedOver reports whether a node should not lead its zone now.
+func (node Node) passedOver() bool { return node.Unresponsive || node.WithoutStore }
+
 // Role is a node's part in the exchange of digests.
 type Role struct {
 	Mesh     bool     // every node exchanges digests with every other
@@ -29,7 +33,8 @@
 }
 
 // Assign returns the role of the node self. The leader of a zone is its first
-// node that is not unresponsive, in an order that is the same at all nodes.
+// node that is not unresponsive, in an order that is the same at all nodes; nodes
+// that the store answers come before all others.
 //
 // Up to MaxMeshNodes nodes form a mesh. Of each pair, only the node with the
 // smaller name starts an exchange, since the reply brings the other's state. Of
@@ -57,18 +62,19 @@
 
 // startsExchange reports whether self starts an exchange with other in each round.
 // A node that is unresponsive starts none itself, so others try to reach it in
-// order to notice its return.
+// order to notice its return. Those that it would exchange with as a leader also
+// ask one that is without the store, in order to notice when it may lead again.
 func startsExchange(role Role, self, other Node, leaders map[string]string) bool {
 	switch {
 	case role.Mesh:
 		return self.Name < other.Name || other.Unresponsive
 	case role.IsLeader && other.Zone != self.Zone:
 		leader := leaders[other.Zone]
-		return leader == other.Name && self.Name < other.Name || other.Unresponsive && precedes(other, Node{Name: leader})
+		return leader == other.Name && self.Name < other.Name || other.passedOver() && precedes(other, Node{Name: leader})
 	case role.IsLeader:
-		return other.Unresponsive && precedes(other, self) // it should lead once it is back
+		return other.passedOver() && precedes(other, self) // it should lead once it is back
 	default:
-		return other.Zone == self.Zone && (leaders[self.Zone] == other.Name || other.Unresponsive && precedes(other, self))
+		return other.Zone == self.Zone && (leaders[self.Zone] == other.Name || other.passedOver() && precedes(other, self))
 	}
 }
 
@@ -77,7 +83,7 @@
 	leaders := map[string]Node{self.Zone: self}
 	for _, other := range others {
 		leader, found := leaders[other.Zone]
-		if !other.Unresponsive && (!found || precedes(other, leader)) {
+		if !other.Unresponsive && (!found || leadsBefore(other, leader)) {
 			leaders[other.Zone] = other
 		}
 	}
@@ -88,6 +94,14 @@
 	return names
 }
 
+// leadsBefore reports whether a leads rather than b, if both are responsive.
+func leadsBefore(a, b Node) bool {
+	if a.WithoutStore != b.WithoutStore {
+		return b.WithoutStore
+	}
+	return precedes(a, b)
+}
+
 // precedes orders the nodes of a zone by a hash of their names, so that the
 // choice of the leader is unrelated to its host.
 func precedes(a, b Node) bool {
--- a/core/topo/assign_test.go
+++ b/core/topo/assign_test.go
@@ -50,35 +50,63 @@
 	}
 }
 
-// TestLeaderFailover checks that when a zone's leader is unresponsive, exactly one
-// other node of the zone leads, and the rest of the zone start exchanges with
-// the new leader. All of them still try to reach the old one.
+// TestLeaderFailover checks that when a zone's leader is unresponsive, or the store
+// does not answer it, exactly one other node of the zone leads, and the rest of
+// the zone start exchanges with the new leader. All of them still try to reach
+// the old one.
 func TestLeaderFailover(t *testing.T) {
-	for _, zone := range []string{"zone-0", "zone-1", "zone-2"} {
-		all := nodes(3, 30)
-		unresponsive := ""
-		for name, role := range rolesOf(all) {
-			if role.IsLeader && zoneOf(all, name) == zone {
-				unresponsive = name
-			}
+	for _, test := range []struct {
+		name string
+		fail func(node *topo.Node)
+	}{
+		{"unresponsive", func(node *topo.Node) { node.Unresponsive = true }},
+		{"without store", func(node *topo.Node) { node.WithoutStore = true }},
+	} {
+		for _, zone := range []string{"zone-0", "zone-1", "zone-2"} {
+			t.Run(test.name+" "+zone, func(t *testing.T) { expectFailover(t, zone, test.fail) })
 		}
-		for i := range all {
-			all[i].Unresponsive = all[i].Name == unresponsive
+	}
+}
+
+func expectFailover(t *testing.T, zone string, fail func(node *topo.Node)) {
+	all := nodes(3, 30)
+	failed := ""
+	for name, role := range rolesOf(all) {
+		if role.IsLeader && zoneOf(all, name) == zone {
+			failed = name
 		}
-		roles := rolesOf(all)
-		leaders := 0
-		for name, role := range roles {
-			if name == unresponsive || zoneOf(all, name) != zone {
-				continue
-			}
-			assert.Assert(t, slices.Contains(role.Peers, unresponsive), "peers of %s: %v", name, role.Peers)
-			if role.IsLeader {
-				leaders++
-				continue
-			}
-			assert.Assert(t, role.Leader != unresponsive && slices.Contains(role.Peers, role.Leader), "peers of %s: %v", name, role.Peers)
+	}
+	for i := range all {
+		if all[i].Name == failed {
+			fail(&all[i])
+		}
+	}
+	roles := rolesOf(all)
+	leaders := 0
+	for name, role := range roles {
+		if name == failed || zoneOf(all, name) != zone {
+			continue
+		}
+		assert.Assert(t, slices.Contains(role.Peers, failed), "peers of %s: %v", name, role.Peers)
+		if role.IsLeader {
+			leaders++
+			continue
 		}
-		assert.Equal(t, leaders, 1, zone)
+		assert.Assert(t, role.Leader != failed && slices.Contains(role.Peers, role.Leader), "peers of %s: %v", name, role.Peers)
+	}
+	assert.Equal(t, leaders, 1, zone)
+}
+
+// TestAllNodesWithoutStore checks that each zone has one leader if the store answers
+// none of its nodes.
+func TestAllNodesWithoutStore(t *testing.T) {
+	all := nodes(3, 30)
+	want := rolesOf(all)
+	for i := range all {
+		all[i].WithoutStore = true
+	}
+	for name, role := range rolesOf(all) {
+		assert.Equal(t, role.Leader, want[name].Leader)
 	}
 }
 
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -25,38 +25,39 @@
 // goroutine handles messages and runs the periodic work in a fixed order;
 // request handling reads the snapshot that it publishes.
 type Control struct {
-	settings        Settings
-	store           *platform.Store
-	engineClient    *platform.EngineClient
-	log             *zap.Logger
-	meter           *meter.Meter
-	hadRequests     func() bool                     // whether a request has arrived at this node
-	localDemand     func() map[string]time.Duration // estimated host time requested of each model at this node since the start
-	abortAttempts   func(firstHosts []string)       // cancels the attempts at replicas that can no longer serve, named by their first hosts
-	messages        chan message
-	snapshot        atomic.Pointer[reach.Snapshot]
-	digest          atomic.Pointer[gossip.Digest]            // this node's own
-	publishedTables [tableCount]atomic.Pointer[gossip.Table] // what other nodes may fetch
-	copies          copies
-	ready           atomic.Bool
-	placing         atomic.Bool             // this node places replicas; see placement.active
-	isLeader        atomic.Bool             // this node reads the platform's tables for its zone
-	servedByLeader  atomic.Bool             // the zone's leader reports changes to this node
-	inMesh          atomic.Bool             // every node exchanges digests with every other
-	retrying        [tableCount]atomic.Bool // the last poll of the table has failed
-	startedAt       time.Time
-	ctx             context.Context
-	config          configState
-	endpoints       endpoints
-	peers           *peers
-	placement       placement
-	demand          demand
-	loggedServing   map[string]int // serving replicas of each model, as last logged
-	storeRepliedAt  time.Time      // when the store last answered
-	bootClockOffset func(monotonic time.Duration) (time.Duration, error)
-	lastClockOffset time.Duration // bootClockOffset at the last tick
-	draining        bool
-	snapshotStale   bool // the snapshot must be rebuilt
+	settings         Settings
+	store            *platform.Store
+	engineClient     *platform.EngineClient
+	log              *zap.Logger
+	meter            *meter.Meter
+	hadRequests      func() bool                     // whether a request has arrived at this node
+	localDemand      func() map[string]time.Duration // estimated host time requested of each model at this node since the start
+	abortAttempts    func(firstHosts []string)       // cancels the attempts at replicas that can no longer serve, named by their first hosts
+	messages         chan message
+	snapshot         atomic.Pointer[reach.Snapshot]
+	digest           atomic.Pointer[gossip.Digest]            // this node's own
+	publishedTables  [tableCount]atomic.Pointer[gossip.Table] // what other nodes may fetch
+	copies           copies
+	ready            atomic.Bool
+	placing          atomic.Bool             // this node places replicas; see placement.active
+	isLeader         atomic.Bool             // this node reads the platform's tables for its zone
+	servedByLeader   atomic.Bool             // the zone's leader reports changes to this node
+	inMesh           atomic.Bool             // every node exchanges digests with every other
+	storeUnreachable atomic.Bool             // the store did not answer the last call for the configuration
+	retrying         [tableCount]atomic.Bool // the last poll of the table has failed
+	startedAt        time.Time
+	ctx              context.Context
+	config           configState
+	endpoints        endpoints
+	peers            *peers
+	placement        placement
+	demand           demand
+	loggedServing    map[string]int // serving replicas of each model, as last logged
+	storeRepliedAt   time.Time      // when the store last answered
+	bootClockOffset  func(monotonic time.Duration) (time.Duration, error)
+	lastClockOffset  time.Duration // bootClockOffset at the last tick
+	draining         bool
+	snapshotStale    bool // the snapshot must be rebuilt
 }
 
 // NewControl creates a node's control. hadRequests, localDemand and
@@ -199,6 +200,9 @@
 	control.copies.readFailed[unavailable.table].Store(true)
 	if control.config.unavailableSince[unavailable.table].IsZero() {
 		control.config.unavailableSince[unavailable.table] = now
+		if unavailable.table == tableConfig {
+			control.storeUnreachable.Store(true)
+		}
 		event.Log(control.log, event.StoreDown, zap.String("table", tableNames[unavailable.table]), zap.Error(unavailable.cause))
 	}
 }
@@ -210,6 +214,9 @@
 		return
 	}
 	control.config.unavailableSince[table] = time.Time{}
+	if table == tableConfig {
+		control.storeUnreachable.Store(false)
+	}
 	event.Log(control.log, event.StoreBack, zap.String("table", tableNames[table]), zap.Duration("after", now.Sub(since)), zap.String("from", string(from)))
 }
 
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -53,6 +53,9 @@
 	if control.isLeader.Load() || control.placing.Load() {
 		return true
 	}
+	if table == tableConfig && control.storeUnreachable.Load() {
+		return true // until the store answers this node again, which may then lead
+	}
 	return (table == tableConfig || table == tableNodes) && !control.servedByLeader.Load()
 }
 
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -16,13 +16,14 @@
 )
 
 const (
-	gossipInterval        = 100 * time.Millisecond // between two exchanges with the same node
-	nonLeadersPerInterval = 20                     // nodes other than the leader that it can serve in one interval; in a zone with more, they exchange less often
-	downRetryInterval     = time.Second            // between two attempts to reach a node that does not answer
-	digestTTL             = time.Second            // after which a node's digest, with the load that it reports, no longer counts
-	catchUpGrace          = 400 * time.Millisecond // for the store to deliver a change before it is fetched from a peer
-	peerIdleTimeout       = 30 * time.Second
-	peerDialTimeout       = 400 * time.Millisecond
+	gossipInterval         = 100 * time.Millisecond // between two exchanges with the same node
+	nonLeadersPerInterval  = 20                     // nodes other than the leader that it can serve in one interval; in a zone with more, they exchange less often
+	downRetryInterval      = time.Second            // between two attempts to reach a node that does not answer
+	maxServedStoreReplyAge = 2 * time.Second        // age of the store's last reply up to which it answers a node; longer than between two reads of a node that only confirms its copies
+	digestTTL              = time.Second            // after which a node's digest, with the load that it reports, no longer counts
+	catchUpGrace           = 400 * time.Millisecond // for the store to deliver a change before it is fetched from a peer
+	peerIdleTimeout        = 30 * time.Second
+	peerDialTimeout        = 400 * time.Millisecond
 )
 
 // peers is this node's view of the other nodes.
@@ -109,16 +110,35 @@
 func (control *Control) assignRole(now time.Time) {
 	peers := control.peers
 	others := make([]topo.Node, 0, len(peers.nodes))
+	storeAnswers := control.storeAnswersANode(now)
 	for name, peer := range peers.nodes {
-		others = append(others, topo.Node{Name: name, Zone: peer.zone, Unresponsive: peer.lastExchangeFailed || peer.unresponsive(now, peers)})
+		others = append(others, topo.Node{
+			Name: name, Zone: peer.zone, Unresponsive: peer.lastExchangeFailed || peer.unresponsive(now, peers),
+			WithoutStore: storeAnswers && peer.digest.StoreUnreachable,
+		})
 	}
-	peers.role = topo.Assign(topo.Node{Name: peers.self, Zone: control.settings.Zone}, others)
+	self := topo.Node{Name: peers.self, Zone: control.settings.Zone, WithoutStore: storeAnswers && control.storeUnreachable.Load()}
+	peers.role = topo.Assign(self, others)
 	control.isLeader.Store(peers.role.IsLeader)
 	control.inMesh.Store(peers.role.Mesh)
 	leader := peers.nodes[peers.role.Leader]
 	control.servedByLeader.Store(!peers.role.Mesh && leader != nil && !leader.digest.StoreUnreachable && leader.fresh(now))
 }
 
+// storeAnswersANode reports whether the store has recently answered this node, or
+// one whose digest it has.
+func (control *Control) storeAnswersANode(now time.Time) bool {
+	if now.Sub(control.storeRepliedAt) < maxServedStoreReplyAge {
+		return true
+	}
+	for _, peer := range control.peers.nodes {
+		if peer.fresh(now) && time.Duration(peer.digest.StoreReplyAge) < maxServedStoreReplyAge {
+			return true
+		}
+	}
+	return false
+}
+
 // fresh reports whether the peer's last digest still counts.
 func (peer *peer) fresh(now time.Time) bool { return now.Before(peer.digestReceivedAt.Add(digestTTL)) }
 
@@ -201,7 +221,7 @@
 		digest.Fence, digest.PlanCount, digest.Quarantined = placement.fence, placement.planCount, placement.quarantined(time.Now())
 	}
 	digest.StoreReplyAge = int64(time.Since(control.storeRepliedAt))
-	digest.StoreUnreachable = !control.config.unavailableSince[tableConfig].IsZero()
+	digest.StoreUnreachable = control.storeUnreachable.Load()
 	control.digest.Store(digest)
 }
 
