The soak's bounds for drains and configurations are the users' 2 s

The soak allowed 5 s, the bound of the size in two years, so it could not see what the users saw: their drain_ms and config_apply_ms are 2 s. The nodes get both as settings. The wait before an old key is revoked, which is for nodes with faults, stays at 5 s.

--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -26,8 +26,8 @@
 	InvariantReplicaReady      = "whole replicas"        // a request begins only in a replica whose members were all ready
 	InvariantOneReplicaPerHost = "one replica a host"    // a host joins a replica only when the first host of its previous one cannot serve
 	InvariantAccess            = "nobody denied"         // no 401 or 404 for an allowed request, and Retry-After with each rejection
-	InvariantConfigPropagation = "changes everywhere"    // nodes apply a change within propagationTimeout and do not revert
-	InvariantDrain             = "drains respected"      // no new requests for a draining endpoint after propagationTimeout
+	InvariantConfigPropagation = "changes everywhere"    // nodes apply a change within configBound and do not revert
+	InvariantDrain             = "drains respected"      // no new requests for a draining endpoint after drainBound
 	InvariantRetryBudget       = "retry budget"          // retries within the budget, and attempts within maxAttempts
 	InvariantCancellation      = "callers that left"     // no request begins cancellationTimeout after its caller disconnected
 	InvariantNoLostAnswers     = "answers not lost"      // no answer is cut off without a fault
@@ -37,7 +37,9 @@
 
 const (
 	stallTimeout        = 2 * time.Second        // after which a first host without one of its members stops serving; in the nodes' settings too
-	propagationTimeout  = 5 * time.Second        // after which a configuration change or a drain is in force at all nodes
+	configBound         = 2 * time.Second        // after which a node without faults has applied a change of the configuration
+	drainBound          = 2 * time.Second        // after which a node without faults sends a draining endpoint nothing
+	propagationTimeout  = 5 * time.Second        // after which nodes with faults have applied a change, too
 	cancellationTimeout = 500 * time.Millisecond // after which no request of a disconnected caller begins at an endpoint
 	toleratedLateStarts = 3                      // requests that begin too late after their caller disconnected, per run
 	toleratedViolations = 3                      // lost answers, and requests with too many attempts, per run
@@ -275,11 +277,11 @@
 }
 
 // checkDrainAndCancellation reports a request that begins at a runner which has
-// been draining for more than propagationTimeout, or more than cancellationTimeout
+// been draining for more than drainBound, or more than cancellationTimeout
 // after its caller disconnected, if no component on its path had a fault.
 func (checker *checker) checkDrainAndCancellation(record *record, execution fakes.Execution) {
 	now := checker.now()
-	if since := checker.drainingSince[execution.Runner]; !since.IsZero() && now.Sub(since) > propagationTimeout &&
+	if since := checker.drainingSince[execution.Runner]; !since.IsZero() && now.Sub(since) > drainBound &&
 		checker.timeline.faultFree(since, now, storeComponent, nodeComponent(record.node), nodeRestartComponent(record.node), storeLinkComponent(record.node), runnerComponent(execution.Runner)) {
 		checker.addFinding(InvariantDrain, "%s runs %s, %s after the store listed it as draining", execution.Runner, execution.RequestID, now.Sub(since))
 	}
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -235,10 +235,16 @@
 		}, nil},
 		{"request for a draining runner", func(harness *harness) {
 			harness.runnerDraining("r")
-			harness.advance(propagationTimeout + time.Second)
+			harness.advance(drainBound + time.Millisecond)
 			harness.send("a", kindIdempotent)
 			harness.execute("a", "r")
 		}, []string{InvariantDrain}},
+		{"request for a runner that has just begun to drain", func(harness *harness) {
+			harness.runnerDraining("r")
+			harness.advance(drainBound)
+			harness.send("a", kindIdempotent)
+			harness.execute("a", "r")
+		}, nil},
 		{"request for a draining runner during a store outage", func(harness *harness) {
 			harness.runnerDraining("r")
 			harness.timeline.beginFault(storeComponent, harness.clock)
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -164,6 +164,7 @@
 const settingsTemplate = `{
 	"node": "node-%d", "zone": "zone-a", "callers-address": "%s", "ready-address": "%s", "peers-address": "%s",
 	"peer-key": "soak", "store-address": "%s", "seeds": [%s], "first-start": %t, "grace": "%s", "notice": "1s", "stall": "%s",
+	"config-bound": "%s", "drain-bound": "%s", "endpoint-heartbeat": "%s",
 	"retry": {"ratio": %g, "extra": %g, "window": "%s"},
 }
 `
@@ -194,7 +195,7 @@
 		seeds = append(seeds, `"`+cluster.nodeAddress(index, portPeers)+`"`)
 	}
 	text := fmt.Sprintf(settingsTemplate, node.index+1, cluster.nodeAddress(node.index, portCallers), cluster.nodeAddress(node.index, portReady), cluster.nodeAddress(node.index, portPeers),
-		node.storeProxy.Address(), strings.Join(seeds, ", "), node.incarnation == 0, shutdownGrace, stallTimeout, budgetRatio, budgetExtra, budgetWindow)
+		node.storeProxy.Address(), strings.Join(seeds, ", "), node.incarnation == 0, shutdownGrace, stallTimeout, configBound, drainBound, rowTTL/3, budgetRatio, budgetExtra, budgetWindow)
 	if err := os.WriteFile(node.settingsFile, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "soak: writing the settings of a node")
 	}
--- a/io/soak/propagation.go
+++ b/io/soak/propagation.go
@@ -30,7 +30,7 @@
 const probeInterval = time.Second // between two probes of one node
 
 // checkPropagation probes all nodes while the change is in force. A node without
-// faults must show the change within propagationTimeout, and a node that has
+// faults must show the change within configBound, and a node that has
 // shown it must not revert within one incarnation.
 func (cluster *cluster) checkPropagation(change change) {
 	visibleIn := make([]int, len(cluster.nodes)) // for each node, its last incarnation that showed the change
@@ -46,7 +46,7 @@
 				visibleIn[index] = incarnation
 			case visibleIn[index] == incarnation:
 				cluster.checker.report(InvariantConfigPropagation, "node %d reverted from %q for %s", index+1, change.expected, change.request.Path)
-			case probedAt.Sub(change.committedAt) > propagationTimeout && cluster.timeline.faultFree(change.committedAt, probedAt, nodeComponent(index), nodeRestartComponent(index), storeLinkComponent(index), storeComponent):
+			case probedAt.Sub(change.committedAt) > configBound && cluster.timeline.faultFree(change.committedAt, probedAt, nodeComponent(index), nodeRestartComponent(index), storeLinkComponent(index), storeComponent):
 				cluster.checker.report(InvariantConfigPropagation, "node %d does not answer %q for %s, %s after the change", index+1, change.expected, change.request.Path, probedAt.Sub(change.committedAt))
 			}
 		}
