Versions of the endpoints belong to an era of the store

What callers would have seen: a drain that is taken for old. Since a copy skips what is no newer than the version up to which it is complete, a store that comes back from an older copy, and gives versions out again, would have its changes skipped until it passes that version.

Batches, digests and tables of the endpoints carry it; a later era resets the versions of the copy, which stays in use until the full table is read, and nothing of an earlier era is applied or confirms anything.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -181,6 +181,9 @@
 		control.storeRepliedAt = now
 		control.markAvailable(change.table, fromStore, now)
 	}
+	if change.table == tableEndpoints && !control.endpoints.accepts(change.batch) {
+		return
+	}
 	control.copies.arrive(change.table, now)
 	switch change.table {
 	case tableConfig:
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -118,6 +118,9 @@
 			continue
 		}
 		if table == tableEndpoints {
+			if digest.Era != control.endpoints.era {
+				continue
+			}
 			control.endpoints.completeVersion = max(control.endpoints.completeVersion, digest.Complete)
 		}
 		if at, known := digest.ConfirmedBy(table, askedAt); known {
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -24,6 +24,7 @@
 	loaded           bool // the full table has been read
 	byID             map[string]fleet.Endpoint
 	rows             map[string]platform.Entry // as stored, for peers that fetch the table
+	era              int64                     // the store's, of all versions below
 	version          int64                     // the store's, of the newest change in the copy
 	completeVersion  int64                     // the store's, up to which the copy has every change; not below version
 	compactedVersion int64                     // the copy may have removals up to this version that are not listed
@@ -82,6 +83,28 @@
 	control.snapshotStale = true
 }
 
+// beginEra forgets all versions of the endpoints' rows, since the store has come
+// back from an older copy and gives versions out again. What the copy has stays in
+// use until the full table has been read.
+func (endpoints *endpoints) beginEra(era int64) {
+	endpoints.era = era
+	endpoints.version, endpoints.completeVersion, endpoints.compactedVersion = 0, 0, 0
+	endpoints.removals = map[string]int64{}
+	for id, row := range endpoints.rows {
+		row.Version = 0
+		endpoints.rows[id] = row
+	}
+}
+
+// accepts reports whether a batch may be applied. It begins the batch's era if that
+// is a later one. Changes need a copy of the same era to apply to.
+func (endpoints *endpoints) accepts(batch platform.Batch) bool {
+	if batch.Era > endpoints.era {
+		endpoints.beginEra(batch.Era)
+	}
+	return batch.Era == endpoints.era && (batch.Full || endpoints.completeVersion > 0)
+}
+
 // handleFullTable removes the endpoints that a full table does not list. Rows that
 // came and went before it are not known here, so peers whose copies are not
 // complete up to it have to fetch the full table too.
@@ -233,7 +256,7 @@
 // publishEndpointTable publishes the rows and removals for peers.
 func (control *Control) publishEndpointTable() {
 	endpoints := &control.endpoints
-	table := &gossip.Table{Version: endpoints.version, CompactedVersion: endpoints.compactedVersion}
+	table := &gossip.Table{Version: endpoints.version, Era: endpoints.era, CompactedVersion: endpoints.compactedVersion}
 	for id, version := range endpoints.removals {
 		table.Entries = append(table.Entries, gossip.Entry{Key: id, Version: version, Removed: true, GraceEnd: endpoints.missingUntil[id]})
 	}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -68,7 +68,7 @@
 // table, then changes.
 func (control *Control) follow(ctx context.Context, table int) {
 	delay := minRetryDelay
-	var version int64
+	var version, era int64
 	synced, failed := false, false
 	for ctx.Err() == nil {
 		if !control.follows(table) {
@@ -80,9 +80,12 @@
 		failed = err != nil
 		control.retrying[table].Store(failed)
 		switch {
+		case err == nil && synced && batch.Era != era:
+			synced = false // the changes since an older copy of the store do not tell what it lost
+			continue
 		case err == nil:
 			delay = minRetryDelay
-			synced, version = true, batch.Version
+			synced, version, era = true, batch.Version, batch.Era
 			control.enqueue(tableChanged{table: table, batch: batch, from: fromStore})
 			sleep(ctx, control.batchDelay(table))
 			continue
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -215,6 +215,7 @@
 		digest.Unresponsive = append(digest.Unresponsive, id)
 	}
 	digest.Versions, digest.ConfirmedAt = control.versions(), control.copies.confirmedAt()
+	digest.Era = control.endpoints.era
 	digest.Complete, digest.Compacted = control.endpoints.completeVersion, control.endpoints.compactedVersion
 	// Before its first planning pass a holder does not know which endpoints are quarantined.
 	if placement := &control.placement; placement.active && placement.planCount > 0 {
@@ -390,6 +391,9 @@
 		if !peer.fresh(now) || len(peer.digest.Versions) <= table || requiredVersion(peer.digest, table) <= own {
 			continue
 		}
+		if table == tableEndpoints && peer.digest.Era < control.endpoints.era {
+			continue
+		}
 		if best == nil || requiredVersion(peer.digest, table) > requiredVersion(best.digest, table) {
 			best = peer
 		}
@@ -409,7 +413,7 @@
 	if len(received.Entries) == 0 {
 		return // the peer has no rows either
 	}
-	batch := platform.Batch{Version: max(received.Version, received.Complete), Full: received.Full}
+	batch := platform.Batch{Version: max(received.Version, received.Complete), Era: received.Era, Full: received.Full}
 	if received.Age > 0 {
 		batch.ConfirmedAt = askedAt.Add(-time.Duration(received.Age))
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -36,6 +36,7 @@
 	Fence            int64            `cbor:"11,keyasint,omitempty"` // fencing number of the placement lease whose holder reports PlanCount and Quarantined
 	PlanCount        int64            `cbor:"12,keyasint,omitempty"` // planning passes that the holder has made under this fencing number
 	Quarantined      []string         `cbor:"13,keyasint,omitempty"` // endpoints whose previous first host may still serve, so that they may not join another replica
+	Era              int64            `cbor:"18,keyasint,omitempty"` // the store's era of Complete, Compacted and the version of the endpoints
 	Complete         int64            `cbor:"16,keyasint,omitempty"` // the store's version up to which the node's copy of the endpoints has every change
 	Compacted        int64            `cbor:"17,keyasint,omitempty"` // that copy has removals up to this version that the node can't list
 	Ages             []int64          `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
@@ -59,6 +60,7 @@
 	Full             bool    `cbor:"3,keyasint,omitempty"`
 	Age              int64   `cbor:"4,keyasint,omitempty"` // nanoseconds since the copy was known to be complete; 0 if that is not known
 	Complete         int64   `cbor:"5,keyasint,omitempty"` // the store's version up to which the copy has every change, for the endpoints
+	Era              int64   `cbor:"6,keyasint,omitempty"` // the store's, of the versions
 	CompactedVersion int64   `cbor:"-"`                    // Entries list removals after this version only
 }
 
@@ -66,7 +68,7 @@
 // removals since then are not listed. A full table lists removals only of rows
 // that may still come back.
 func (table Table) ChangesAfter(version int64, now time.Time) Table {
-	changes := Table{Version: table.Version, Full: version < table.CompactedVersion}
+	changes := Table{Version: table.Version, Era: table.Era, Full: version < table.CompactedVersion}
 	for _, entry := range table.Entries {
 		inGrace := entry.GraceEnd.After(now)
 		if inGrace {
