--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -56,7 +56,7 @@
 break_one "a response of another request passed on" io/entry/buffered.go 'case request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID:' 'case false:' ./platform/fakes TestAtMostOnceUnderFaults
 break_one "a gap in the events of a stream that is not detected" io/entry/stream.go 'current == previous+1 {' 'true {' ./platform/fakes TestStreamResumesOnOtherReplica
 break_one "the caller's API key passed on to the endpoint" platform/headers.go 'header.Del("Authorization")' '' ./platform TestSetForwardHeader
-break_one "a node that waits for others, or for its poll, to learn of a change" io/edge/copies.go 'reader.Due(copies.policies[table], copies.watermarks[table], now)' 'false && reader.Due(copies.policies[table], copies.watermarks[table], now)' ./io/edge TestNodeReadsWhatNobodyDelivers
+break_one "a node that waits for others, or for its poll, to learn of a change" io/edge/refresh.go 'reader.Due(copies.policies[table], copies.watermarks[table], now)' 'false && reader.Due(copies.policies[table], copies.watermarks[table], now)' ./io/edge TestNodeReadsWhatNobodyDelivers
 break_one "a leader that the store does not answer" core/topo/assign.go 'return b.WithoutStore' 'return precedes(a, b)' ./core/topo TestLeaderFailover
 break_one "a read that is not retried" core/fresh/reader.go 'reader.retryAt = now.Add(' 'reader.retryAt = now.Add(time.Minute + ' ./core/fresh TestAgeIsBoundedWhileTheStoreAnswers
 break_one "a removal under a version of the node's own" io/edge/endpoints.go 'control.forgetEndpoint(id, endpoints.removals[id], fromGrace, now)' 'endpoints.version++
@@ -68,7 +68,7 @@
 break_one "a peer's copy that passes for as new as its reply" io/gossip/digest.go 'return askedAt.Add(-time.Duration(digest.Ages[table])), true' 'return askedAt, true' ./io/edge TestCopyHasAllChangesUpToItsVersion
 break_one "a digest whose ages do not grow" io/gossip/digest.go 'digest.Ages[table] = int64(now.Sub(confirmedAt))' 'digest.Ages[table] = 0' ./io/edge TestAgeInDigestGrowsWhileControlStandsStill
 break_one "a grace that begins with any answer" core/fresh/watermark.go 'watermark.Age(now) >= lapse' 'watermark.Age(now) >= 0' ./core/fresh TestOutageThatRowsLapseIn
-break_one "a request routed by a copy that is out of date" io/edge/copies.go 'if !control.awaitsConfirmation(time.Now()) {' 'if true {' ./io/edge TestRequestAfterSuspensionWaitsForConfirmation
+break_one "a request routed by a copy that is out of date" io/edge/confirm.go 'if !control.awaitsConfirmation(time.Now()) {' 'if true {' ./io/edge TestRequestAfterSuspensionWaitsForConfirmation
 break_one "an older configuration applied" io/edge/config.go 'config.Version <= control.config.index.Config.Version' 'false' ./platform/fakes TestConfigurationTakesEffect
 break_one "a connection with unread bytes reused" io/pool/pool.go 'return err == nil && errors.Is(peekErr, unix.EAGAIN)' 'return err == nil || errors.Is(peekErr, unix.EAGAIN)' ./io/pool TestConnectionReuse
 
