A table vouches for a version of its own era only

Found when reading the change: a node that has just begun a later era of the store could pass on the table of that era with the version up to which its copy of the earlier one was complete.

--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -28,6 +28,7 @@
 // confirmation says up to when a copy is complete.
 type confirmation struct {
 	at      time.Time
+	era     int64 // the store's, of version
 	version int64 // the store's; 0 for tables other than that of the endpoints
 }
 
@@ -60,11 +61,11 @@
 
 // publish publishes the watermarks. It follows the publication of the snapshot,
 // which then has what they vouch for.
-func (copies *copies) publish(endpointsVersion int64) {
+func (copies *copies) publish(era, endpointsVersion int64) {
 	for table, watermark := range copies.watermarks {
 		current := confirmation{at: watermark.At}
 		if table == tableEndpoints {
-			current.version = endpointsVersion
+			current.era, current.version = era, endpointsVersion
 		}
 		if published := copies.published[table].Load(); published == nil || *published != current {
 			copies.published[table].Store(&current)
--- a/io/edge/copies_test.go
+++ b/io/edge/copies_test.go
@@ -103,7 +103,7 @@
 func (model *tableModel) deliver(node *tableNode, batch platform.Batch, from source, late bool) {
 	apply := func() {
 		node.control.handleTable(tableChanged{table: tableEndpoints, batch: batch, from: from}, model.now)
-		node.control.copies.publish(node.control.endpoints.completeVersion)
+		node.control.copies.publish(0, node.control.endpoints.completeVersion)
 		if from == fromStore {
 			node.pollFrom = batch.Version
 		}
@@ -285,7 +285,7 @@
 	for _, table := range requestTables {
 		control.copies.confirm(table, confirmedAt)
 	}
-	control.copies.publish(0)
+	control.copies.publish(0, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() {
@@ -310,7 +310,7 @@
 		for _, table := range requestTables {
 			control.copies.confirm(table, time.Now())
 		}
-		control.copies.publish(0)
+		control.copies.publish(0, 0)
 	}
 	fail := func(control *Control) {
 		for _, table := range requestTables {
@@ -346,7 +346,7 @@
 	control := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New())
 	control.ctx = context.Background()
 	control.copies.confirm(tableEndpoints, time.Now().Add(-time.Second))
-	control.copies.publish(0)
+	control.copies.publish(0, 0)
 	control.refreshDigest()
 	time.Sleep(30 * time.Millisecond)
 	reply := control.HandleDigest(gossip.Digest{Node: "other"})
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -272,7 +272,7 @@
 		return gossip.Table{}
 	}
 	changes := published.ChangesAfter(after, time.Now())
-	if confirmation != nil && !confirmation.at.IsZero() {
+	if confirmation != nil && !confirmation.at.IsZero() && confirmation.era == changes.Era {
 		changes.Age, changes.Complete = int64(max(1, time.Since(confirmation.at))), confirmation.version
 	}
 	return changes
