TestFullBufferDropsLines counts the drops that a blocked batch has logged

Cause: the test, not the writer. Dropped is the number not logged yet. If the buffer is full before the writer's goroutine first runs, the batch that then blocks carries a count of its own: 8192 + 2256 logged + 9552 = 20000.

Ruled out: lines lost or counted twice: in all runs the three numbers add up.

Change: both tests check that lines written and counts logged add up to all lines, which also checks the numbers that operators read; the old test compared only with Dropped. TestLinesDroppedBeforeABatchAreCounted plays the case.

--- a/io/logbuf/logbuf_test.go
+++ b/io/logbuf/logbuf_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -40,15 +42,50 @@
 		assert.NilError(t, err)
 	}
 	assert.Assert(t, time.Since(startedAt) < 5*time.Second)
-	dropped := writer.Dropped()
-	assert.Assert(t, dropped > 0)
+	expectEveryLineCounted(t, pipe, writer, lines)
+}
+
+// TestLinesDroppedBeforeABatchAreCounted guards against a test that counts only the
+// drops that are not logged yet: the batch whose write blocks has its own count of
+// dropped lines, as when the buffer is full before the goroutine runs.
+func TestLinesDroppedBeforeABatchAreCounted(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the goroutine runs only once this one yields
+	pipe := &pipe{open: make(chan struct{})}
+	writer := logbuf.New(pipe)
+	const lines = 12000
+	for range 2 {
+		for i := range lines / 2 {
+			_, _ = fmt.Fprintf(writer, "line %d\n", i)
+		}
+		time.Sleep(10 * time.Millisecond) // the goroutine takes the buffer and blocks
+	}
+	expectEveryLineCounted(t, pipe, writer, lines)
+}
+
+// expectEveryLineCounted opens the pipe and checks that each line was written, or
+// counted in a log line about dropped ones.
+func expectEveryLineCounted(t *testing.T, pipe *pipe, writer *logbuf.Writer, lines int) {
+	t.Helper()
+	assert.Assert(t, writer.Dropped() > 0)
 	close(pipe.open)
 	writer.Close(10 * time.Second)
+	assert.Equal(t, writer.Dropped(), int64(0))
 	pipe.mutex.Lock()
 	defer pipe.mutex.Unlock()
-	text := pipe.String()
-	assert.Assert(t, strings.Contains(text, "log lines dropped"))
-	assert.Equal(t, int64(strings.Count(text, "line ")), lines-dropped)
+	written, dropped := 0, 0
+	for _, line := range strings.Split(strings.TrimSpace(pipe.String()), "\n") {
+		var event struct{ Lines int }
+		switch {
+		case strings.HasPrefix(line, "line "):
+			written++
+		default:
+			assert.NilError(t, json.Unmarshal([]byte(line), &event))
+			assert.Assert(t, event.Lines > 0 && strings.Contains(line, "log lines dropped"))
+			dropped += event.Lines
+		}
+	}
+	assert.Assert(t, dropped > 0)
+	assert.Equal(t, written+dropped, lines)
 }
 
 // TestCloseIsBounded guards against a Close that waits without limit for output that
