--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -77,7 +77,7 @@
 	for _, node := range cluster.nodes {
 		reached := cluster.canReach(origin, node)
 		if reached {
-			node.cache.Prepare(id, head.Version+1, cluster.now)
+			node.cache.Prepare(id, int64(head.Version)+1, cluster.now)
 		}
 		if !reached && !cluster.heartbeatExpired(node) {
 			cluster.abort(origin, id)
@@ -89,7 +89,7 @@
 	assert.NilError(cluster.t, err)
 	_, committed := cluster.store.Commit(ctx, txn).(rows.Committed)
 	assert.Assert(cluster.t, committed)
-	cluster.accepted = append(cluster.accepted, acceptedChange{version: head.Version + 1, at: cluster.now})
+	cluster.accepted = append(cluster.accepted, acceptedChange{version: int64(head.Version) + 1, at: cluster.now})
 }
 
 func (cluster *cluster) abort(origin *node, id string) {
@@ -157,7 +157,7 @@
 	head, _ := cluster.store.Get(context.Background(), config.HeadKey())
 	all, _ := cluster.store.List(context.Background(), config.Partition)
 	node.cache.Update(all)
-	node.cache.Confirm(head.Version, cluster.now)
+	node.cache.Confirm(int64(head.Version), cluster.now)
 	node.lastHeartbeat = cluster.now
 }
 
@@ -260,7 +260,7 @@
 func TestCacheNeverGoesBack(t *testing.T) {
 	cache := config.NewCache(confirmTTL)
 	row := func(version int64) []rows.Row {
-		return []rows.Row{{Key: config.SectionKey("team/x"), Version: version, Body: []byte(fmt.Sprint(version))}}
+		return []rows.Row{{Key: config.SectionKey("team/x"), Version: rows.Version(version), Body: []byte(fmt.Sprint(version))}}
 	}
 	assert.Equal(t, len(cache.Update(row(3))), 1)
 	cache.Confirm(5, time.Unix(50, 0))
--- a/core/config/merge.go
+++ b/core/config/merge.go
@@ -99,7 +99,7 @@
 	if len(plan.Changes) > MaxChanges {
 		return rows.Txn{}, errors.Wrapf(ErrTooLarge, "%d sections, at most %d", len(plan.Changes), MaxChanges)
 	}
-	historyentry.Version = head.Version + 1
+	historyentry.Version = int64(head.Version) + 1
 	for _, change := range plan.Changes {
 		historyentry.Sections = append(historyentry.Sections, change.Name)
 	}
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -199,7 +199,7 @@
 
 func (replica Replica) put() rows.Put {
 	key := rows.Key{Partition: ReplicasPartition(replica.Service), Sort: replica.ID}
-	return rows.Put{Key: key, Base: replica.Revision, WriteIDs: replica.WriteIDs, Body: encode(replica)}
+	return rows.Put{Key: key, Base: rows.Version(replica.Revision), WriteIDs: replica.WriteIDs, Body: encode(replica)}
 }
 
 // put returns the write that assigns the host to a replica, or to none if
@@ -207,18 +207,18 @@
 func (host Host) put(replica string) rows.Put {
 	next := Host{Name: host.Name, Replica: replica}
 	key := rows.Key{Partition: HostsPartition, Sort: host.Name}
-	return rows.Put{Key: key, Base: host.Revision, WriteIDs: host.WriteIDs, Body: encode(next)}
+	return rows.Put{Key: key, Base: rows.Version(host.Revision), WriteIDs: host.WriteIDs, Body: encode(next)}
 }
 
 func (lease Lease) check() rows.Check {
-	return rows.Check{Key: lease.Key, Base: lease.FencingNumber}
+	return rows.Check{Key: lease.Key, Base: rows.Version(lease.FencingNumber)}
 }
 
 // Row returns the replica as a row, with the version of the row that it was
 // read from.
 func (replica Replica) Row() rows.Row {
 	key := rows.Key{Partition: ReplicasPartition(replica.Service), Sort: replica.ID}
-	return rows.Row{Key: key, Version: replica.Revision, WriteIDs: replica.WriteIDs, Body: encode(replica)}
+	return rows.Row{Key: key, Version: rows.Version(replica.Revision), WriteIDs: replica.WriteIDs, Body: encode(replica)}
 }
 
 // DecodeReplica decodes a replica's row.
@@ -227,7 +227,7 @@
 	if err := json.Unmarshal(row.Body, &replica); err != nil {
 		return Replica{}, errors.Wrapf(err, "group: decode the row of replica %s", row.Key.Sort)
 	}
-	replica.Revision = row.Version
+	replica.Revision = int64(row.Version)
 	replica.WriteIDs = row.WriteIDs
 	return replica, nil
 }
@@ -240,7 +240,7 @@
 			return Host{}, errors.Wrapf(err, "group: decode the row of host %s", row.Key.Sort)
 		}
 	}
-	host.Revision = row.Version
+	host.Revision = int64(row.Version)
 	host.WriteIDs = row.WriteIDs
 	return host, nil
 }
--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -44,7 +44,7 @@
 func (cluster *cluster) read(holder *holder) {
 	ctx := context.Background()
 	fencingRow, _ := cluster.store.Get(ctx, lease.FencingRowKey("l"))
-	holder.fencingNumber = fencingRow.Version
+	holder.fencingNumber = int64(fencingRow.Version)
 	all, _ := cluster.store.List(ctx, group.ReplicasPartition("s"))
 	holder.replicas = nil
 	for _, row := range all {
@@ -87,7 +87,7 @@
 	holder := cluster.sampleHolder(t)
 	cluster.read(holder)
 	cluster.writeCount++
-	put := rows.Put{Key: lease.FencingRowKey("l"), Base: holder.fencingNumber}
+	put := rows.Put{Key: lease.FencingRowKey("l"), Base: rows.Version(holder.fencingNumber)}
 	cluster.store.Commit(context.Background(), rows.Txn{WriteID: fmt.Sprintf("w%d", cluster.writeCount), Ops: []rows.Op{put}})
 	cluster.read(holder)
 }
@@ -105,7 +105,7 @@
 	outcome := cluster.store.Commit(context.Background(), rows.Txn{WriteID: fmt.Sprintf("w%d", cluster.writeCount), Ops: change.Ops})
 	cluster.store.SetFaultModes()
 	if _, committed := outcome.(rows.Committed); committed {
-		assert.Equal(t, holder.fencingNumber, newest.Version, "a change was committed under an old fencing number")
+		assert.Equal(t, holder.fencingNumber, int64(newest.Version), "a change was committed under an old fencing number")
 	}
 }
 
--- a/core/lease/claim.go
+++ b/core/lease/claim.go
@@ -31,6 +31,13 @@
 // renewal at 10 s stops at 15.5 s. The row changes at 10 s or later. Any other
 // node observes the change later still and waits 6 s from there, so it acquires
 // the lease at 16 s at the earliest.
+//
+// If the store comes back from an older copy, the rows may be those of an earlier
+// holder, and the fencing number may have been given out again. So the lease is not
+// held in the new era until it has been acquired there. The holder acquires it at
+// once; any other node waits a complete TTL from its first look at the new era, even
+// if the row says that the lease is free. The holder's TTL began before the store
+// came back, so it has ended by then.
 type Claim struct {
 	policy         Policy
 	name           string
@@ -41,6 +48,8 @@
 	observed       bool      // row and fencingRow have been read
 	unchangedSince time.Time // time since which row has its version, as far as this node knows
 	heldUntil      time.Time // zero or past while this node does not hold the lease
+	priorUntil     time.Time // time until which no other node can acquire the lease, which this one held in the store's previous era
+	mayHaveHolder  bool      // the row has not been written in this era, so there may be a holder that it does not name
 	renewAt        time.Time
 	pending        pending
 }
@@ -99,8 +108,13 @@
 			return errors.Wrapf(err, "lease: decode the row of lease %s", claim.name)
 		}
 	}
-	if !claim.observed || row.Version != claim.row.Version {
-		claim.unchangedSince = at
+	switch {
+	case row.Version.Era() < claim.row.Version.Era():
+		return nil // a slow answer of an earlier era
+	case row.Version.Era() > claim.row.Version.Era():
+		claim.beginEra(at)
+	case !claim.observed || row.Version != claim.row.Version:
+		claim.unchangedSince, claim.mayHaveHolder = at, false
 	}
 	claim.observed = true
 	claim.row, claim.fencingRow, claim.record = row, fencingRow, record
@@ -111,6 +125,14 @@
 	return nil
 }
 
+// beginEra prepares the claim for the first rows of an era. A pending write is
+// forgotten: it was conditional on versions that the store gives out again.
+func (claim *Claim) beginEra(at time.Time) {
+	claim.priorUntil, claim.heldUntil = claim.heldUntil, time.Time{}
+	claim.unchangedSince, claim.mayHaveHolder = at, true
+	claim.pending = pending{}
+}
+
 // resolvePending checks whether the pending write took effect, in case its reply
 // was lost. If it did, the TTL counts from before the write was sent.
 func (claim *Claim) resolvePending() {
@@ -126,7 +148,7 @@
 // Held returns the latest fencing number that this node knows, and whether this
 // node holds the lease.
 func (claim *Claim) Held(now time.Time) (int64, bool) {
-	return claim.fencingRow.Version, now.Before(claim.heldUntil)
+	return FencingNumber(claim.fencingRow), now.Before(claim.heldUntil)
 }
 
 // Deadline returns the latest fencing number that this node knows, the time
@@ -155,7 +177,11 @@
 		claim.pending = pending{writeID: writeID, sentAt: now}
 		return Renew{Txn: claim.renewTxn(writeID)}
 	}
-	free := claim.record.Holder == ""
+	if now.Before(claim.priorUntil) {
+		claim.pending = pending{writeID: writeID, sentAt: now}
+		return Acquire{Txn: claim.acquireTxn(writeID)}
+	}
+	free := claim.record.Holder == "" && !claim.mayHaveHolder
 	if !free && now.Before(claim.unchangedSince.Add(claim.policy.TTL+delay)) {
 		return Wait{}
 	}
@@ -177,7 +203,7 @@
 		claim.applyCommitted(action)
 	case rows.Rejected:
 		claim.pending = pending{}
-		claim.heldUntil = time.Time{}
+		claim.heldUntil, claim.priorUntil = time.Time{}, time.Time{}
 		claim.unchangedSince = at
 	case rows.Unknown:
 		claim.renewAt = at.Add(claim.policy.RenewEvery / 4)
@@ -198,7 +224,7 @@
 		claim.fencingRow = rows.Apply(typed.Txn.Ops[1].(rows.Put), typed.Txn.WriteID)
 		claim.record = Record{Holder: claim.self}
 	}
-	claim.unchangedSince = claim.pending.sentAt
+	claim.unchangedSince, claim.mayHaveHolder = claim.pending.sentAt, false
 	claim.extend(claim.pending.sentAt)
 	claim.pending = pending{}
 }
@@ -206,7 +232,7 @@
 // Invalidate stops holding the lease until it is acquired again, or a pending
 // renewal is found to have taken effect. The caller uses it when the clock that
 // measures the TTL was stopped, as it is while the host is suspended.
-func (claim *Claim) Invalidate() { claim.heldUntil = time.Time{} }
+func (claim *Claim) Invalidate() { claim.heldUntil, claim.priorUntil = time.Time{}, time.Time{} }
 
 // Release stops holding the lease at once, and returns the transaction that
 // frees it for another node and whether the lease was held.
@@ -222,7 +248,7 @@
 // extend holds the lease for a TTL, less the margin, from sentAt, and schedules
 // the next renewal.
 func (claim *Claim) extend(sentAt time.Time) {
-	claim.heldUntil = sentAt.Add(claim.policy.TTL - claim.policy.Margin)
+	claim.heldUntil, claim.priorUntil = sentAt.Add(claim.policy.TTL-claim.policy.Margin), time.Time{}
 	claim.renewAt = sentAt.Add(claim.policy.RenewEvery)
 }
 
--- a/core/lease/claim_test.go
+++ b/core/lease/claim_test.go
@@ -23,6 +23,8 @@
 	nodes      []*node
 	writeCount int
 	lastFence  int64
+	copy       memory.Copy     // to which the store may go back
+	holderOf   map[int64]*node // who has held the lease under a fencing number
 }
 
 type node struct {
@@ -41,7 +43,7 @@
 var policy = lease.Policy{RenewEvery: 2 * time.Second, TTL: 6 * time.Second, Margin: 500 * time.Millisecond}
 
 func newCluster(t *rapid.T) *cluster {
-	cluster := &cluster{t: t, store: memory.NewStore(), now: time.Unix(1_000_000, 0)}
+	cluster := &cluster{t: t, store: memory.NewStore(), now: time.Unix(1_000_000, 0), holderOf: map[int64]*node{}}
 	for i := range 3 {
 		cluster.nodes = append(cluster.nodes, &node{
 			claim:  lease.NewClaim(policy, "l", fmt.Sprintf("node-%d", i)),
@@ -152,24 +154,74 @@
 	}
 	cluster.writeCount++
 	outcome := cluster.store.Commit(context.Background(), rows.Txn{WriteID: fmt.Sprintf("w-%d", cluster.writeCount), Ops: []rows.Op{
-		rows.Check{Key: lease.FencingRowKey("l"), Base: fence},
+		rows.Check{Key: lease.FencingRowKey("l"), Base: rows.Version(fence)},
 	}})
 	newest, _ := cluster.store.Get(context.Background(), lease.FencingRowKey("l"))
 	_, committed := outcome.(rows.Committed)
-	assert.Equal(t, committed, fence == newest.Version)
+	assert.Equal(t, committed, fence == lease.FencingNumber(newest))
 }
 
 func (cluster *cluster) checkHolders(t *rapid.T) {
 	holders := 0
 	for _, node := range cluster.nodes {
-		if _, held := node.claim.Held(cluster.clock(node)); held {
-			holders++
+		fence, held := node.claim.Held(cluster.clock(node))
+		if !held {
+			continue
 		}
+		holders++
+		if previous := cluster.holderOf[fence]; previous != nil && previous != node {
+			cluster.t.Fatalf("two nodes have held the lease under fencing number %d", fence)
+		}
+		cluster.holderOf[fence] = node
 	}
 	assert.Assert(t, holders <= 1, "%d nodes hold the lease", holders)
 	fencingRow, _ := cluster.store.Get(context.Background(), lease.FencingRowKey("l"))
-	assert.Assert(t, fencingRow.Version >= cluster.lastFence, "the fencing number decreased")
-	cluster.lastFence = fencingRow.Version
+	assert.Assert(t, lease.FencingNumber(fencingRow) >= cluster.lastFence, "the fencing number decreased")
+	cluster.lastFence = lease.FencingNumber(fencingRow)
+}
+
+func (cluster *cluster) copyStore(*rapid.T) { cluster.copy = cluster.store.Copy() }
+
+func (cluster *cluster) goBack(*rapid.T) { cluster.store.GoBack(cluster.copy) }
+
+// TestLeaseHasOneHolderAfterStoreWentBack is TestLeaseHasOneHolder with a store that
+// comes back from older copies, in which the lease may be free or have an earlier
+// holder, and that gives versions out again. No fencing number has two holders.
+func TestLeaseHasOneHolderAfterStoreWentBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cluster := newCluster(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": cluster.advanceClock, "pause": cluster.pause, "read": cluster.read, "act": cluster.sendAction,
+			"turn": cluster.runOnce, "turn again": cluster.runOnce, "settle": cluster.resolve, "hand over": cluster.release,
+			"copy": cluster.copyStore, "go back": cluster.goBack, "": cluster.checkHolders,
+		})
+	})
+}
+
+// TestHolderKeepsLeaseAfterStoreWentBack guards against a gap without a holder: the
+// one that held the lease acquires it in the new era at once, under a higher number.
+func TestHolderKeepsLeaseAfterStoreWentBack(t *testing.T) {
+	store, ctx, now := memory.NewStore(), context.Background(), time.Unix(1_000_000, 0)
+	holder, other := lease.NewClaim(policy, "l", "holder"), lease.NewClaim(policy, "l", "other")
+	act := func(claim *lease.Claim, writeID string) (fence int64, held bool) {
+		row, _ := store.Get(ctx, rows.Key{Partition: lease.Partition, Sort: "l"})
+		fencingRow, _ := store.Get(ctx, lease.FencingRowKey("l"))
+		assert.NilError(t, claim.Observe(row, fencingRow, now))
+		if action, due := claim.Next(now, 0, writeID).(lease.Acquire); due {
+			claim.Resolve(action, store.Commit(ctx, action.Txn), now)
+		}
+		return claim.Held(now)
+	}
+	empty := store.Copy()
+	before, held := act(holder, "1")
+	assert.Assert(t, held)
+	store.GoBack(empty)
+	now = now.Add(time.Second)
+	_, held = act(other, "2")
+	assert.Assert(t, !held, "acquired while the holder of the previous era may still act")
+	after, held := act(holder, "3")
+	assert.Assert(t, held)
+	assert.Assert(t, after > before)
 }
 
 // TestLeaseHasOneHolder guards against two nodes that hold the lease at once and
--- a/core/memory/store.go
+++ b/core/memory/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -32,9 +33,13 @@
 	down       bool
 	delayed    []rows.Txn
 	commits    int
+	era        int64 // how often the store has come back from an older copy
 }
 
-var errNoReply = errors.New("memory: injected fault: no reply")
+var (
+	errNoReply  = errors.New("memory: injected fault: no reply")
+	errWentBack = errors.New("memory: a version of an earlier era")
+)
 
 // NewStore returns an empty store without faults.
 func NewStore() *Store { return &Store{rows: map[rows.Key]rows.Row{}} }
@@ -106,33 +111,54 @@
 	return faultmode
 }
 
+// apply applies a transaction. It compares the numbers of versions only, as a store
+// does that gives them out again after it has come back from an older copy.
 func (store *Store) apply(txn rows.Txn) rows.Outcome {
+	var outcome rows.Outcome = rows.Committed{}
 	for _, op := range txn.Ops {
-		if store.rows[rows.KeyOf(op)].Version != expectedVersion(op) {
+		if store.rows[rows.KeyOf(op)].Version.Number() != rows.BaseOf(op).Number() {
 			return rows.Rejected{Key: rows.KeyOf(op)}
 		}
+		if rows.BaseOf(op).Era() != store.era {
+			outcome = rows.Unknown{Cause: errWentBack}
+		}
 	}
 	for _, op := range txn.Ops {
 		switch typed := op.(type) {
 		case rows.Put:
-			store.rows[typed.Key] = rows.Apply(typed, txn.WriteID)
+			store.rows[typed.Key] = store.inEra(rows.Apply(typed, txn.WriteID))
 		case rows.Delete:
 			delete(store.rows, typed.Key)
 		}
 	}
-	return rows.Committed{}
+	return outcome
 }
 
-func expectedVersion(op rows.Op) int64 {
-	switch typed := op.(type) {
-	case rows.Put:
-		return typed.Base
-	case rows.Check:
-		return typed.Base
-	case rows.Delete:
-		return typed.Base
-	default:
-		panic(errors.AssertionFailedf("memory: unknown operation %T", op))
+func (store *Store) inEra(row rows.Row) rows.Row {
+	row.Version = rows.NewVersion(store.era, row.Version.Number())
+	return row
+}
+
+// Copy is the contents of a store at some time.
+type Copy struct {
+	rows map[rows.Key]rows.Row
+}
+
+// Copy returns the present contents.
+func (store *Store) Copy() Copy {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return Copy{rows: maps.Clone(store.rows)}
+}
+
+// GoBack replaces the contents by an older copy and begins an era.
+func (store *Store) GoBack(earlier Copy) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.era++
+	store.rows = map[rows.Key]rows.Row{}
+	for key, row := range earlier.rows {
+		store.rows[key] = store.inEra(row)
 	}
 }
 
@@ -145,7 +171,7 @@
 	}
 	row, found := store.rows[key]
 	if !found {
-		return rows.Row{Key: key}, rows.ErrAbsent
+		return store.inEra(rows.Row{Key: key}), rows.ErrAbsent
 	}
 	return row, nil
 }
--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -15,7 +15,7 @@
 // there is no row. WriteIDs are the ids of its latest writes, newest last.
 type Row struct {
 	Key      Key
-	Version  int64
+	Version  Version
 	WriteIDs []string
 	Body     []byte
 }
@@ -27,13 +27,14 @@
 // Op is one operation of a transaction: Put, Check or Delete.
 type Op interface {
 	key() Key
+	base() Version
 }
 
 // Put writes a body if the row's version is still Base; Base 0 means that there
 // must be no row. WriteIDs are the write ids that the row has at Base.
 type Put struct {
 	Key      Key
-	Base     int64
+	Base     Version
 	WriteIDs []string
 	Body     []byte
 }
@@ -42,19 +43,26 @@
 // must be no row.
 type Check struct {
 	Key  Key
-	Base int64
+	Base Version
 }
 
 // Delete removes a row if its version is still Base.
 type Delete struct {
 	Key  Key
-	Base int64
+	Base Version
 }
 
 func (put Put) key() Key       { return put.Key }
 func (check Check) key() Key   { return check.Key }
 func (delete Delete) key() Key { return delete.Key }
 
+func (put Put) base() Version       { return put.Base }
+func (check Check) base() Version   { return check.Base }
+func (delete Delete) base() Version { return delete.Base }
+
+// BaseOf returns the version that an operation expects.
+func BaseOf(op Op) Version { return op.base() }
+
 // KeyOf returns the key of the row that an operation reads or writes.
 func KeyOf(op Op) Key { return op.key() }
 
--- /dev/null
+++ b/core/rows/version.go
@@ -0,0 +1,28 @@
+package rows
+
+// Version orders the states of a store, or of one row, also across eras. A store
+// that comes back from an older copy begins an era and gives numbers out again. The
+// era is the more significant part, so that every version of a later era is higher:
+//
+//	NewVersion(0, 120) < NewVersion(0, 140) < NewVersion(1, 121)
+//
+// A store without eras has era 0, in which a version is its number.
+type Version int64
+
+// numberBits is the size of the number. 12,000 changes a second reach it in 46 years.
+const numberBits = 44
+
+// maxEra is the highest era that a version holds.
+const maxEra = 1<<(63-numberBits) - 1
+
+// NewVersion returns the version with a number in an era.
+func NewVersion(era, number int64) Version {
+	return Version(min(era, maxEra)<<numberBits | min(number, 1<<numberBits-1))
+}
+
+// Era returns how often the store had come back from an older copy.
+func (version Version) Era() int64 { return int64(version) >> numberBits }
+
+// Number returns the store's own number, which does not order versions of
+// different eras.
+func (version Version) Number() int64 { return int64(version) & (1<<numberBits - 1) }
--- a/io/admin/apply.go
+++ b/io/admin/apply.go
@@ -58,19 +58,20 @@
 		return ApplyResult{}, false, err
 	}
 	head := headOf(stored)
-	if base == 0 && head.Version > 0 {
-		return ApplyResult{}, false, errors.Wrapf(ErrMissingBase, "version %d is in force", head.Version)
+	inForce := int64(head.Version)
+	if base == 0 && inForce > 0 {
+		return ApplyResult{}, false, errors.Wrapf(ErrMissingBase, "version %d is in force", inForce)
 	}
-	if base > head.Version {
+	if base > inForce {
 		return ApplyResult{}, false, errors.Wrapf(ErrUnknownVersion, "version %d", base)
 	}
 	plan, conflicts := config.Merge(baseSections, config.SectionsOf(stored), spec.Sections())
 	if len(conflicts) > 0 {
-		event.Log(service.log, event.ConfigConflict, zap.String("operator", operator), zap.Int64("base", base), zap.Int64("head", head.Version))
-		return ApplyResult{Head: head.Version, Conflicts: conflictsOf(conflicts)}, false, nil
+		event.Log(service.log, event.ConfigConflict, zap.String("operator", operator), zap.Int64("base", base), zap.Int64("head", inForce))
+		return ApplyResult{Head: inForce, Conflicts: conflictsOf(conflicts)}, false, nil
 	}
 	if len(plan.Changes) == 0 {
-		return ApplyResult{Head: head.Version, Unchanged: true}, false, nil
+		return ApplyResult{Head: inForce, Unchanged: true}, false, nil
 	}
 	object, err := service.storeMerged(ctx, plan)
 	if err != nil {
@@ -84,13 +85,13 @@
 	if noticeUnacknowledged := service.node.Notify(ctx, txn.WriteID, nextVersion(head), false); len(noticeUnacknowledged) > 0 {
 		service.node.Notify(ctx, txn.WriteID, nextVersion(head), true)
 		event.Log(service.log, event.PeerNotNotified, zap.Strings("nodes", noticeUnacknowledged))
-		return ApplyResult{Head: head.Version, NoticeUnacknowledged: noticeUnacknowledged}, false, nil
+		return ApplyResult{Head: inForce, NoticeUnacknowledged: noticeUnacknowledged}, false, nil
 	}
 	return service.commit(ctx, txn, plan, nextVersion(head))
 }
 
 // nextVersion returns the version that the next change of a head gets.
-func nextVersion(head rows.Row) int64 { return head.Version + 1 }
+func nextVersion(head rows.Row) int64 { return int64(head.Version) + 1 }
 
 // storeMerged checks the complete text that the change would put in force and
 // stores it as an object. It returns the object's name.
--- a/io/admin/service.go
+++ b/io/admin/service.go
@@ -176,10 +176,10 @@
 	if err != nil {
 		return ConfigSnapshot{}, err
 	}
-	configsnapshot := ConfigSnapshot{Head: headOf(stored).Version, Text: string(jsonc.Indent(spec))}
+	configsnapshot := ConfigSnapshot{Head: int64(headOf(stored).Version), Text: string(jsonc.Indent(spec))}
 	for _, row := range stored {
 		if row.Key != config.HeadKey() {
-			configsnapshot.Sections = append(configsnapshot.Sections, Section{Name: row.Key.Sort, Version: row.Version, Body: string(row.Body)})
+			configsnapshot.Sections = append(configsnapshot.Sections, Section{Name: row.Key.Sort, Version: int64(row.Version), Body: string(row.Body)})
 		}
 	}
 	return configsnapshot, nil
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"hickorybend/core/rows"
 	"hickorybend/core/site"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
@@ -37,7 +38,7 @@
 		control.config.index = site.NewIndex(config)
 		control.config.row = entry
 		control.snapshotStale = true
-		control.publishedTables[tableConfig].Store(&gossip.Table{Version: config.Version, Entries: []gossip.Entry{{
+		control.publishedTables[tableConfig].Store(&gossip.Table{Version: rows.Version(config.Version), Entries: []gossip.Entry{{
 			Key: entry.Key, Value: entry.Value, Version: entry.Version,
 		}}})
 		event.Log(control.log, event.ConfigInForce, zap.Int64("version", config.Version), zap.String("from", string(change.from)),
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -125,7 +125,7 @@
 			control.snapshotStale = false
 			control.publish(time.Now())
 		}
-		control.copies.publish(control.endpoints.era, control.endpoints.completeVersion)
+		control.copies.publish(control.endpoints.completeVersion)
 	}
 }
 
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"hickorybend/core/fresh"
+	"hickorybend/core/rows"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 )
@@ -28,8 +29,7 @@
 // confirmation says up to when a copy is complete.
 type confirmation struct {
 	at      time.Time
-	era     int64 // the store's, of version
-	version int64 // the store's; 0 for tables other than that of the endpoints
+	version rows.Version // 0 for tables other than that of the endpoints
 }
 
 func newCopies(settings Settings) copies {
@@ -61,11 +61,11 @@
 
 // publish publishes the watermarks. It follows the publication of the snapshot,
 // which then has what they vouch for.
-func (copies *copies) publish(era, endpointsVersion int64) {
+func (copies *copies) publish(endpointsVersion rows.Version) {
 	for table, watermark := range copies.watermarks {
 		current := confirmation{at: watermark.At}
 		if table == tableEndpoints {
-			current.era, current.version = era, endpointsVersion
+			current.version = endpointsVersion
 		}
 		if published := copies.published[table].Load(); published == nil || *published != current {
 			copies.published[table].Store(&current)
@@ -115,7 +115,7 @@
 			continue
 		}
 		if table == tableEndpoints {
-			if digest.Era != control.endpoints.era {
+			if digest.Complete.Era() != control.endpoints.completeVersion.Era() {
 				continue
 			}
 			control.endpoints.completeVersion = max(control.endpoints.completeVersion, digest.Complete)
@@ -146,7 +146,7 @@
 		case stale && copies.stale[table].IsZero():
 			copies.stale[table] = watermark.At
 			event.Log(control.log, event.CopyStale, zap.String("table", tableNames[table]), zap.Duration("age", age),
-				zap.Int64("version", control.versions()[table]), zap.Bool("reads", control.follows(table)),
+				zap.Int64("version", control.versions()[table].Number()), zap.Bool("reads", control.follows(table)),
 				zap.Bool("store-unreachable", !control.config.unavailableSince[table].IsZero()), zap.String("leader", control.peers.role.Leader))
 		case !stale && !copies.stale[table].IsZero():
 			event.Log(control.log, event.CopyFresh, zap.String("table", tableNames[table]), zap.Duration("gap", watermark.At.Sub(copies.stale[table])))
--- a/io/edge/copies_test.go
+++ b/io/edge/copies_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"hickorybend/core/rows"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
 	"hickorybend/io/pool"
@@ -23,8 +24,8 @@
 type tableModel struct {
 	t       rapid.TB
 	now     time.Time
-	version int64
-	changes []platform.Entry // all changes, in the order of their versions
+	version rows.Version
+	changes []platform.Entry // all changes that the store has, in the order of their versions
 	times   []time.Time      // when the store acknowledged them
 	nodes   []*tableNode
 	late    []func() // answers on their way
@@ -34,7 +35,7 @@
 // the full table next.
 type tableNode struct {
 	control  *Control
-	pollFrom int64
+	pollFrom rows.Version
 }
 
 func newTableModel(t rapid.TB, nodes int) *tableModel {
@@ -61,7 +62,7 @@
 }
 
 // lastChange returns the last change of a row up to a version.
-func (model *tableModel) lastChange(key string, version int64) (platform.Entry, bool) {
+func (model *tableModel) lastChange(key string, version rows.Version) (platform.Entry, bool) {
 	for _, change := range slices.Backward(model.changes) {
 		if change.Key == key && change.Version <= version {
 			return change, true
@@ -70,6 +71,20 @@
 	return platform.Entry{}, false
 }
 
+// goBack undoes the last changes and begins an era.
+func (model *tableModel) goBack(changes int) {
+	kept := max(0, len(model.changes)-changes)
+	model.changes, model.times = slices.Clone(model.changes[:kept]), model.times[:kept]
+	number := int64(1)
+	for i := range model.changes {
+		number = model.changes[i].Version.Number()
+		model.changes[i].Version = rows.NewVersion(model.version.Era()+1, number)
+		model.times[i] = model.now // from when on the store answers with it
+	}
+	model.version = rows.NewVersion(model.version.Era()+1, number)
+	model.now = model.now.Add(time.Millisecond)
+}
+
 // removedAfter reports whether a row was removed after a change.
 func (model *tableModel) removedAfter(change platform.Entry) bool {
 	return slices.ContainsFunc(model.changes, func(later platform.Entry) bool {
@@ -79,10 +94,10 @@
 
 // read returns the store's answer to a node's next read or poll. A full table is
 // read in two pages; pageAge is how many versions older the first one is.
-func (model *tableModel) read(node *tableNode, pageAge int64) platform.Batch {
-	batch := platform.Batch{Version: model.version, Full: node.pollFrom == 0, ConfirmedAt: model.now}
+func (model *tableModel) read(node *tableNode, pageAge rows.Version) platform.Batch {
+	batch := platform.Batch{Version: model.version, Full: node.pollFrom == 0 || node.pollFrom.Era() != model.version.Era(), ConfirmedAt: model.now}
 	if batch.Full {
-		batch.Version = max(1, model.version-pageAge)
+		batch.Version = max(rows.NewVersion(model.version.Era(), 1), model.version-pageAge)
 		batch.ConfirmedAt = model.timeOf(batch.Version)
 	}
 	for _, change := range model.changes {
@@ -103,7 +118,7 @@
 func (model *tableModel) deliver(node *tableNode, batch platform.Batch, from source, late bool) {
 	apply := func() {
 		node.control.handleTable(tableChanged{table: tableEndpoints, batch: batch, from: from}, model.now)
-		node.control.copies.publish(0, node.control.endpoints.completeVersion)
+		node.control.copies.publish(node.control.endpoints.completeVersion)
 		if from == fromStore {
 			node.pollFrom = batch.Version
 		}
@@ -149,7 +164,7 @@
 }
 
 // timeOf returns a time at which the store was at a version.
-func (model *tableModel) timeOf(version int64) time.Time {
+func (model *tableModel) timeOf(version rows.Version) time.Time {
 	for i, change := range model.changes {
 		if change.Version > version {
 			return model.times[i]
@@ -162,6 +177,9 @@
 // every one acknowledged before the time, for which the node says so.
 func (model *tableModel) expectComplete(node *tableNode) {
 	endpoints := &node.control.endpoints
+	if endpoints.completeVersion.Era() < model.version.Era() {
+		return // it has not learned yet what the store has lost
+	}
 	confirmedAt := node.control.copies.watermarks[tableEndpoints].At
 	for i, change := range model.changes {
 		last, _ := model.lastChange(change.Key, endpoints.completeVersion)
@@ -212,8 +230,9 @@
 			"other table": func(*rapid.T) { model.version++ },
 			"poll": func(t *rapid.T) {
 				node := node.Draw(t, "reader")
-				model.deliver(node, model.read(node, rapid.Int64Range(0, 3).Draw(t, "page age")), fromStore, rapid.Bool().Draw(t, "late"))
+				model.deliver(node, model.read(node, rows.Version(rapid.Int64Range(0, 3).Draw(t, "page age"))), fromStore, rapid.Bool().Draw(t, "late"))
 			},
+			"go back": func(t *rapid.T) { model.goBack(rapid.IntRange(0, 4).Draw(t, "changes")) },
 			"compact": func(t *rapid.T) { node.Draw(t, "reader").pollFrom = 0 },
 			"fetch": func(t *rapid.T) {
 				model.fetch(node.Draw(t, "reader"), node.Draw(t, "ahead"), rapid.Bool().Draw(t, "late"))
@@ -285,7 +304,7 @@
 	for _, table := range requestTables {
 		control.copies.confirm(table, confirmedAt)
 	}
-	control.copies.publish(0, 0)
+	control.copies.publish(0)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() {
@@ -310,7 +329,7 @@
 		for _, table := range requestTables {
 			control.copies.confirm(table, time.Now())
 		}
-		control.copies.publish(0, 0)
+		control.copies.publish(0)
 	}
 	fail := func(control *Control) {
 		for _, table := range requestTables {
@@ -346,7 +365,7 @@
 	control := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New())
 	control.ctx = context.Background()
 	control.copies.confirm(tableEndpoints, time.Now().Add(-time.Second))
-	control.copies.publish(0, 0)
+	control.copies.publish(0)
 	control.refreshDigest()
 	time.Sleep(30 * time.Millisecond)
 	reply := control.HandleDigest(gossip.Digest{Node: "other"})
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -9,6 +9,7 @@
 
 	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
+	"hickorybend/core/rows"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 	"hickorybend/platform"
@@ -24,11 +25,10 @@
 	loaded           bool // the full table has been read
 	byID             map[string]fleet.Endpoint
 	rows             map[string]platform.Entry // as stored, for peers that fetch the table
-	era              int64                     // the store's, of all versions below
-	version          int64                     // the store's, of the newest change in the copy
-	completeVersion  int64                     // the store's, up to which the copy has every change; not below version
-	compactedVersion int64                     // the copy may have removals up to this version that are not listed
-	removals         map[string]int64          // the store's versions of removals, all of them after compactedVersion
+	version          rows.Version              // of the newest change in the copy
+	completeVersion  rows.Version              // up to which the copy has every change; not below version
+	compactedVersion rows.Version              // the copy may have removals up to this version that are not listed
+	removals         map[string]rows.Version   // of removed rows
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
@@ -40,7 +40,7 @@
 
 func newEndpoints() endpoints {
 	return endpoints{
-		removals: map[string]int64{},
+		removals: map[string]rows.Version{},
 		byID:     map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
 		unresponsive: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
@@ -83,26 +83,12 @@
 	control.snapshotStale = true
 }
 
-// beginEra forgets all versions of the endpoints' rows, since the store has come
-// back from an older copy and gives versions out again. What the copy has stays in
-// use until the full table has been read.
-func (endpoints *endpoints) beginEra(era int64) {
-	endpoints.era = era
-	endpoints.version, endpoints.completeVersion, endpoints.compactedVersion = 0, 0, 0
-	endpoints.removals = map[string]int64{}
-	for id, row := range endpoints.rows {
-		row.Version = 0
-		endpoints.rows[id] = row
-	}
-}
-
-// accepts reports whether a batch may be applied. It begins the batch's era if that
-// is a later one. Changes need a copy of the same era to apply to.
+// accepts reports whether a batch may be applied: not if it is of an earlier era
+// than the copy, and changes of a later one need the full table first. The copy
+// stays in use until that has been read.
 func (endpoints *endpoints) accepts(batch platform.Batch) bool {
-	if batch.Era > endpoints.era {
-		endpoints.beginEra(batch.Era)
-	}
-	return batch.Era == endpoints.era && (batch.Full || endpoints.completeVersion > 0)
+	era, known := batch.Version.Era(), endpoints.completeVersion.Era()
+	return era == known || era > known && batch.Full
 }
 
 // handleFullTable removes the endpoints that a full table does not list. Rows that
@@ -125,7 +111,7 @@
 // batch, the copy has all changes up to its own version. For example, a copy that
 // was read in full at version 5 lacks a row that was removed under 4; an answer of
 // the store that was given at version 3, and arrives only now, has that row.
-func (endpoints *endpoints) oldestNews(batch platform.Batch) int64 {
+func (endpoints *endpoints) oldestNews(batch platform.Batch) rows.Version {
 	if batch.Full && batch.Version >= endpoints.completeVersion {
 		return 0
 	}
@@ -139,8 +125,8 @@
 func (control *Control) handleEndpointRow(entry platform.Entry, from source, now time.Time) {
 	endpoints := &control.endpoints
 	endpoints.rows[entry.Key] = entry // also if it cannot be decoded: peers have to drop what they know
-	delete(endpoints.missingUntil, entry.Key)
 	endpoint, err := platform.DecodeEndpoint(entry.Key, entry.Value)
+	delete(endpoints.missingUntil, entry.Key)
 	if err != nil {
 		event.Log(control.log, event.RowUnreadable, zap.String("endpoint", entry.Key), zap.Error(err))
 		delete(endpoints.byID, entry.Key)
@@ -178,7 +164,7 @@
 		event.Log(control.log, event.EndpointChanged, zap.String("endpoint", entry.Key), zap.String("address", endpoint.Address),
 			zap.Bool("draining", endpoint.Draining), zap.String("replica", endpoint.Membership.Replica),
 			zap.String("phase", string(endpoint.Membership.Phase)), zap.Int64("beat", endpoint.Sequence),
-			zap.String("from", string(from)), zap.Int64("version", entry.Version), zap.Duration("age", control.copies.age(tableEndpoints, now)))
+			zap.String("from", string(from)), zap.Int64("version", entry.Version.Number()), zap.Int64("era", entry.Version.Era()), zap.Duration("age", control.copies.age(tableEndpoints, now)))
 	}
 }
 
@@ -202,12 +188,12 @@
 // endpoint itself is forgotten at once, or, if the row may come back, at the end
 // of the grace: that of this node, or the one that a peer reports. Peers learn of
 // the removal at once and keep the grace themselves.
-func (control *Control) handleRemoval(id string, version int64, graceEnd time.Time, from source, now time.Time) {
+func (control *Control) handleRemoval(id string, version rows.Version, graceEnd time.Time, from source, now time.Time) {
 	endpoints := &control.endpoints
 	delete(endpoints.rows, id)
 	endpoints.removals[id] = version
 	if len(endpoints.removals) > maxRemovals {
-		endpoints.removals = map[string]int64{}
+		endpoints.removals = map[string]rows.Version{}
 		endpoints.compactedVersion = max(endpoints.compactedVersion, endpoints.version)
 	}
 	if _, found := endpoints.byID[id]; !found {
@@ -224,10 +210,10 @@
 }
 
 // forgetEndpoint forgets an endpoint whose row is gone.
-func (control *Control) forgetEndpoint(id string, version int64, from source, now time.Time) {
+func (control *Control) forgetEndpoint(id string, version rows.Version, from source, now time.Time) {
 	endpoints := &control.endpoints
 	event.Log(control.log, event.EndpointGone, zap.String("endpoint", id), zap.String("replica", endpoints.byID[id].Membership.Replica),
-		zap.String("from", string(from)), zap.Int64("version", version), zap.Duration("age", control.copies.age(tableEndpoints, now)))
+		zap.String("from", string(from)), zap.Int64("version", version.Number()), zap.Int64("era", version.Era()), zap.Duration("age", control.copies.age(tableEndpoints, now)))
 	delete(endpoints.byID, id)
 	delete(endpoints.missingUntil, id)
 	delete(endpoints.unresponsive, id)
@@ -256,7 +242,7 @@
 // publishEndpointTable publishes the rows and removals for peers.
 func (control *Control) publishEndpointTable() {
 	endpoints := &control.endpoints
-	table := &gossip.Table{Version: endpoints.version, Era: endpoints.era, CompactedVersion: endpoints.compactedVersion}
+	table := &gossip.Table{Version: endpoints.version, CompactedVersion: endpoints.compactedVersion}
 	for id, version := range endpoints.removals {
 		table.Entries = append(table.Entries, gossip.Entry{Key: id, Version: version, Removed: true, GraceEnd: endpoints.missingUntil[id]})
 	}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hickorybend/core/lease"
+	"hickorybend/core/rows"
 	"hickorybend/platform"
 )
 
@@ -68,7 +69,7 @@
 // table, then changes.
 func (control *Control) follow(ctx context.Context, table int) {
 	delay := minRetryDelay
-	var version, era int64
+	var version rows.Version
 	synced, failed := false, false
 	for ctx.Err() == nil {
 		if !control.follows(table) {
@@ -80,12 +81,9 @@
 		failed = err != nil
 		control.retrying[table].Store(failed)
 		switch {
-		case err == nil && synced && batch.Era != era:
-			synced = false // the changes since an older copy of the store do not tell what it lost
-			continue
 		case err == nil:
 			delay = minRetryDelay
-			synced, version, era = true, batch.Version, batch.Era
+			synced, version = true, batch.Version
 			control.enqueue(tableChanged{table: table, batch: batch, from: fromStore})
 			sleep(ctx, control.batchDelay(table))
 			continue
@@ -110,7 +108,7 @@
 // fetchFromStore reads the full table unless synced, else polls for changes
 // after the version. The store answers a poll after a failure at once, so that
 // this node does not notice only with the next change that the store is back.
-func (control *Control) fetchFromStore(ctx context.Context, table int, synced bool, version int64, failed bool) (platform.Batch, error) {
+func (control *Control) fetchFromStore(ctx context.Context, table int, synced bool, version rows.Version, failed bool) (platform.Batch, error) {
 	if !synced {
 		return control.store.Read(ctx, tableNames[table])
 	}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"hickorybend/core/rows"
 	"hickorybend/core/topo"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
@@ -34,7 +35,7 @@
 	http               *http.Client
 	nodes              map[string]*peer          // by name
 	rows               map[string]platform.Entry // of the nodes table, as stored
-	version            int64                     // of the newest row
+	version            rows.Version              // of the newest row, and not below those of the latest era
 	rowWritten         bool                      // this node's row is in the store
 	rowWriting         bool                      // a write of it is pending
 	behindSince        [tableCount]time.Time     // since when a peer has had a higher version
@@ -215,7 +216,6 @@
 		digest.Unresponsive = append(digest.Unresponsive, id)
 	}
 	digest.Versions, digest.ConfirmedAt = control.versions(), control.copies.confirmedAt()
-	digest.Era = control.endpoints.era
 	digest.Complete, digest.Compacted = control.endpoints.completeVersion, control.endpoints.compactedVersion
 	// Before its first planning pass a holder does not know which endpoints are quarantined.
 	if placement := &control.placement; placement.active && placement.planCount > 0 {
@@ -228,10 +228,10 @@
 
 // versions returns the versions of the tables as digests list them. That of the
 // lease's table is always 0.
-func (control *Control) versions() []int64 {
-	versions := make([]int64, tableCount)
+func (control *Control) versions() []rows.Version {
+	versions := make([]rows.Version, tableCount)
 	if control.config.index != nil {
-		versions[tableConfig] = control.config.index.Config.Version
+		versions[tableConfig] = rows.Version(control.config.index.Config.Version)
 	}
 	versions[tableEndpoints] = control.endpoints.version
 	versions[tableNodes] = control.peers.version
@@ -262,7 +262,7 @@
 }
 
 // Table returns the changes in a table after a version, for another node.
-func (control *Control) Table(table int, after int64) gossip.Table {
+func (control *Control) Table(table int, after rows.Version) gossip.Table {
 	if table < 0 || table >= tableCount {
 		return gossip.Table{}
 	}
@@ -272,7 +272,7 @@
 		return gossip.Table{}
 	}
 	changes := published.ChangesAfter(after, time.Now())
-	if confirmation != nil && !confirmation.at.IsZero() && confirmation.era == changes.Era {
+	if confirmation != nil && !confirmation.at.IsZero() && confirmation.version.Era() == published.CompactedVersion.Era() {
 		changes.Age, changes.Complete = int64(max(1, time.Since(confirmation.at))), confirmation.version
 	}
 	return changes
@@ -365,7 +365,7 @@
 
 // completeVersion returns the version up to which this node's copy of a table has
 // every change.
-func (control *Control) completeVersion(table int) int64 {
+func (control *Control) completeVersion(table int) rows.Version {
 	if table == tableEndpoints {
 		return control.endpoints.completeVersion
 	}
@@ -375,7 +375,7 @@
 // requiredVersion returns the version up to which a copy of a table must be complete
 // to have all that the sender's copy had. The sender of a full table that was just
 // read has removals without knowing their versions.
-func requiredVersion(digest gossip.Digest, table int) int64 {
+func requiredVersion(digest gossip.Digest, table int) rows.Version {
 	if table == tableEndpoints {
 		return max(digest.Versions[table], digest.Compacted)
 	}
@@ -391,9 +391,6 @@
 		if !peer.fresh(now) || len(peer.digest.Versions) <= table || requiredVersion(peer.digest, table) <= own {
 			continue
 		}
-		if table == tableEndpoints && peer.digest.Era < control.endpoints.era {
-			continue
-		}
 		if best == nil || requiredVersion(peer.digest, table) > requiredVersion(best.digest, table) {
 			best = peer
 		}
@@ -402,7 +399,7 @@
 }
 
 // fetchFromPeer fetches the changes in a table after a version and enqueues them.
-func (control *Control) fetchFromPeer(client *gossip.Client, table int, after int64) {
+func (control *Control) fetchFromPeer(client *gossip.Client, table int, after rows.Version) {
 	defer control.enqueue(tableFetched{table: table})
 	askedAt := time.Now()
 	received, err := client.Fetch(control.ctx, table, after)
@@ -413,7 +410,7 @@
 	if len(received.Entries) == 0 {
 		return // the peer has no rows either
 	}
-	batch := platform.Batch{Version: max(received.Version, received.Complete), Era: received.Era, Full: received.Full}
+	batch := platform.Batch{Version: max(received.Version, received.Complete), Full: received.Full}
 	if received.Age > 0 {
 		batch.ConfirmedAt = askedAt.Add(-time.Duration(received.Age))
 	}
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -130,7 +130,14 @@
 // handleLease applies rows of the lease's table.
 func (control *Control) handleLease(change tableChanged, now time.Time) {
 	placement := &control.placement
-	placement.rowsRead = placement.rowsRead || change.batch.Full
+	if change.batch.Full {
+		placement.rowsRead = true
+		for _, key := range []rows.Key{placement.row.Key, placement.fencingRow.Key} {
+			if !change.batch.Lists(key.Sort) {
+				placement.updateRow(control.store.Absent(key, change.batch))
+			}
+		}
+	}
 	for _, entry := range change.batch.Entries {
 		row, err := control.store.DecodeRow(tableNames[tableLease], entry)
 		if err != nil {
--- a/io/edge/refresh.go
+++ b/io/edge/refresh.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hickorybend/core/rows"
 	"hickorybend/platform"
 )
 
@@ -59,7 +60,7 @@
 }
 
 // readCopy reads a table, or its changes after a version, from the store.
-func (control *Control) readCopy(table int, version int64, timeout time.Duration) {
+func (control *Control) readCopy(table int, version rows.Version, timeout time.Duration) {
 	batch, err := control.readChanges(table, version, timeout)
 	if err == nil {
 		control.enqueue(tableChanged{table: table, batch: batch, from: fromStore})
@@ -69,7 +70,7 @@
 
 // readChanges reads the changes of the endpoints after a version. Of the other
 // tables, whose versions are not the store's, it reads all rows, which are few.
-func (control *Control) readChanges(table int, version int64, timeout time.Duration) (platform.Batch, error) {
+func (control *Control) readChanges(table int, version rows.Version, timeout time.Duration) (platform.Batch, error) {
 	if table == tableEndpoints && version > 0 {
 		batch, err := control.store.Changes(control.ctx, tableNames[table], version, timeout)
 		if !errors.Is(err, platform.ErrCompacted) {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"hickorybend/core/rows"
 	"hickorybend/io/wire"
 )
 
@@ -25,7 +26,7 @@
 type Digest struct {
 	Node             string           `cbor:"1,keyasint"`
 	Zone             string           `cbor:"9,keyasint"`
-	Versions         []int64          `cbor:"2,keyasint"`            // of the tables that nodes fetch from each other, in a fixed order
+	Versions         []rows.Version   `cbor:"2,keyasint"`            // of the tables that nodes fetch from each other, in a fixed order; that of the configuration is the operators'
 	InFlight         map[string]int   `cbor:"3,keyasint,omitempty"`  // requests by endpoint
 	PendingTokens    map[string]int   `cbor:"7,keyasint,omitempty"`  // tokens of prompts whose answer has not begun, by endpoint
 	Demand           map[string]int64 `cbor:"8,keyasint,omitempty"`  // nanoseconds of estimated host time by model since the start
@@ -36,39 +37,37 @@
 	Fence            int64            `cbor:"11,keyasint,omitempty"` // fencing number of the placement lease whose holder reports PlanCount and Quarantined
 	PlanCount        int64            `cbor:"12,keyasint,omitempty"` // planning passes that the holder has made under this fencing number
 	Quarantined      []string         `cbor:"13,keyasint,omitempty"` // endpoints whose previous first host may still serve, so that they may not join another replica
-	Era              int64            `cbor:"18,keyasint,omitempty"` // the store's era of Complete, Compacted and the version of the endpoints
-	Complete         int64            `cbor:"16,keyasint,omitempty"` // the store's version up to which the node's copy of the endpoints has every change
-	Compacted        int64            `cbor:"17,keyasint,omitempty"` // that copy has removals up to this version that the node can't list
+	Complete         rows.Version     `cbor:"16,keyasint,omitempty"` // the store's version up to which the node's copy of the endpoints has every change
+	Compacted        rows.Version     `cbor:"17,keyasint,omitempty"` // that copy has removals up to this version that the node can't list
 	Ages             []int64          `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
 	ConfirmedAt      []time.Time      `cbor:"-"`                     // the same as times of the node's own clock
 }
 
 // Entry is a row as the platform's store returned it.
 type Entry struct {
-	Key       string    `cbor:"1,keyasint"`
-	Value     []byte    `cbor:"2,keyasint,omitempty"`
-	Version   int64     `cbor:"3,keyasint"`
-	Removed   bool      `cbor:"4,keyasint,omitempty"`
-	GraceLeft int64     `cbor:"5,keyasint,omitempty"` // nanoseconds for which a removed row may still come back after a store outage
-	GraceEnd  time.Time `cbor:"-"`                    // the same as a time of the node's own clock
+	Key       string       `cbor:"1,keyasint"`
+	Value     []byte       `cbor:"2,keyasint,omitempty"`
+	Version   rows.Version `cbor:"3,keyasint"`
+	Removed   bool         `cbor:"4,keyasint,omitempty"`
+	GraceLeft int64        `cbor:"5,keyasint,omitempty"` // nanoseconds for which a removed row may still come back after a store outage
+	GraceEnd  time.Time    `cbor:"-"`                    // the same as a time of the node's own clock
 }
 
 // Table is a node's copy of a table, or the changes in it.
 type Table struct {
-	Entries          []Entry `cbor:"1,keyasint"`
-	Version          int64   `cbor:"2,keyasint"`
-	Full             bool    `cbor:"3,keyasint,omitempty"`
-	Age              int64   `cbor:"4,keyasint,omitempty"` // nanoseconds since the copy was known to be complete; 0 if that is not known
-	Complete         int64   `cbor:"5,keyasint,omitempty"` // the store's version up to which the copy has every change, for the endpoints
-	Era              int64   `cbor:"6,keyasint,omitempty"` // the store's, of the versions
-	CompactedVersion int64   `cbor:"-"`                    // Entries list removals after this version only
+	Entries          []Entry      `cbor:"1,keyasint"`
+	Version          rows.Version `cbor:"2,keyasint"`
+	Full             bool         `cbor:"3,keyasint,omitempty"`
+	Age              int64        `cbor:"4,keyasint,omitempty"` // nanoseconds since the copy was known to be complete; 0 if that is not known
+	Complete         rows.Version `cbor:"5,keyasint,omitempty"` // the store's version up to which the copy has every change, for the endpoints
+	CompactedVersion rows.Version `cbor:"-"`                    // Entries list removals after this version only
 }
 
 // ChangesAfter returns the changes after a version as of now, or the full table if
 // removals since then are not listed. A full table lists removals only of rows
 // that may still come back.
-func (table Table) ChangesAfter(version int64, now time.Time) Table {
-	changes := Table{Version: table.Version, Era: table.Era, Full: version < table.CompactedVersion}
+func (table Table) ChangesAfter(version rows.Version, now time.Time) Table {
+	changes := Table{Version: table.Version, Full: version < table.CompactedVersion}
 	for _, entry := range table.Entries {
 		inGrace := entry.GraceEnd.After(now)
 		if inGrace {
@@ -84,13 +83,13 @@
 // Local is this node, which answers the calls of others.
 type Local interface {
 	HandleDigest(digest Digest) Digest
-	Table(table int, after int64) Table
+	Table(table int, after rows.Version) Table
 }
 
 // fetchRequest asks for the changes in a table after a version.
 type fetchRequest struct {
-	Table int   `cbor:"1,keyasint"`
-	After int64 `cbor:"2,keyasint"`
+	Table int          `cbor:"1,keyasint"`
+	After rows.Version `cbor:"2,keyasint"`
 }
 
 // Handler returns the path prefix and the handler of calls from other nodes.
@@ -136,7 +135,7 @@
 
 // Fetch returns the changes in the other node's copy of a table after a version, or
 // the full table.
-func (client *Client) Fetch(ctx context.Context, table int, after int64) (Table, error) {
+func (client *Client) Fetch(ctx context.Context, table int, after rows.Version) (Table, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	reply, err := client.fetch.CallUnary(ctx, connect.NewRequest(&fetchRequest{Table: table, After: after}))
--- a/io/node/indoubt.go
+++ b/io/node/indoubt.go
@@ -47,10 +47,10 @@
 // It is called again if it fails and the change stays in doubt.
 func (control *Control) acceptNoop(ctx context.Context, version int64, now time.Time) {
 	head, err := control.dependencies.Store.Get(ctx, config.HeadKey())
-	if err != nil || head.Version+1 != version {
+	if err != nil || int64(head.Version)+1 != version {
 		return
 	}
-	row, err := control.dependencies.Store.Get(ctx, config.HistoryKey(head.Version))
+	row, err := control.dependencies.Store.Get(ctx, config.HistoryKey(int64(head.Version)))
 	if err != nil {
 		return
 	}
--- a/io/node/placer.go
+++ b/io/node/placer.go
@@ -53,7 +53,7 @@
 		control.encodedReplicas = nil
 	}
 	for _, row := range all {
-		if known, found := before[row.Key.Sort]; found && known.Revision >= row.Version {
+		if known, found := before[row.Key.Sort]; found && known.Revision >= int64(row.Version) {
 			control.replicas[service][row.Key.Sort] = known
 			continue
 		}
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -158,11 +158,11 @@
 	if result.err != nil {
 		return
 	}
-	if result.row.Version > control.configCache.Head() {
-		control.fetchConfig(result.row.Version, result.startedAt)
+	if int64(result.row.Version) > control.configCache.Head() {
+		control.fetchConfig(int64(result.row.Version), result.startedAt)
 		return
 	}
-	control.configCache.Confirm(result.row.Version, result.startedAt)
+	control.configCache.Confirm(int64(result.row.Version), result.startedAt)
 }
 
 // fetchConfig reads the sections after the head was read, so they are at least as
@@ -175,7 +175,7 @@
 	poll.running = true
 	control.runInBackground(func(ctx context.Context) message {
 		all, err := control.dependencies.Store.List(ctx, config.Partition)
-		return partitionResult{partition: config.Partition, rows: append(all, rows.Row{Version: head}), err: err, startedAt: startedAt}
+		return partitionResult{partition: config.Partition, rows: append(all, rows.Row{Version: rows.Version(head)}), err: err, startedAt: startedAt}
 	})
 }
 
@@ -194,7 +194,7 @@
 	case result.partition == config.Partition:
 		last := len(result.rows) - 1
 		control.applySections(result.rows[:last])
-		control.configCache.Confirm(result.rows[last].Version, result.startedAt)
+		control.configCache.Confirm(int64(result.rows[last].Version), result.startedAt)
 	case result.partition == roster.Partition:
 		control.roster.Observe(result.rows, now)
 		control.deleteStaleNodes(now)
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -184,7 +184,7 @@
 func encodeRows(all []rows.Row) []wireRow {
 	encoded := make([]wireRow, len(all))
 	for i, row := range all {
-		encoded[i] = wireRow{Partition: row.Key.Partition, Sort: row.Key.Sort, Version: row.Version, Writes: row.WriteIDs, Body: row.Body}
+		encoded[i] = wireRow{Partition: row.Key.Partition, Sort: row.Key.Sort, Version: int64(row.Version), Writes: row.WriteIDs, Body: row.Body}
 	}
 	return encoded
 }
@@ -192,7 +192,7 @@
 func decodeRows(all []wireRow) []rows.Row {
 	decoded := make([]rows.Row, len(all))
 	for i, row := range all {
-		decoded[i] = rows.Row{Key: rows.Key{Partition: row.Partition, Sort: row.Sort}, Version: row.Version, WriteIDs: row.Writes, Body: row.Body}
+		decoded[i] = rows.Row{Key: rows.Key{Partition: row.Partition, Sort: row.Sort}, Version: rows.Version(row.Version), WriteIDs: row.Writes, Body: row.Body}
 	}
 	return decoded
 }
--- a/io/table/client.go
+++ b/io/table/client.go
@@ -157,19 +157,19 @@
 	table := aws.String(client.name)
 	switch typed := op.(type) {
 	case rows.Put:
-		condition, values := conditionOf(typed.Base)
+		condition, values := conditionOf(int64(typed.Base))
 		return types.TransactWriteItem{Put: &types.Put{
 			TableName: table, Item: encodeRow(rows.Apply(typed, writeID)),
 			ConditionExpression: condition, ExpressionAttributeValues: values,
 		}}
 	case rows.Check:
-		condition, values := conditionOf(typed.Base)
+		condition, values := conditionOf(int64(typed.Base))
 		return types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
 			TableName: table, Key: encodeKey(typed.Key),
 			ConditionExpression: condition, ExpressionAttributeValues: values,
 		}}
 	case rows.Delete:
-		condition, values := conditionOf(typed.Base)
+		condition, values := conditionOf(int64(typed.Base))
 		return types.TransactWriteItem{Delete: &types.Delete{
 			TableName: table, Key: encodeKey(typed.Key),
 			ConditionExpression: condition, ExpressionAttributeValues: values,
@@ -198,7 +198,7 @@
 		writes[i] = stringValue(write)
 	}
 	item := encodeKey(row.Key)
-	item[fieldVersion] = numberValue(row.Version)
+	item[fieldVersion] = numberValue(int64(row.Version))
 	item[fieldWrites] = &types.AttributeValueMemberL{Value: writes}
 	item[fieldBody] = &types.AttributeValueMemberB{Value: row.Body}
 	return item
@@ -216,7 +216,7 @@
 	if err != nil {
 		return rows.Row{}, errors.Mark(errors.Wrap(err, "table: parsing a version"), ErrMalformedRow)
 	}
-	row.Version = parsed
+	row.Version = rows.Version(parsed)
 	if body, ok := item[fieldBody].(*types.AttributeValueMemberB); ok {
 		row.Body = body.Value
 	}
