Nodes write their rows again after the store has lost them

What was seen: a node whose row the store had lost was unknown to every node that started later, and so had no part in exchanges with it.

Cause: a node wrote its row once and took a commit for lasting.

Change: a node whose row the store's latest era lacks, or has with another address, writes it again. The version of the nodes' table is not below its era, so nodes that do not read the store learn of the loss from their peers.

--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -32,12 +32,31 @@
 		peers.rows[entry.Key] = entry
 		peers.version = max(peers.version, entry.Version)
 	}
+	peers.version = max(peers.version, rows.NewVersion(change.batch.Version.Era(), 0))
 	control.publishNodeTable()
-	if change.from == fromStore {
+	if control.nodeRowLost() {
+		peers.rowWritten = false
+	}
+	if change.from == fromStore || !peers.rowWritten {
 		control.writeNodeRow()
 	}
 }
 
+// nodeRowLost reports whether the store has come back from a copy that lacks this
+// node's row, or has an older one. Every row that the copy has is read again, so its
+// version is of the latest era.
+func (control *Control) nodeRowLost() bool {
+	peers := control.peers
+	row, found := peers.rows[peers.self]
+	if !found || !peers.rowWritten {
+		return false // not read yet, or to be written anyway
+	}
+	var wire nodeRow
+	decoded, err := control.store.DecodeRow(tableNames[tableNodes], row)
+	return row.Version.Era() < peers.version.Era() || err != nil || json.Unmarshal(decoded.Body, &wire) != nil ||
+		wire != nodeRow{Address: control.settings.PeersAddress, Zone: control.settings.Zone}
+}
+
 // updatePeer adds, replaces or removes a peer by its row.
 func (control *Control) updatePeer(name string, row rows.Row) {
 	peers := control.peers
