Endpoints neither vanish nor return when the store goes back

What callers saw: 404 and rejections from the moment at which the store came back until the endpoints had written their rows again; and attempts at endpoints that had been removed and that the older copy still listed.

Cause: the first full read of the new era was taken as it was, in both directions.

Change: it begins the grace that an outage has, in which missing rows may come back. A row that is not newer than the one of a removed endpoint, by start and sequence number, does not bring it back.

Measured: TestRequestsWhileStoreIsBehind, a rejection before, 200 for all now; TestRemovedEndpointAfterStoreWentBack, used again by all three nodes before, by none now.

--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -29,6 +29,7 @@
 	completeVersion  rows.Version              // up to which the copy has every change; not below version
 	compactedVersion rows.Version              // the copy may have removals up to this version that are not listed
 	removals         map[string]rows.Version   // of removed rows
+	removed          map[string]fleet.Endpoint // the endpoints of those rows, as last known
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
@@ -40,8 +41,8 @@
 
 func newEndpoints() endpoints {
 	return endpoints{
-		removals: map[string]rows.Version{},
-		byID:     map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
+		removals: map[string]rows.Version{}, removed: map[string]fleet.Endpoint{},
+		byID: map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
 		unresponsive: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
@@ -96,6 +97,9 @@
 // complete up to it have to fetch the full table too.
 func (control *Control) handleFullTable(change tableChanged, listed map[string]bool, now time.Time) {
 	endpoints := &control.endpoints
+	if endpoints.loaded && change.batch.Version.Era() > endpoints.completeVersion.Era() {
+		control.copies.watermarks[tableEndpoints].RecoveredAt = now // the endpoints write again what the store has lost
+	}
 	endpoints.loaded = true
 	endpoints.compactedVersion = max(endpoints.compactedVersion, change.batch.Version)
 	for id, row := range endpoints.rows {
@@ -126,7 +130,11 @@
 	endpoints := &control.endpoints
 	endpoints.rows[entry.Key] = entry // also if it cannot be decoded: peers have to drop what they know
 	endpoint, err := platform.DecodeEndpoint(entry.Key, entry.Value)
+	if removed, found := endpoints.removed[entry.Key]; found && err == nil && removed.NotOlder(endpoint) {
+		return // written before the removal, which the store has lost
+	}
 	delete(endpoints.missingUntil, entry.Key)
+	delete(endpoints.removed, entry.Key)
 	if err != nil {
 		event.Log(control.log, event.RowUnreadable, zap.String("endpoint", entry.Key), zap.Error(err))
 		delete(endpoints.byID, entry.Key)
@@ -193,7 +201,7 @@
 	delete(endpoints.rows, id)
 	endpoints.removals[id] = version
 	if len(endpoints.removals) > maxRemovals {
-		endpoints.removals = map[string]rows.Version{}
+		endpoints.removals, endpoints.removed = map[string]rows.Version{}, map[string]fleet.Endpoint{}
 		endpoints.compactedVersion = max(endpoints.compactedVersion, endpoints.version)
 	}
 	if _, found := endpoints.byID[id]; !found {
@@ -212,6 +220,7 @@
 // forgetEndpoint forgets an endpoint whose row is gone.
 func (control *Control) forgetEndpoint(id string, version rows.Version, from source, now time.Time) {
 	endpoints := &control.endpoints
+	endpoints.removed[id] = endpoints.byID[id]
 	event.Log(control.log, event.EndpointGone, zap.String("endpoint", id), zap.String("replica", endpoints.byID[id].Membership.Replica),
 		zap.String("from", string(from)), zap.Int64("version", version.Number()), zap.Int64("era", version.Era()), zap.Duration("age", control.copies.age(tableEndpoints, now)))
 	delete(endpoints.byID, id)
