Endpoints that say they leave, or want no requests for a while, get none

What callers saw: requests that reached an endpoint after it had said "Server-Leaving: 1" in its answers, as long as its row in the store did not say so; and requests to endpoints that had answered 503 with Retry-After, while callers were called back before any endpoint of the service took requests.

Cause: the headers were not decoded.

Change: both are read as soon as the head of an answer has come. Server-Leaving, also in answers to probes and commands: this node sends nothing new there from that answer on, without its control loop; it treats the endpoint as draining, so that a replica with such a member is closed and repaired, and tells the others in its digest. It holds for that life of the endpoint, whatever its row says. Retry-After of a 503: no request there until then. If all endpoints of a service rest, callers are rejected at once and called back when the first rest ends, spread over 0.3 of it. Values beyond 5 minutes count as that; negative and malformed ones as none; the first is logged as event 607.

A failure rate of 0 needs no exponential and the time left is computed once for all candidates.

--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -37,7 +37,7 @@
 		best, bestScore = pick(policy, candidates, request)
 	}
 	if best == nil {
-		return Reject{Reason: ReasonNoEndpoint, RetryAt: request.Now.Add(retryDelay(policy, candidates, request))}
+		return Reject{Reason: ReasonNoEndpoint, RetryAt: retryAt(policy, candidates, request)}
 	}
 	if bestScore.utilization > limit {
 		return Reject{Reason: ReasonFull, RetryAt: request.Now.Add(retryDelay(policy, candidates, request))}
@@ -101,20 +101,21 @@
 }
 
 // pick returns the candidate with the lowest score, or nil if there is none. It
-// skips candidates that the request was sent to before, that are avoided, or
-// where this node has as many requests in flight as it may.
+// skips candidates that the request was sent to before, that take no requests now,
+// or where this node has as many requests in flight as it may.
 func pick(policy Policy, candidates []*Candidate, request Request) (*Candidate, score) {
 	var best *Candidate
 	bestScore := score{total: math.Inf(1)}
 	mean := meanAnswerTime(candidates)
+	timeLeft := max(request.Deadline.Sub(request.Now), policy.MinTimeLeft).Seconds()
 	for _, candidate := range candidates {
-		if slices.Contains(request.Tried, candidate.ID) || candidate.Load.Avoided(request.Now) {
+		if slices.Contains(request.Tried, candidate.ID) || !candidate.takesRequests(request.Now) {
 			continue
 		}
 		if candidate.MaxInFlight > 0 && candidate.Load.OwnInFlight() >= candidate.MaxInFlight {
 			continue
 		}
-		score := scoreOf(policy, candidate, request, mean)
+		score := scoreOf(policy, candidate, request, mean, timeLeft)
 		if score.total < bestScore.total {
 			best, bestScore = candidate, score
 		}
@@ -122,12 +123,19 @@
 	return best, bestScore
 }
 
-func scoreOf(policy Policy, candidate *Candidate, request Request, mean time.Duration) score {
+// takesRequests reports whether new requests may be sent to the candidate.
+func (candidate *Candidate) takesRequests(now time.Time) bool {
+	load := candidate.Load
+	return !load.Avoided(now) && !load.Rests(now) && !load.Leaving(candidate.StartedAt)
+}
+
+// scoreOf rates a candidate, given the mean answer time of all and the seconds until
+// the answer should begin.
+func scoreOf(policy Policy, candidate *Candidate, request Request, mean time.Duration, timeLeft float64) score {
 	utilization := float64(candidate.Load.InFlight()+1) / float64(max(candidate.Slots, 1))
 	total := utilization + policy.FailPenalty*candidate.Load.FailureRate(request.Now) + policy.TieBreakWeight*candidate.TieBreak
 	if candidate.PrefillTokensPerSec > 0 {
-		timeLeft := max(request.Deadline.Sub(request.Now), policy.MinTimeLeft)
-		total += policy.PromptWeight * float64(candidate.Load.PendingTokens()) / candidate.PrefillTokensPerSec / timeLeft.Seconds()
+		total += policy.PromptWeight * float64(candidate.Load.PendingTokens()) / candidate.PrefillTokensPerSec / timeLeft
 	}
 	if !candidate.SameZone {
 		total += policy.CrossZonePenalty
@@ -170,6 +178,30 @@
 	return limit + policy.UrgentQueueAllowance*float64(max(0, normalPriority-request.Priority))
 }
 
+// retryAt returns when a request may return for which there is no candidate. If all
+// of them rest, that is when the first one ends its rest, or up to restSpread of the
+// rest later, so that callers do not all return at once.
+func retryAt(policy Policy, candidates []*Candidate, request Request) time.Time {
+	earliest := request.Now.Add(retryDelay(policy, candidates, request))
+	var restEnd time.Time
+	for _, candidate := range candidates {
+		switch {
+		case candidate.Load.Leaving(candidate.StartedAt):
+		case !candidate.Load.Rests(request.Now):
+			return earliest
+		case restEnd.IsZero() || candidate.Load.RestsUntil().Before(restEnd):
+			restEnd = candidate.Load.RestsUntil()
+		}
+	}
+	if restEnd.IsZero() {
+		return earliest
+	}
+	return restEnd.Add(time.Duration(restSpread * request.Random * float64(restEnd.Sub(request.Now))))
+}
+
+// restSpread is the part of a rest over which callers return after it.
+const restSpread = 0.3
+
 // retryDelay estimates how long it takes until the candidates have room again:
 // the mean answer time times the utilization above 0.8, or just the mean answer
 // time if the candidates have no slots. The delay is randomly up to 30 % shorter
--- a/core/reach/choose_test.go
+++ b/core/reach/choose_test.go
@@ -70,6 +70,52 @@
 	}
 }
 
+// TestEndpointsThatWantNoRequests guards against requests to endpoints that rest or
+// leave, and against rejections that call callers back before the first one takes
+// requests again.
+func TestEndpointsThatWantNoRequests(t *testing.T) {
+	resting := func(id string, rest time.Duration) *reach.Candidate {
+		candidate := newCandidate(id, true, 0)
+		candidate.Load.RestUntil(start.Add(rest))
+		candidate.Load.RestUntil(start.Add(rest / 2)) // does not shorten the rest
+		return candidate
+	}
+	leaving, restarted := newCandidate("leaving", true, 0), newCandidate("restarted", true, 0)
+	leaving.Load.MarkLeaving(leaving.StartedAt)
+	restarted.Load.MarkLeaving(restarted.StartedAt.Add(-time.Minute))
+	long, short := resting("long", 9*time.Second), resting("short", 3*time.Second)
+	expectChoice(t, poolOf(long, leaving, newCandidate("busy", true, 5)), newRequest(), "busy")
+	expectChoice(t, poolOf(long, leaving, restarted), newRequest(), "restarted")
+	afterRest := newRequest()
+	afterRest.Now = start.Add(3 * time.Second)
+	expectChoice(t, poolOf(long, short), afterRest, "short")
+	reject, rejected := reach.Choose(reach.DefaultPolicy(), poolOf(long, leaving, short), newRequest()).(reach.Reject)
+	assert.Assert(t, rejected)
+	wait := reject.RetryAt.Sub(start)
+	assert.Assert(t, wait >= 3*time.Second && wait <= 4*time.Second, "%s, the first rest ends after 3 s", wait)
+}
+
+// BenchmarkChoose chooses among 300 replicas, some of which rest or leave.
+func BenchmarkChoose(b *testing.B) {
+	var candidates []*reach.Candidate
+	for i := range 300 {
+		candidate := newCandidate(fmt.Sprint(i), i%4 == 0, i%10)
+		candidate.TieBreak = float64(i) / 300
+		if i%20 == 0 {
+			candidate.Load.RestUntil(start.Add(time.Minute))
+		}
+		if i%30 == 0 {
+			candidate.Load.MarkLeaving(candidate.StartedAt)
+		}
+		candidates = append(candidates, candidate)
+	}
+	servicepool, request := poolOf(candidates...), newRequest()
+	b.ReportAllocs()
+	for b.Loop() {
+		reach.Choose(reach.DefaultPolicy(), servicepool, request)
+	}
+}
+
 // TestFailureRateDecays checks that an endpoint whose failures lie in the past is
 // chosen again, though no request has succeeded there since.
 func TestFailureRateDecays(t *testing.T) {
--- a/core/reach/load.go
+++ b/core/reach/load.go
@@ -17,6 +17,8 @@
 	answerTime        atomic.Uint64 // smoothed seconds to a complete answer, as float64 bits
 	lastResultAt      atomic.Int64  // Unix nanoseconds of the last result
 	avoidUntil        atomic.Int64  // Unix nanoseconds until which no new request is sent
+	restsUntil        atomic.Int64  // Unix nanoseconds until which the endpoint wants no request of this node
+	leavingStart      atomic.Int64  // start of the life that has said that it leaves, in Unix milliseconds
 }
 
 const (
@@ -80,13 +82,46 @@
 // Avoided reports whether new requests are kept away at the given time.
 func (load *Load) Avoided(now time.Time) bool { return now.UnixNano() < load.avoidUntil.Load() }
 
+// RestUntil keeps new requests away from the endpoint until the given time, which it
+// has asked for. An earlier time does not shorten the rest.
+func (load *Load) RestUntil(until time.Time) {
+	wanted := until.UnixNano()
+	for current := load.restsUntil.Load(); current < wanted; current = load.restsUntil.Load() {
+		if load.restsUntil.CompareAndSwap(current, wanted) {
+			return
+		}
+	}
+}
+
+// RestsUntil returns the time until which the endpoint wants no request.
+func (load *Load) RestsUntil() time.Time { return time.Unix(0, load.restsUntil.Load()) }
+
+// Rests reports whether the endpoint wants no request at the given time.
+func (load *Load) Rests(now time.Time) bool { return now.UnixNano() < load.restsUntil.Load() }
+
+// MarkLeaving keeps new requests away from an endpoint until it starts again. It
+// reports whether that is news.
+func (load *Load) MarkLeaving(startedAt time.Time) bool {
+	return load.leavingStart.Swap(startedAt.UnixMilli()) != startedAt.UnixMilli()
+}
+
+// Leaving reports whether the life of the endpoint that began at a time has said that
+// it leaves.
+func (load *Load) Leaving(startedAt time.Time) bool {
+	return load.leavingStart.Load() == startedAt.UnixMilli()
+}
+
 // FailureRate returns the smoothed fraction of requests that failed. It decays
 // with time, because an endpoint that is no longer chosen has no successes that
 // would lower it.
 func (load *Load) FailureRate(now time.Time) float64 {
+	rate := math.Float64frombits(load.failureRate.Load())
+	if rate == 0 {
+		return 0 // saves the exponential for most endpoints
+	}
 	elapsed := max(0, now.UnixNano()-load.lastResultAt.Load())
 	halfLives := float64(elapsed) / float64(failureHalfLife)
-	return math.Float64frombits(load.failureRate.Load()) * math.Exp2(-halfLives)
+	return rate * math.Exp2(-halfLives)
 }
 
 // AnswerTime returns the smoothed time to a complete answer, or 0 before the
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -28,6 +28,7 @@
 type Candidate struct {
 	ID                  string
 	Address             string
+	StartedAt           time.Time
 	SameZone            bool    // in the zone of this node
 	Slots               int     // requests that it runs at once
 	MaxInFlight         int     // limit of this node's requests in flight there; 0 for none
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -73,6 +73,9 @@
 	control.peers = newPeers(settings)
 	control.placement = newPlacement(settings)
 	control.demand = demand{previous: map[string]map[string]int64{}, recent: fleet.NewDemand()}
+	if engineclient != nil {
+		engineclient.OnLeaving(func(endpoint string) { control.Leaving(endpoint, time.Time{}) })
+	}
 	control.isLeader.Store(true) // until other nodes are known
 	control.snapshot.Store(&reach.Snapshot{Nodes: 1})
 	control.digest.Store(&gossip.Digest{Node: settings.Node})
@@ -156,6 +159,8 @@
 		control.peers.markExchangeFailed(typed.node, now)
 	case endpointSuspected:
 		control.probeReplica(typed.endpoint, now)
+	case endpointLeaves:
+		control.handleLeaving(typed, fromAnswer, now)
 	case probeResult:
 		control.handleProbeResult(typed, now)
 	case commandResult:
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -31,6 +31,7 @@
 	removals         map[string]rows.Version   // of removed rows
 	removed          map[string]fleet.Endpoint // the endpoints of those rows, as last known
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
+	leaving          map[string]time.Time      // endpoints that have said in an answer that they leave, and the starts of those lives
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
 	updatedAt        map[string]time.Time      // when a row was last applied, or the endpoint left its replica
@@ -43,7 +44,7 @@
 	return endpoints{
 		removals: map[string]rows.Version{}, removed: map[string]fleet.Endpoint{},
 		byID: map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
-		unresponsive: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
+		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
 
@@ -140,6 +141,7 @@
 		delete(endpoints.byID, entry.Key)
 		return
 	}
+	endpoint.Draining = endpoint.Draining || endpoints.saysLeaving(endpoint)
 	previous, found := endpoints.byID[entry.Key]
 	if found && !endpoint.NotOlder(previous) {
 		previous.Draining = previous.Draining || endpoint.Draining
@@ -165,6 +167,7 @@
 	}
 	endpoints.byID[entry.Key] = endpoint
 	endpoints.updatedAt[entry.Key] = now
+	endpoints.forgetPastLife(endpoint)
 	if endpoints.isUnresponsive(entry.Key) {
 		control.probe(entry.Key, now) // the new row shows that the endpoint still writes to the store
 	}
@@ -225,6 +228,7 @@
 		zap.String("from", string(from)), zap.Int64("version", version.Number()), zap.Int64("era", version.Era()), zap.Duration("age", control.copies.age(tableEndpoints, now)))
 	delete(endpoints.byID, id)
 	delete(endpoints.missingUntil, id)
+	delete(endpoints.leaving, id)
 	delete(endpoints.unresponsive, id)
 	delete(endpoints.updatedAt, id)
 	delete(endpoints.reportedAt, id)
--- a/io/edge/message.go
+++ b/io/edge/message.go
@@ -27,9 +27,10 @@
 type source string
 
 const (
-	fromStore source = "store"
-	fromPeer  source = "peer"
-	fromGrace source = "grace" // it has not come back within removalGrace
+	fromStore  source = "store"
+	fromPeer   source = "peer"
+	fromAnswer source = "answer" // of the endpoint itself
+	fromGrace  source = "grace"  // it has not come back within removalGrace
 )
 
 // tableUnavailable reports that the store did not answer a read or poll of a
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -215,6 +215,7 @@
 	for id := range control.endpoints.unresponsive {
 		digest.Unresponsive = append(digest.Unresponsive, id)
 	}
+	digest.Leaving = control.endpoints.leavingList()
 	digest.Versions, digest.ConfirmedAt = control.versions(), control.copies.confirmedAt()
 	digest.Complete, digest.Compacted = control.endpoints.completeVersion, control.endpoints.compactedVersion
 	// Before its first planning pass a holder does not know which endpoints are quarantined.
@@ -291,6 +292,7 @@
 	peer.exchanging = false
 	peer.lastExchangeFailed = false
 	control.confirmByPeer(digest, received.askedAt, now)
+	control.learnLeaving(digest, now)
 	control.reconcileUnresponsive(digest, now)
 	control.placement.updateHolderReport(digest, now)
 }
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -125,7 +125,9 @@
 		return
 	}
 	control.endpoints.reportedAt[result.id] = result.sentAt
-	report.Draining, report.Sequence, report.FreeSince = known.Draining, known.Sequence, known.FreeSince
+	report.Sequence, report.FreeSince = known.Sequence, known.FreeSince
+	report.Draining = known.Draining && !(restarted && control.endpoints.saysLeaving(known)) // an earlier life said so, not the row
+	control.endpoints.forgetPastLife(report)
 	control.endpoints.byID[result.id] = report
 	if report.Membership != known.Membership {
 		control.snapshotStale = true
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -84,7 +84,7 @@
 // tie-break is the upper 53 bits of a hash as a number in [0,1).
 func (control *Control) newCandidate(service *site.Service, endpoint fleet.Endpoint, nodes int) *reach.Candidate {
 	return &reach.Candidate{
-		ID: endpoint.ID, Address: endpoint.Address, SameZone: endpoint.Zone == control.settings.Zone,
+		ID: endpoint.ID, Address: endpoint.Address, StartedAt: endpoint.StartedAt, SameZone: endpoint.Zone == control.settings.Zone,
 		Slots: endpoint.Slots, MaxInFlight: max(2, service.MaxConnections/max(1, nodes)), Load: control.endpoints.load(endpoint.ID),
 		TieBreak: float64(xxhash.Sum64String(control.settings.Node+"/"+endpoint.ID)>>11) / (1 << 53),
 	}
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
+	"hickorybend/io/event"
 	"hickorybend/io/pool"
 	"hickorybend/platform"
 )
@@ -91,6 +93,7 @@
 	if err != nil {
 		return request.handleFailure(candidate, err, sentAt)
 	}
+	request.obey(candidate, exchange.Response)
 	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxBufferedBytes))
 	if err != nil {
 		exchange.Close()
@@ -99,6 +102,23 @@
 	return request.classify(candidate, exchange, body, sentAt)
 }
 
+// obey follows what an endpoint says of itself in the headers of an answer, before
+// the body has come: that it leaves, or wants no request for a while.
+func (request *request) obey(candidate *reach.Candidate, response *http.Response) {
+	responseheader := platform.ReadResponseHeader(response)
+	if responseheader.Leaving && candidate.Load.MarkLeaving(candidate.StartedAt) {
+		request.server.leaving(candidate.ID, candidate.StartedAt)
+	}
+	if delay := responseheader.RetryAfter.Delay; delay > 0 {
+		candidate.Load.RestUntil(time.Now().Add(delay))
+	}
+	if value := responseheader.RetryAfter.Unusable; value != "" {
+		request.server.unusable.Do(func() {
+			event.Log(request.server.log, event.RetryAfterUnusable, zap.String("endpoint", candidate.ID), zap.String("value", value))
+		})
+	}
+}
+
 // classify checks that a response belongs to this request and is complete. A
 // status below 300 needs a receipt, a header that the endpoint sets on its own
 // responses. A status such as 503 means "not run" only if another header of the
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -30,6 +30,8 @@
 	snapshot    *atomic.Pointer[reach.Snapshot]
 	suspect     func(endpoint string)
 	confirm     func(ctx context.Context) time.Duration // see WithConfirm
+	leaving     func(endpoint string, startedAt time.Time)
+	unusable    sync.Once // the first unusable Retry-After of an endpoint, which is logged
 	log         *zap.Logger
 	meter       *meter.Meter
 	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
@@ -78,12 +80,18 @@
 	return func(server *Server) { server.confirm = confirm }
 }
 
+// WithLeaving sets the function that is called when an endpoint says in an answer that
+// it leaves, with the start of the life that says so.
+func WithLeaving(leaving func(endpoint string, startedAt time.Time)) Option {
+	return func(server *Server) { server.leaving = leaving }
+}
+
 // New creates a server that routes by the snapshot that the control loop
 // publishes.
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
-		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, confirm: func(context.Context) time.Duration { return 0 },
+		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -63,6 +63,7 @@
 	CallInDoubt           = Event{604, "outcome of a call is not known", zap.WarnLevel}
 	RecordLate            = Event{605, "outcome of a call not yet recorded", zap.WarnLevel}
 	RequestEnded          = Event{606, "request ended", zap.InfoLevel}
+	RetryAfterUnusable    = Event{607, "unusable Retry-After of an endpoint", zap.WarnLevel}
 )
 
 // All returns every event in the order of the numbers.
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Copy returns a copy whose maps, which are not nil, and list Unresponsive are its
-// own, so that Add and Subtract may change them. It shares Versions and Quarantined.
+// Copy returns a copy whose maps, which are not nil, and lists Unresponsive and
+// Leaving are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
 func (digest Digest) Copy() Digest {
 	digest.InFlight = cloneCounts(digest.InFlight)
 	digest.PendingTokens = cloneCounts(digest.PendingTokens)
@@ -15,7 +15,7 @@
 	if digest.Demand == nil {
 		digest.Demand = map[string]int64{}
 	}
-	digest.Unresponsive = slices.Clone(digest.Unresponsive)
+	digest.Unresponsive, digest.Leaving = slices.Clone(digest.Unresponsive), slices.Clone(digest.Leaving)
 	return digest
 }
 
@@ -44,6 +44,11 @@
 			digest.Unresponsive = append(digest.Unresponsive, id)
 		}
 	}
+	for _, leaving := range other.Leaving {
+		if !slices.Contains(digest.Leaving, leaving) {
+			digest.Leaving = append(digest.Leaving, leaving)
+		}
+	}
 	digest.HadRequests = digest.HadRequests || other.HadRequests
 	if other.NewerThan(digest.Fence, digest.PlanCount) {
 		digest.Fence, digest.PlanCount, digest.Quarantined = other.Fence, other.PlanCount, other.Quarantined
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -31,6 +32,7 @@
 	PendingTokens    map[string]int   `cbor:"7,keyasint,omitempty"`  // tokens of prompts whose answer has not begun, by endpoint
 	Demand           map[string]int64 `cbor:"8,keyasint,omitempty"`  // nanoseconds of estimated host time by model since the start
 	Unresponsive     []string         `cbor:"4,keyasint,omitempty"`  // endpoints that do not answer this node
+	Leaving          []Leaving        `cbor:"19,keyasint,omitempty"` // endpoints that have said in an answer that they leave
 	HadRequests      bool             `cbor:"5,keyasint,omitempty"`  // a request has arrived since the start, at this node or at one whose digest it has
 	StoreUnreachable bool             `cbor:"10,keyasint,omitempty"` // the platform's store does not answer this node
 	StoreReplyAge    int64            `cbor:"14,keyasint,omitempty"` // nanoseconds since the store last answered this node
@@ -43,6 +45,17 @@
 	ConfirmedAt      []time.Time      `cbor:"-"`                     // the same as times of the node's own clock
 }
 
+// Leaving names an endpoint that has said in an answer that it leaves.
+type Leaving struct {
+	Endpoint  string `cbor:"1,keyasint"`
+	StartedAt int64  `cbor:"2,keyasint"` // Unix milliseconds; what it said holds until its next start
+}
+
+// Compare orders by endpoint and start.
+func (leaving Leaving) Compare(other Leaving) int {
+	return cmp.Or(cmp.Compare(leaving.Endpoint, other.Endpoint), cmp.Compare(leaving.StartedAt, other.StartedAt))
+}
+
 // Entry is a row as the platform's store returned it.
 type Entry struct {
 	Key       string       `cbor:"1,keyasint"`
