Bytes without end use up neither memory nor an attempt's time

What callers saw: an endpoint that never ended the head of its response held an attempt until its deadline, while the node's memory grew as fast as the bytes came; a response of more than 16 MB was delivered cut and passed for whole.

Cause: net/http reads heads without a limit, and bodies were cut at the limit without an error. An event of a stream was limited only if it was one line.

Ruled out: chunk headers and extensions, and trailers, which net/http limits; bytes between two responses, which close the connection.

An event has at most 1 MB, however many lines. So one connection holds at most 64 KB + 8 KB of buffers and one body or event.

--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -25,6 +25,7 @@
 	catchUpGrace           = 400 * time.Millisecond // for the store to deliver a change before it is fetched from a peer
 	peerIdleTimeout        = 30 * time.Second
 	peerDialTimeout        = 400 * time.Millisecond
+	maxPeerHeadBytes       = 64 << 10 // of a reply; package wire limits the messages
 )
 
 // peers is this node's view of the other nodes.
@@ -62,7 +63,7 @@
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &peers{
 		self: settings.Node, zone: settings.Zone, key: settings.PeerKey, nodes: map[string]*peer{}, rows: map[string]platform.Entry{},
-		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}},
+		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxPeerHeadBytes, DisableCompression: true}},
 	}
 }
 
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -94,10 +93,9 @@
 		return request.handleFailure(candidate, err, sentAt)
 	}
 	request.obey(candidate, exchange.Response)
-	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxBufferedBytes))
+	body, err := exchange.ReadBody(maxBufferedBytes)
 	if err != nil {
-		exchange.Close()
-		return request.handleFailure(candidate, errors.Mark(err, pool.ErrIncompleteResponse), sentAt)
+		return request.handleFailure(candidate, err, sentAt)
 	}
 	return request.classify(candidate, exchange, body, sentAt)
 }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -25,6 +25,9 @@
 // errSequence means that a stream's event ids are not consecutive.
 var errSequence = errors.New("entry: an event is missing or comes twice")
 
+// errEventTooLong means that an event does not end within maxEventBytes.
+var errEventTooLong = errors.Newf("entry: an event has more than %d bytes", maxEventBytes)
+
 // maxEventBytes limits one event.
 const maxEventBytes = 1 << 20
 
@@ -112,10 +115,9 @@
 // handleNonStream handles a response whose status is not 200.
 func (relay *relay) handleNonStream(candidate *reach.Candidate, exchange *pool.Exchange, sentAt time.Time) result {
 	request := relay.request
-	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxBufferedBytes))
+	body, err := exchange.ReadBody(maxBufferedBytes)
 	if err != nil {
-		exchange.Close()
-		return request.handleFailure(candidate, errors.Mark(err, pool.ErrIncompleteResponse), sentAt)
+		return request.handleFailure(candidate, err, sentAt)
 	}
 	result := request.classify(candidate, exchange, body, sentAt)
 	answer, ok := result.(answered)
@@ -170,7 +172,10 @@
 	for {
 		line, err := reader.ReadSlice('\n')
 		relay.event.Write(line)
-		if errors.Is(err, bufio.ErrBufferFull) && relay.event.Len() < maxEventBytes {
+		if relay.event.Len() > maxEventBytes {
+			return "", errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if errors.Is(err, io.EOF) && relay.event.Len() > 0 {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -30,6 +31,7 @@
 	maxIdleTimeout     = 20 * time.Second
 	maxIdlePerAddress  = 24 // idle connections kept for each address
 	bufferBytes        = 4 << 10
+	maxHeadBytes       = 64 << 10 // of a response, with the interim responses before it
 )
 
 // Pool holds idle connections by address.
@@ -42,11 +44,35 @@
 // connection is a TCP connection to an endpoint with its buffers.
 type connection struct {
 	conn      net.Conn
-	reader    *bufio.Reader
+	head      *headLimit
+	reader    *bufio.Reader // reads from head
 	writer    *bufio.Writer
 	expiresAt time.Time // when it may no longer be reused
 }
 
+// headLimit limits the bytes of a head, which net/http reads without a limit. It
+// counts those that are read from the connection, so part of the body may count.
+type headLimit struct {
+	conn    net.Conn
+	limited bool
+	left    int
+}
+
+var errHeadTooLong = errors.Newf("pool: the head of the response has more than %d bytes", maxHeadBytes)
+
+// Read reads from the connection.
+func (headlimit *headLimit) Read(buffer []byte) (int, error) {
+	if !headlimit.limited {
+		return headlimit.conn.Read(buffer)
+	}
+	if headlimit.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	count, err := headlimit.conn.Read(buffer[:min(len(buffer), headlimit.left)])
+	headlimit.left -= count
+	return count, err
+}
+
 // New creates an empty pool.
 func New() *Pool { return &Pool{idle: map[string][]*connection{}} }
 
@@ -116,6 +142,8 @@
 	if err := connection.writer.Flush(); err != nil {
 		return nil, err
 	}
+	connection.head.limited, connection.head.left = true, maxHeadBytes
+	defer func() { connection.head.limited = false }()
 	for {
 		response, err := http.ReadResponse(connection.reader, httpRequest)
 		if err != nil || response.StatusCode != http.StatusContinue {
@@ -124,6 +152,20 @@
 	}
 }
 
+// ReadBody reads the complete body. If that fails, or the body is longer than the
+// limit, it closes the connection.
+func (exchange *Exchange) ReadBody(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errors.Newf("pool: the body has more than %d bytes", limit)
+	}
+	if err != nil {
+		exchange.Close()
+		return nil, errors.Mark(err, ErrIncompleteResponse)
+	}
+	return body, nil
+}
+
 // Release returns the connection to the pool, after the complete body was read. It
 // closes a connection that can't be reused.
 func (exchange *Exchange) Release() {
@@ -184,7 +226,8 @@
 	pool.mutex.Lock()
 	pool.dials++
 	pool.mutex.Unlock()
-	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes), writer: bufio.NewWriterSize(conn, bufferBytes)}, true, nil
+	head := &headLimit{conn: conn}
+	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, bufferBytes), writer: bufio.NewWriterSize(conn, bufferBytes)}, true, nil
 }
 
 // pop removes and returns the idle connection that was used last, or nil.
