Parts of a long line of a stream do not pass for lines

What callers saw: a stream could break with "an event is missing" (502, or a cut connection) if a line was longer than 4 KB and, 4,096 bytes in, went on with "id:". If it ended exactly there, the event was split, which callers did not see.

Cause: a line that does not fit into the reader's buffer comes in parts, and each part was read as a line.

Change: only the first part of a line states an id, and only a complete line is empty.

Measured, TestLinesLongerThanTheBuffer: id 7 in place of 1 before; now right.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -168,7 +168,7 @@
 // that ends it, and returns its id.
 func (relay *relay) readEvent(reader *bufio.Reader) (string, error) {
 	relay.event.Reset()
-	id := ""
+	id, continued := "", false
 	for {
 		line, err := reader.ReadSlice('\n')
 		relay.event.Write(line)
@@ -176,6 +176,7 @@
 			return "", errEventTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			id, continued = idOf(line, continued, id), true
 			continue
 		}
 		if errors.Is(err, io.EOF) && relay.event.Len() > 0 {
@@ -184,14 +185,21 @@
 		if err != nil {
 			return "", err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		if !continued && len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return id, nil
 		}
-		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
-		}
+		id, continued = idOf(line, continued, id), false
+	}
+}
+
+// idOf returns the id that a line states, or the known one. A line that does not fit
+// into the reader's buffer comes in parts; only the first one can state an id.
+func idOf(line []byte, continued bool, known string) string {
+	value, found := bytes.CutPrefix(line, []byte("id:"))
+	if !found || continued {
+		return known
 	}
+	return string(bytes.TrimSpace(value))
 }
 
 // checkSequence checks that an event's id follows the last one's. Ids that are not
--- a/io/entry/stream_test.go
+++ b/io/entry/stream_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
+	"io"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -32,3 +35,54 @@
 		assert.Assert(t, relay.event.Cap() < 4*maxEventBytes, "%d bytes", relay.event.Cap())
 	}
 }
+
+// expectEvents checks which events are read from a stream: their texts, and the ids
+// between them.
+func expectEvents(t *testing.T, stream string, wantIDs ...string) {
+	t.Helper()
+	reader := bufio.NewReaderSize(strings.NewReader(stream), 16)
+	var ids []string
+	var read bytes.Buffer
+	for relay := (&relay{}); ; {
+		id, err := relay.readEvent(reader)
+		if errors.Is(err, io.EOF) && relay.event.Len() == 0 {
+			break
+		}
+		assert.NilError(t, err)
+		ids = append(ids, id)
+		read.Write(relay.event.Bytes())
+	}
+	assert.DeepEqual(t, ids, wantIDs)
+	assert.Equal(t, read.String(), stream)
+}
+
+// TestLinesLongerThanTheBuffer guards against a part of a long line that passes for a
+// line of its own: for an id, or for the empty line that ends the event.
+func TestLinesLongerThanTheBuffer(t *testing.T) {
+	expectEvents(t, "id: 1\ndata: a\n\nid: 2\n\n", "1", "2")
+	expectEvents(t, "id: 1\ndata: 9 of 16 id: 7\n\n", "1")
+	expectEvents(t, "id: 1\n"+strings.Repeat("x", 16)+"id: 7\n\n", "1")
+	expectEvents(t, strings.Repeat("x", 32)+"\nid: 3\n\n", "3")
+}
+
+// FuzzEvent checks that all bytes of complete events are read, in order.
+func FuzzEvent(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n\n", 16)
+	f.Add("data: "+strings.Repeat("x", 30)+"\r\n\r\n", 17)
+	f.Fuzz(func(t *testing.T, stream string, size int) {
+		reader := bufio.NewReaderSize(strings.NewReader(stream), max(16, size%64))
+		relay, read := &relay{}, 0
+		for {
+			_, err := relay.readEvent(reader)
+			if err != nil {
+				return
+			}
+			event := relay.event.String()
+			assert.Equal(t, stream[read:read+len(event)], event)
+			read += len(event)
+			lines := strings.SplitAfter(event, "\n")
+			last := lines[len(lines)-2] // after it comes the empty rest
+			assert.Equal(t, strings.TrimRight(last, "\r\n"), "", "the event does not end with an empty line")
+		}
+	})
+}
