The fault soak plays a store that goes back and runners that say they leave

Runners write their rows again with the next heartbeat, the configuration comes back when the fault ends. A runner that drains says so in all its answers; the checker reports a request that a caller sent to a node more than 50 ms after that node had passed on such an answer, if it runs at that runner. Three cases in the checker's own test.

Events 210 and 211 name a change of the era and a lost row of a node.

--- a/cmd/standin/runner.go
+++ b/cmd/standin/runner.go
@@ -42,10 +42,11 @@
 	}
 }
 
-// drain registers the runner as draining, serves requests for drainNotice, waits up
+// drain registers the runner as draining, says so in its answers, serves requests for drainNotice, waits up
 // to drainTimeout for running requests, and closes the runner.
 func drain(runner *fakes.Runner) {
 	runner.Register("draining")
+	runner.SetLeaving(true)
 	time.Sleep(drainNotice)
 	for deadline := time.Now().Add(drainTimeout); runner.Running() > 0 && time.Now().Before(deadline); {
 		time.Sleep(drainPollInterval)
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -100,6 +100,8 @@
 	endpoints := &control.endpoints
 	if endpoints.loaded && change.batch.Version.Era() > endpoints.completeVersion.Era() {
 		control.copies.watermarks[tableEndpoints].RecoveredAt = now // the endpoints write again what the store has lost
+		event.Log(control.log, event.StoreWentBack, zap.Int64("era", change.batch.Version.Era()), zap.Int("missing", endpoints.countMissing(listed)),
+			zap.String("from", string(change.from)))
 	}
 	endpoints.loaded = true
 	endpoints.compactedVersion = max(endpoints.compactedVersion, change.batch.Version)
@@ -111,6 +113,17 @@
 	}
 }
 
+// countMissing returns the number of known endpoints that a full table does not list.
+func (endpoints *endpoints) countMissing(listed map[string]bool) int {
+	missing := 0
+	for id := range endpoints.byID {
+		if !listed[id] {
+			missing++
+		}
+	}
+	return missing
+}
+
 // oldestNews returns the lowest version of a row in a batch that the copy may
 // lack. A full table that is as new as the copy is taken as it is. Of any other
 // batch, the copy has all changes up to its own version. For example, a copy that
--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -36,6 +36,7 @@
 	control.publishNodeTable()
 	if control.nodeRowLost() {
 		peers.rowWritten = false
+		event.Log(control.log, event.NodeRowLost, zap.Int64("era", peers.version.Era()))
 	}
 	if change.from == fromStore || !peers.rowWritten {
 		control.writeNodeRow()
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -33,6 +33,8 @@
 	PeerUnresponsive      = Event{207, "another node does not answer", zap.WarnLevel}
 	CopyStale             = Event{208, "copy of a table is out of date", zap.WarnLevel}
 	CopyFresh             = Event{209, "copy of a table is up to date again", zap.InfoLevel}
+	StoreWentBack         = Event{210, "table service came back from an older copy", zap.WarnLevel}
+	NodeRowLost           = Event{211, "row of this node is lost and written again", zap.WarnLevel}
 	LeaseAcquired         = Event{301, "lease acquired", zap.InfoLevel}
 	LeaseLost             = Event{302, "lease lost", zap.WarnLevel}
 	LeaseReleased         = Event{303, "lease released", zap.InfoLevel}
@@ -70,13 +72,13 @@
 func All() []Event {
 	return []Event{
 		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LogLinesDropped, SettingsReread, ReadinessChanged, DrainTimedOut, HostSuspended,
-		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh,
+		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh, StoreWentBack, NodeRowLost,
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable,
 	}
 }
 
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	InvariantAccess            = "nobody denied"         // no 401 or 404 for an allowed request, and Retry-After with each rejection
 	InvariantConfigPropagation = "changes everywhere"    // nodes apply a change within configBound and do not revert
 	InvariantDrain             = "drains respected"      // no new requests for a draining endpoint after drainBound
+	InvariantLeaving           = "word of endpoints"     // no request to an endpoint leavingBound after the node has passed on that it leaves
 	InvariantRetryBudget       = "retry budget"          // retries within the budget, and attempts within maxAttempts
 	InvariantCancellation      = "callers that left"     // no request begins cancellationTimeout after its caller disconnected
 	InvariantNoLostAnswers     = "answers not lost"      // no answer is cut off without a fault
@@ -39,6 +41,7 @@
 	stallTimeout        = 2 * time.Second        // after which a first host without one of its members stops serving; in the nodes' settings too
 	configBound         = 2 * time.Second        // after which a node without faults has applied a change of the configuration
 	drainBound          = 2 * time.Second        // after which a node without faults sends a draining endpoint nothing
+	leavingBound        = 50 * time.Millisecond  // after which a node sends nothing to an endpoint that has said in an answer that it leaves
 	propagationTimeout  = 5 * time.Second        // after which nodes with faults have applied a change, too
 	cancellationTimeout = 500 * time.Millisecond // after which no request of a disconnected caller begins at an endpoint
 	toleratedLateStarts = 3                      // requests that begin too late after their caller disconnected, per run
@@ -108,6 +111,7 @@
 	runners       map[string]*runner   // by name
 	readyMembers  map[string]bool      // members that were ready, by readyKey
 	drainingSince map[string]time.Time // by runner: when the store first listed it as draining
+	saidLeaving   map[hearing]time.Time
 	revokedKeys   map[string]bool
 	services      map[string]*traffic
 	lostAnswers   int
@@ -115,6 +119,13 @@
 	findings      []Finding
 }
 
+// hearing is a node that has passed on an answer in which an endpoint says that it
+// leaves.
+type hearing struct {
+	node   int
+	runner string
+}
+
 // traffic holds the times of the requests for one service and of their retries.
 type traffic struct {
 	requests []time.Time
@@ -124,7 +135,7 @@
 func newChecker(timeline *timeline, events int) *checker {
 	return &checker{
 		timeline: timeline, now: time.Now, events: events, requests: map[string]*record{}, runners: map[string]*runner{},
-		readyMembers: map[string]bool{}, drainingSince: map[string]time.Time{}, revokedKeys: map[string]bool{}, services: map[string]*traffic{},
+		readyMembers: map[string]bool{}, drainingSince: map[string]time.Time{}, saidLeaving: map[hearing]time.Time{}, revokedKeys: map[string]bool{}, services: map[string]*traffic{},
 	}
 }
 
@@ -242,6 +253,7 @@
 	}
 	checker.checkReplicaReady(execution)
 	checker.checkDrainAndCancellation(record, execution)
+	checker.checkLeaving(record, execution)
 	if len(record.executions) > 0 {
 		traffic := checker.trafficOf(record.kind)
 		traffic.retries = append(traffic.retries, checker.now())
@@ -294,6 +306,24 @@
 	}
 }
 
+// checkLeaving reports a request that its caller sent later than leavingBound after
+// the node had passed on that the endpoint leaves, if the node had no fault since.
+func (checker *checker) checkLeaving(record *record, execution fakes.Execution) {
+	saidAt := checker.saidLeaving[hearing{node: record.node, runner: execution.Runner}]
+	if !saidAt.IsZero() && record.sentAt.Sub(saidAt) > leavingBound && checker.timeline.faultFree(saidAt, checker.now(), nodeComponent(record.node), nodeRestartComponent(record.node)) {
+		checker.addFinding(InvariantLeaving, "%s runs %s, which node %d was sent %s after it had passed on that the endpoint leaves", execution.Runner, execution.RequestID, record.node+1, record.sentAt.Sub(saidAt))
+	}
+}
+
+// noteLeaving records what an endpoint says of itself in an answer.
+func (checker *checker) noteLeaving(record *record, answer fakes.Answer) {
+	runner, signed := strings.CutPrefix(answer.Receipt, fakes.ReceiptOf(""))
+	heard := hearing{node: record.node, runner: runner}
+	if signed && answer.Header.Get("Server-Leaving") == "1" && checker.saidLeaving[heard].IsZero() {
+		checker.saidLeaving[heard] = checker.now()
+	}
+}
+
 func (checker *checker) trafficOf(kind kind) *traffic {
 	service := kind.service()
 	if checker.services[service] == nil {
@@ -331,6 +361,7 @@
 		checker.checkLostAnswer(record, answer)
 		return
 	}
+	checker.noteLeaving(record, answer)
 	switch answer.Status {
 	case http.StatusOK:
 		checker.checkComplete(record, answer)
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -198,6 +198,15 @@
 	}
 }
 
+// hearOfLeaving has a runner say in an answer that it leaves.
+func hearOfLeaving(harness *harness) {
+	harness.send("a", kindIdempotent)
+	harness.execute("a", "r")
+	answer := completeAnswer("a", "r")
+	answer.Header = http.Header{"Server-Leaving": {"1"}}
+	harness.answerReceived("a", answer)
+}
+
 // TestCheckerTiming guards against a checker that misses an exceeded bound on time
 // or retries, or that reports one which an injected fault explains.
 func TestCheckerTiming(t *testing.T) {
@@ -252,6 +261,25 @@
 			harness.send("a", kindIdempotent)
 			harness.execute("a", "r")
 		}, nil},
+		{"request for a runner that has said that it leaves", func(harness *harness) {
+			hearOfLeaving(harness)
+			harness.advance(leavingBound + time.Millisecond)
+			harness.send("b", kindIdempotent)
+			harness.execute("b", "r")
+		}, []string{InvariantLeaving}},
+		{"request sent before the runner's word was passed on", func(harness *harness) {
+			harness.send("b", kindIdempotent)
+			hearOfLeaving(harness)
+			harness.advance(time.Second)
+			harness.execute("b", "r")
+		}, nil},
+		{"request for such a runner from a node that was paused", func(harness *harness) {
+			hearOfLeaving(harness)
+			harness.timeline.beginFault(nodeComponent(0), harness.clock)(harness.clock.Add(time.Second))
+			harness.advance(2 * time.Second)
+			harness.send("b", kindIdempotent)
+			harness.execute("b", "r")
+		}, nil},
 		{"requests of disconnected callers", func(harness *harness) {
 			for range toleratedLateStarts + 1 {
 				harness.send("a", kindIdempotent)
@@ -290,5 +318,5 @@
 			}
 		}
 	}
-	assert.Assert(t, kinds[StoreOutage{}] && kinds[RouteDropped{}] && kinds[RunnerDrained{Runner: 0}])
+	assert.Assert(t, kinds[StoreWentBack{Changes: 7}] && kinds[StoreOutage{}] && kinds[RouteDropped{}] && kinds[RunnerDrained{Runner: 0}])
 }
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -335,6 +335,30 @@
 	}
 }
 
+// loseChanges has the store come back from an older copy. The runners write their
+// rows again with their next heartbeats.
+func (cluster *cluster) loseChanges(changes int) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.store.GoBack(changes)
+	for id, row := range cluster.rows {
+		cluster.rows[id] = storedRow{heartbeatAt: row.heartbeatAt}
+	}
+}
+
+// writeAgain writes the configuration again after a loss, and deletes the rows that
+// had been deleted.
+func (cluster *cluster) writeAgain() {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.store.Put("op", "config", cluster.deployed.Config())
+	for _, id := range cluster.store.Keys("servers") {
+		if _, found := cluster.rows[id]; !found {
+			cluster.store.Delete("servers", id)
+		}
+	}
+}
+
 // changeConfig writes a new version of the operators' configuration to the store
 // and returns the time at which the store had it.
 func (cluster *cluster) changeConfig(change func(*fakes.Deployment)) time.Time {
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -74,6 +75,10 @@
 // follow it must read the tables again.
 type StoreHistoryDropped struct{}
 
+// StoreWentBack undoes the last Changes of the store, which begins an era. The
+// configuration is written again when the fault ends, rows of runners before.
+type StoreWentBack struct{ Changes int }
+
 // RouteAdded adds a route to the operators' configuration.
 type RouteAdded struct{}
 
@@ -100,6 +105,7 @@
 func (StoreAnswersLost) fault()    {}
 func (StoreCommitsDelayed) fault() {}
 func (StoreHistoryDropped) fault() {}
+func (StoreWentBack) fault()       {}
 func (RouteAdded) fault()          {}
 func (RouteDropped) fault()        {}
 func (KeyRevoked) fault()          {}
@@ -148,9 +154,30 @@
 		}
 		at += time.Duration(random.ExpFloat64() * float64(meanInterval))
 	}
+	schedule = append(schedule, drawLosses(seed, scale)...)
+	slices.SortStableFunc(schedule, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	return schedule
 }
 
+const (
+	meanLossInterval = 5 * time.Second // mean of the random time between two losses
+	maxLossDuration  = time.Second     // until the operators have written the configuration again
+	maxLostChanges   = 120
+)
+
+// drawLosses draws when the store loses its last changes. They are drawn apart from
+// the other faults, which each seed had before.
+func drawLosses(seed uint64, scale Scale) []Injection {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	var losses []Injection
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanLossInterval)) }
+	for at := next(); at < scale.Duration; at += next() {
+		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxLossDuration-minFaultDuration)))
+		losses = append(losses, Injection{At: at, Duration: duration, Fault: StoreWentBack{Changes: 1 + random.IntN(maxLostChanges)}})
+	}
+	return losses
+}
+
 const faultKinds = 24 // cases of drawFault; frequent faults have two
 
 var modes = []Mode{ModeSlow, ModeBlackhole, ModeBlockUpstream, ModeBlockDownstream, ModeReset}
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -71,6 +71,8 @@
 		cluster.store.DelayCommits(fault.Count)
 	case StoreHistoryDropped:
 		cluster.store.DropHistory()
+	case StoreWentBack:
+		cluster.injectFor(storeComponent, injection.Duration, func() { cluster.loseChanges(fault.Changes) }, cluster.writeAgain)
 	case RouteAdded:
 		go cluster.addRoute()
 	case RouteDropped:
