--- a/core/lease/seed_test.go
+++ b/core/lease/seed_test.go
@@ -6,5 +6,5 @@
 // -rapid.checks on the command line override them.
 func init() {
 	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "3000")
+	_ = flag.Set("rapid.checks", "6000")
 }
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -109,15 +109,15 @@
 // For example, this node's copy of the endpoints is complete up to version 100,
 // and the peer's up to 140, but the newest change in it is 90. Then the table has
 // not changed from 90 to 140, and this node's copy is complete up to 140 as well.
+//
+// A copy of a later era has been read after the store had lost what an earlier one
+// has, so that a peer of an earlier era confirms nothing new.
 func (control *Control) confirmByPeer(digest gossip.Digest, askedAt, now time.Time) {
 	for table := range tableCount {
 		if !hasAge(table) || len(digest.Versions) <= table || control.completeVersion(table) < requiredVersion(digest, table) {
 			continue
 		}
 		if table == tableEndpoints {
-			if digest.Complete.Era() != control.endpoints.completeVersion.Era() {
-				continue
-			}
 			control.endpoints.completeVersion = max(control.endpoints.completeVersion, digest.Complete)
 		}
 		if at, known := digest.ConfirmedBy(table, askedAt); known {
--- a/io/edge/endpoints_test.go
+++ b/io/edge/endpoints_test.go
@@ -47,3 +47,32 @@
 	receiveRow(9, "large.c", recovery.Add(removalGrace+time.Millisecond))
 	expectReplica("large.c")
 }
+
+// TestRowDoesNotOverrideWordOfEndpoint guards against an endpoint that is used again,
+// though it has said in an answer that it leaves: because of a row that says that it is
+// ready, or of a late answer about an earlier life.
+func TestRowDoesNotOverrideWordOfEndpoint(t *testing.T) {
+	now := time.Now()
+	control := newHolder(now)
+	receiveRow := func(sequence int, startedAt time.Time) {
+		value := fmt.Sprintf(`{"service":"app","address":"127.0.0.1:1","state":"ready","sequence":%d,"born":%d}`, sequence, startedAt.UnixMilli())
+		control.handleEndpointRow(platform.Entry{Key: "e-1", Value: []byte(value), Version: 1}, fromStore, now)
+	}
+	expectDraining := func(want bool) {
+		t.Helper()
+		assert.Equal(t, control.endpoints.byID["e-1"].Draining, want)
+		assert.Equal(t, control.endpoints.load("e-1").Leaving(control.endpoints.byID["e-1"].StartedAt), want)
+		assert.Equal(t, len(control.endpoints.leavingList()) == 1, want)
+	}
+	first, second := time.UnixMilli(1000), time.UnixMilli(2000)
+	receiveRow(1, first)
+	expectDraining(false)
+	control.handleLeaving(endpointLeaves{endpoint: "e-1", startedAt: first}, fromAnswer, now)
+	expectDraining(true)
+	receiveRow(2, first)
+	expectDraining(true)
+	receiveRow(1, second)
+	expectDraining(false)
+	control.handleLeaving(endpointLeaves{endpoint: "e-1", startedAt: first}, fromPeer, now)
+	expectDraining(false)
+}
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -72,5 +72,27 @@
 break_one "an older configuration applied" io/edge/config.go 'config.Version <= control.config.index.Config.Version' 'false' ./platform/fakes TestConfigurationTakesEffect
 break_one "a connection with unread bytes reused" io/pool/pool.go 'return err == nil && errors.Is(peekErr, unix.EAGAIN)' 'return err == nil || errors.Is(peekErr, unix.EAGAIN)' ./io/pool TestConnectionReuse
 
+break_one "versions that compare without their era" core/rows/version.go 'return Version(min(era, maxEra)<<numberBits | min(number, 1<<numberBits-1))' 'return Version(min(number, 1<<numberBits-1))' ./core/rows TestVersionsOrderAcrossEras
+break_one "a commit based on rows of an earlier era" platform/table.go 'status == http.StatusOK && !hasEra(txn, era)' 'false' ./platform TestCommitAfterStoreWentBack
+break_one "changes followed across eras" platform/store.go 'if reply.era != after.Era() {' 'if false {' ./platform TestCommitAfterStoreWentBack
+break_one "a lease that is held on in a new era" core/lease/claim.go 'claim.priorUntil, claim.heldUntil = claim.heldUntil, time.Time{}' 'claim.priorUntil = claim.heldUntil' ./core/lease TestLeaseHasOneHolderAfterStoreWentBack
+break_one "a lease that is free in the older copy, acquired at once" core/lease/claim.go 'claim.record.Holder == "" && !claim.mayHaveHolder' 'claim.record.Holder == ""' ./core/lease 'TestLeaseHasOneHolderAfterStoreWentBack|TestHolderKeepsLease'
+break_one "a pending renewal that counts in a new era" core/lease/claim.go 'claim.unchangedSince, claim.mayHaveHolder = at, true
+	claim.pending = pending{}' 'claim.unchangedSince, claim.mayHaveHolder = at, true' ./core/lease TestLeaseHasOneHolderAfterStoreWentBack
+break_one "fencing numbers given out again" core/lease/fence.go 'fencingRow.Version.Era()*fencesPerEra + ' '' ./core/lease 'TestLeaseHasOneHolderAfterStoreWentBack|TestHolderKeepsLease'
+break_one "a lease whose row is lost" io/edge/placement.go 'placement.updateRow(control.store.Absent(key, change.batch))' '_ = key' ./platform/fakes TestPlacementAfterStoreWentBack
+break_one "a node whose row is lost" io/edge/nodes.go 'if control.nodeRowLost() {' 'if false {' ./platform/fakes TestNodeRowsAfterStoreWentBack
+break_one "endpoints given up while the store is behind" io/edge/endpoints.go 'control.copies.watermarks[tableEndpoints].RecoveredAt = now // the endpoints' '_ = now // the endpoints' ./platform/fakes TestRequestsWhileStoreIsBehind
+break_one "a removed endpoint that the older copy brings back" io/edge/endpoints.go 'found && err == nil && removed.NotOlder(endpoint)' 'found && err == nil && removed.ID == ""' ./platform/fakes TestRemovedEndpointAfterStoreWentBack
+break_one "requests to an endpoint that says that it leaves" core/reach/choose.go ' && !load.Leaving(candidate.StartedAt)' '' ./core/reach TestEndpointsThatWantNoRequests
+break_one "an endpoint's word that a new row overrides" io/edge/endpoints.go 'endpoint.Draining = endpoint.Draining || endpoints.saysLeaving(endpoint)' '' ./io/edge TestRowDoesNotOverrideWordOfEndpoint
+break_one "an endpoint's word that its peers do not learn" io/edge/peers.go 'control.learnLeaving(digest, now)' '' ./platform/fakes TestRequestsAfterEndpointSaysItLeaves
+break_one "requests to an endpoint that rests" core/reach/choose.go ' && !load.Rests(now)' '' ./core/reach TestEndpointsThatWantNoRequests
+break_one "a rest without a limit" platform/headers.go 'return RetryAfter{Delay: MaxRetryAfter, Unusable: value}' 'return RetryAfter{Delay: math.MaxInt64, Unusable: value}' ./platform TestRetryAfterValues
+break_one "a head without a limit" io/pool/pool.go 'connection.head.limited, connection.head.left = true, maxHeadBytes' '' ./io/pool TestEndlessResponse
+break_one "a body that is cut at the limit" io/pool/pool.go 'err == nil && int64(len(body)) > limit' 'false' ./io/pool 'TestEndlessResponse|TestBodyUpToTheLimit'
+break_one "an event without a limit" io/entry/stream.go 'if relay.event.Len() > maxEventBytes {' 'if relay.event.Len() > 1<<26 {' ./io/entry TestEndlessEvent
+break_one "a part of a line that passes for a line" io/entry/stream.go 'if !found || continued {' 'if !found {' ./io/entry TestLinesLongerThanTheBuffer
+
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
