Changes need a copy of their era to apply to

Cause: when versions got their era, the check that there is a copy at all was dropped with the era's field. No test showed a difference: the store and peers send a node without a copy the full table. The check is back as it was.

--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -86,11 +86,14 @@
 }
 
 // accepts reports whether a batch may be applied: not if it is of an earlier era
-// than the copy, and changes of a later one need the full table first. The copy
-// stays in use until that has been read.
+// than the copy, and changes need a copy of their era to apply to. A copy of an
+// earlier era stays in use until the full table has been read.
 func (endpoints *endpoints) accepts(batch platform.Batch) bool {
 	era, known := batch.Version.Era(), endpoints.completeVersion.Era()
-	return era == known || era > known && batch.Full
+	if batch.Full {
+		return era >= known
+	}
+	return era == known && endpoints.completeVersion > 0
 }
 
 // handleFullTable removes the endpoints that a full table does not list. Rows that
