--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -126,7 +126,7 @@
 // takesRequests reports whether new requests may be sent to the candidate.
 func (candidate *Candidate) takesRequests(now time.Time) bool {
 	load := candidate.Load
-	return !load.Avoided(now) && !load.Rests(now) && !load.Leaving(candidate.StartedAt)
+	return !load.Avoided(now) && !load.BackedOff(now) && !load.Leaving(candidate.StartedAt)
 }
 
 // scoreOf rates a candidate, given the mean answer time of all and the seconds until
@@ -178,29 +178,29 @@
 	return limit + policy.UrgentQueueAllowance*float64(max(0, normalPriority-request.Priority))
 }
 
-// retryAt returns when a request may return for which there is no candidate. If all
-// of them rest, that is when the first one ends its rest, or up to restSpread of the
-// rest later, so that callers do not all return at once.
+// retryAt returns when a caller may retry a request for which there is no candidate.
+// If all of them have asked for a backoff, that is when the first backoff ends, plus
+// up to backoffSpread of it, so that callers do not all return at once.
 func retryAt(policy Policy, candidates []*Candidate, request Request) time.Time {
 	earliest := request.Now.Add(retryDelay(policy, candidates, request))
-	var restEnd time.Time
+	var earliestEnd time.Time
 	for _, candidate := range candidates {
 		switch {
 		case candidate.Load.Leaving(candidate.StartedAt):
-		case !candidate.Load.Rests(request.Now):
+		case !candidate.Load.BackedOff(request.Now):
 			return earliest
-		case restEnd.IsZero() || candidate.Load.RestsUntil().Before(restEnd):
-			restEnd = candidate.Load.RestsUntil()
+		case earliestEnd.IsZero() || candidate.Load.BackoffEnd().Before(earliestEnd):
+			earliestEnd = candidate.Load.BackoffEnd()
 		}
 	}
-	if restEnd.IsZero() {
+	if earliestEnd.IsZero() {
 		return earliest
 	}
-	return restEnd.Add(time.Duration(restSpread * request.Random * float64(restEnd.Sub(request.Now))))
+	return earliestEnd.Add(time.Duration(backoffSpread * request.Random * float64(earliestEnd.Sub(request.Now))))
 }
 
-// restSpread is the part of a rest over which callers return after it.
-const restSpread = 0.3
+// backoffSpread is the fraction of a backoff over which callers return after it.
+const backoffSpread = 0.3
 
 // retryDelay estimates how long it takes until the candidates have room again:
 // the mean answer time times the utilization above 0.8, or just the mean answer
--- a/core/reach/choose_test.go
+++ b/core/reach/choose_test.go
@@ -70,39 +70,39 @@
 	}
 }
 
-// TestEndpointsThatWantNoRequests guards against requests to endpoints that rest or
-// leave, and against rejections that call callers back before the first one takes
+// TestEndpointsThatWantNoRequests guards against requests to endpoints that
+// have asked for a backoff or leave, and against rejections that call callers back before the first one takes
 // requests again.
 func TestEndpointsThatWantNoRequests(t *testing.T) {
-	resting := func(id string, rest time.Duration) *reach.Candidate {
+	backedOff := func(id string, backoff time.Duration) *reach.Candidate {
 		candidate := newCandidate(id, true, 0)
-		candidate.Load.RestUntil(start.Add(rest))
-		candidate.Load.RestUntil(start.Add(rest / 2)) // does not shorten the rest
+		candidate.Load.BackOff(start.Add(backoff))
+		candidate.Load.BackOff(start.Add(backoff / 2)) // does not shorten it
 		return candidate
 	}
 	leaving, restarted := newCandidate("leaving", true, 0), newCandidate("restarted", true, 0)
 	leaving.Load.MarkLeaving(leaving.StartedAt)
 	restarted.Load.MarkLeaving(restarted.StartedAt.Add(-time.Minute))
-	long, short := resting("long", 9*time.Second), resting("short", 3*time.Second)
+	long, short := backedOff("long", 9*time.Second), backedOff("short", 3*time.Second)
 	expectChoice(t, poolOf(long, leaving, newCandidate("busy", true, 5)), newRequest(), "busy")
 	expectChoice(t, poolOf(long, leaving, restarted), newRequest(), "restarted")
-	afterRest := newRequest()
-	afterRest.Now = start.Add(3 * time.Second)
-	expectChoice(t, poolOf(long, short), afterRest, "short")
+	afterBackoff := newRequest()
+	afterBackoff.Now = start.Add(3 * time.Second)
+	expectChoice(t, poolOf(long, short), afterBackoff, "short")
 	reject, rejected := reach.Choose(reach.DefaultPolicy(), poolOf(long, leaving, short), newRequest()).(reach.Reject)
 	assert.Assert(t, rejected)
 	wait := reject.RetryAt.Sub(start)
-	assert.Assert(t, wait >= 3*time.Second && wait <= 4*time.Second, "%s, the first rest ends after 3 s", wait)
+	assert.Assert(t, wait >= 3*time.Second && wait <= 4*time.Second, "%s, the first backoff ends after 3 s", wait)
 }
 
-// BenchmarkChoose chooses among 300 replicas, some of which rest or leave.
+// BenchmarkChoose chooses among 300 replicas, some of which take no requests.
 func BenchmarkChoose(b *testing.B) {
 	var candidates []*reach.Candidate
 	for i := range 300 {
 		candidate := newCandidate(fmt.Sprint(i), i%4 == 0, i%10)
 		candidate.TieBreak = float64(i) / 300
 		if i%20 == 0 {
-			candidate.Load.RestUntil(start.Add(time.Minute))
+			candidate.Load.BackOff(start.Add(time.Minute))
 		}
 		if i%30 == 0 {
 			candidate.Load.MarkLeaving(candidate.StartedAt)
--- a/core/reach/load.go
+++ b/core/reach/load.go
@@ -17,8 +17,8 @@
 	answerTime        atomic.Uint64 // smoothed seconds to a complete answer, as float64 bits
 	lastResultAt      atomic.Int64  // Unix nanoseconds of the last result
 	avoidUntil        atomic.Int64  // Unix nanoseconds until which no new request is sent
-	restsUntil        atomic.Int64  // Unix nanoseconds until which the endpoint wants no request of this node
-	leavingStart      atomic.Int64  // start of the life that has said that it leaves, in Unix milliseconds
+	backoffEnd        atomic.Int64  // Unix nanoseconds until which the endpoint wants no request of this node
+	leavingStart      atomic.Int64  // start of the incarnation that has said that it leaves, in Unix milliseconds
 }
 
 const (
@@ -82,22 +82,22 @@
 // Avoided reports whether new requests are kept away at the given time.
 func (load *Load) Avoided(now time.Time) bool { return now.UnixNano() < load.avoidUntil.Load() }
 
-// RestUntil keeps new requests away from the endpoint until the given time, which it
-// has asked for. An earlier time does not shorten the rest.
-func (load *Load) RestUntil(until time.Time) {
+// BackOff keeps new requests away from the endpoint until the given time, which it
+// has asked for. An earlier time does not shorten the backoff.
+func (load *Load) BackOff(until time.Time) {
 	wanted := until.UnixNano()
-	for current := load.restsUntil.Load(); current < wanted; current = load.restsUntil.Load() {
-		if load.restsUntil.CompareAndSwap(current, wanted) {
+	for current := load.backoffEnd.Load(); current < wanted; current = load.backoffEnd.Load() {
+		if load.backoffEnd.CompareAndSwap(current, wanted) {
 			return
 		}
 	}
 }
 
-// RestsUntil returns the time until which the endpoint wants no request.
-func (load *Load) RestsUntil() time.Time { return time.Unix(0, load.restsUntil.Load()) }
+// BackoffEnd returns the time until which the endpoint wants no request.
+func (load *Load) BackoffEnd() time.Time { return time.Unix(0, load.backoffEnd.Load()) }
 
-// Rests reports whether the endpoint wants no request at the given time.
-func (load *Load) Rests(now time.Time) bool { return now.UnixNano() < load.restsUntil.Load() }
+// BackedOff reports whether the endpoint wants no request at the given time.
+func (load *Load) BackedOff(now time.Time) bool { return now.UnixNano() < load.backoffEnd.Load() }
 
 // MarkLeaving keeps new requests away from an endpoint until it starts again. It
 // reports whether that is news.
@@ -105,7 +105,7 @@
 	return load.leavingStart.Swap(startedAt.UnixMilli()) != startedAt.UnixMilli()
 }
 
-// Leaving reports whether the life of the endpoint that began at a time has said that
+// Leaving reports whether the incarnation of the endpoint that began at a time has said that
 // it leaves.
 func (load *Load) Leaving(startedAt time.Time) bool {
 	return load.leavingStart.Load() == startedAt.UnixMilli()
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -31,7 +31,7 @@
 	removals         map[string]rows.Version   // of removed rows
 	removed          map[string]fleet.Endpoint // the endpoints of those rows, as last known
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
-	leaving          map[string]time.Time      // endpoints that have said in an answer that they leave, and the starts of those lives
+	leaving          map[string]time.Time      // endpoints that have said in an answer that they leave, and the starts of those incarnations
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
 	updatedAt        map[string]time.Time      // when a row was last applied, or the endpoint left its replica
@@ -183,7 +183,7 @@
 	}
 	endpoints.byID[entry.Key] = endpoint
 	endpoints.updatedAt[entry.Key] = now
-	endpoints.forgetPastLife(endpoint)
+	endpoints.forgetEarlierIncarnation(endpoint)
 	if endpoints.isUnresponsive(entry.Key) {
 		control.probe(entry.Key, now) // the new row shows that the endpoint still writes to the store
 	}
--- a/io/edge/endpoints_test.go
+++ b/io/edge/endpoints_test.go
@@ -48,10 +48,10 @@
 	expectReplica("large.c")
 }
 
-// TestRowDoesNotOverrideWordOfEndpoint guards against an endpoint that is used again,
+// TestRowDoesNotOverrideLeaving guards against an endpoint that is used again,
 // though it has said in an answer that it leaves: because of a row that says that it is
-// ready, or of a late answer about an earlier life.
-func TestRowDoesNotOverrideWordOfEndpoint(t *testing.T) {
+// ready, or of a late answer about an earlier incarnation.
+func TestRowDoesNotOverrideLeaving(t *testing.T) {
 	now := time.Now()
 	control := newHolder(now)
 	receiveRow := func(sequence int, startedAt time.Time) {
--- a/io/edge/leaving.go
+++ b/io/edge/leaving.go
@@ -14,7 +14,7 @@
 // endpointLeaves reports that an endpoint has said in an answer that it leaves.
 type endpointLeaves struct {
 	endpoint  string
-	startedAt time.Time // of the life that said so; zero for the known one
+	startedAt time.Time // of the incarnation that said so; zero for the known one
 }
 
 func (endpointLeaves) message() {}
@@ -43,15 +43,15 @@
 		zap.Duration("age", control.copies.age(tableEndpoints, now)))
 }
 
-// saysLeaving reports whether the present life of an endpoint has said that it
+// saysLeaving reports whether the present incarnation of an endpoint has said that it
 // leaves.
 func (endpoints *endpoints) saysLeaving(endpoint fleet.Endpoint) bool {
 	startedAt, found := endpoints.leaving[endpoint.ID]
 	return found && startedAt.Equal(endpoint.StartedAt)
 }
 
-// forgetPastLife forgets what an endpoint said before its present start.
-func (endpoints *endpoints) forgetPastLife(endpoint fleet.Endpoint) {
+// forgetEarlierIncarnation forgets what an endpoint said before its present start.
+func (endpoints *endpoints) forgetEarlierIncarnation(endpoint fleet.Endpoint) {
 	if !endpoints.saysLeaving(endpoint) {
 		delete(endpoints.leaving, endpoint.ID)
 	}
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -126,8 +126,8 @@
 	}
 	control.endpoints.reportedAt[result.id] = result.sentAt
 	report.Sequence, report.FreeSince = known.Sequence, known.FreeSince
-	report.Draining = known.Draining && !(restarted && control.endpoints.saysLeaving(known)) // an earlier life said so, not the row
-	control.endpoints.forgetPastLife(report)
+	report.Draining = known.Draining && !(restarted && control.endpoints.saysLeaving(known)) // an earlier incarnation said so, not the row
+	control.endpoints.forgetEarlierIncarnation(report)
 	control.endpoints.byID[result.id] = report
 	if report.Membership != known.Membership {
 		control.snapshotStale = true
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return request.handleFailure(candidate, err, sentAt)
 	}
-	request.obey(candidate, exchange.Response)
+	request.applyNotices(candidate, exchange.Response)
 	body, err := exchange.ReadBody(maxBufferedBytes)
 	if err != nil {
 		return request.handleFailure(candidate, err, sentAt)
@@ -100,15 +100,15 @@
 	return request.classify(candidate, exchange, body, sentAt)
 }
 
-// obey follows what an endpoint says of itself in the headers of an answer, before
-// the body has come: that it leaves, or wants no request for a while.
-func (request *request) obey(candidate *reach.Candidate, response *http.Response) {
+// applyNotices applies what an endpoint says of itself in the headers of an answer, before
+// the body has come: that it leaves, or is to get no request for a while.
+func (request *request) applyNotices(candidate *reach.Candidate, response *http.Response) {
 	responseheader := platform.ReadResponseHeader(response)
 	if responseheader.Leaving && candidate.Load.MarkLeaving(candidate.StartedAt) {
 		request.server.leaving(candidate.ID, candidate.StartedAt)
 	}
 	if delay := responseheader.RetryAfter.Delay; delay > 0 {
-		candidate.Load.RestUntil(time.Now().Add(delay))
+		candidate.Load.BackOff(time.Now().Add(delay))
 	}
 	if value := responseheader.RetryAfter.Unusable; value != "" {
 		request.server.unusable.Do(func() {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -81,7 +81,7 @@
 }
 
 // WithLeaving sets the function that is called when an endpoint says in an answer that
-// it leaves, with the start of the life that says so.
+// it leaves, with the start of the incarnation that says so.
 func WithLeaving(leaving func(endpoint string, startedAt time.Time)) Option {
 	return func(server *Server) { server.leaving = leaving }
 }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return request.handleFailure(candidate, causeOf(ctx, err), sentAt)
 	}
-	request.obey(candidate, exchange.Response)
+	request.applyNotices(candidate, exchange.Response)
 	if exchange.Response.StatusCode != http.StatusOK {
 		return relay.handleNonStream(candidate, exchange, sentAt)
 	}
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -29,7 +29,7 @@
 	InvariantAccess            = "nobody denied"         // no 401 or 404 for an allowed request, and Retry-After with each rejection
 	InvariantConfigPropagation = "changes everywhere"    // nodes apply a change within configBound and do not revert
 	InvariantDrain             = "drains respected"      // no new requests for a draining endpoint after drainBound
-	InvariantLeaving           = "word of endpoints"     // no request to an endpoint leavingBound after the node has passed on that it leaves
+	InvariantLeaving           = "leaving endpoints"     // no request to an endpoint leavingBound after the node has passed on that it leaves
 	InvariantRetryBudget       = "retry budget"          // retries within the budget, and attempts within maxAttempts
 	InvariantCancellation      = "callers that left"     // no request begins cancellationTimeout after its caller disconnected
 	InvariantNoLostAnswers     = "answers not lost"      // no answer is cut off without a fault
@@ -103,25 +103,25 @@
 
 // checker checks the invariants on what callers and runners observe.
 type checker struct {
-	mutex         sync.Mutex
-	timeline      *timeline
-	now           func() time.Time
-	events        int                  // number in each stream
-	requests      map[string]*record   // by request id
-	runners       map[string]*runner   // by name
-	readyMembers  map[string]bool      // members that were ready, by readyKey
-	drainingSince map[string]time.Time // by runner: when the store first listed it as draining
-	saidLeaving   map[hearing]time.Time
-	revokedKeys   map[string]bool
-	services      map[string]*traffic
-	lostAnswers   int
-	lateStarts    int // requests that began more than cancellationTimeout after their caller disconnected
-	findings      []Finding
-}
-
-// hearing is a node that has passed on an answer in which an endpoint says that it
+	mutex          sync.Mutex
+	timeline       *timeline
+	now            func() time.Time
+	events         int                  // number in each stream
+	requests       map[string]*record   // by request id
+	runners        map[string]*runner   // by name
+	readyMembers   map[string]bool      // members that were ready, by readyKey
+	drainingSince  map[string]time.Time // by runner: when the store first listed it as draining
+	leavingNotices map[leavingNotice]time.Time
+	revokedKeys    map[string]bool
+	services       map[string]*traffic
+	lostAnswers    int
+	lateStarts     int // requests that began more than cancellationTimeout after their caller disconnected
+	findings       []Finding
+}
+
+// leavingNotice is a node that has passed on an answer in which an endpoint says that it
 // leaves.
-type hearing struct {
+type leavingNotice struct {
 	node   int
 	runner string
 }
@@ -135,7 +135,7 @@
 func newChecker(timeline *timeline, events int) *checker {
 	return &checker{
 		timeline: timeline, now: time.Now, events: events, requests: map[string]*record{}, runners: map[string]*runner{},
-		readyMembers: map[string]bool{}, drainingSince: map[string]time.Time{}, saidLeaving: map[hearing]time.Time{}, revokedKeys: map[string]bool{}, services: map[string]*traffic{},
+		readyMembers: map[string]bool{}, drainingSince: map[string]time.Time{}, leavingNotices: map[leavingNotice]time.Time{}, revokedKeys: map[string]bool{}, services: map[string]*traffic{},
 	}
 }
 
@@ -309,18 +309,18 @@
 // checkLeaving reports a request that its caller sent later than leavingBound after
 // the node had passed on that the endpoint leaves, if the node had no fault since.
 func (checker *checker) checkLeaving(record *record, execution fakes.Execution) {
-	saidAt := checker.saidLeaving[hearing{node: record.node, runner: execution.Runner}]
+	saidAt := checker.leavingNotices[leavingNotice{node: record.node, runner: execution.Runner}]
 	if !saidAt.IsZero() && record.sentAt.Sub(saidAt) > leavingBound && checker.timeline.faultFree(saidAt, checker.now(), nodeComponent(record.node), nodeRestartComponent(record.node)) {
 		checker.addFinding(InvariantLeaving, "%s runs %s, which node %d was sent %s after it had passed on that the endpoint leaves", execution.Runner, execution.RequestID, record.node+1, record.sentAt.Sub(saidAt))
 	}
 }
 
-// noteLeaving records what an endpoint says of itself in an answer.
-func (checker *checker) noteLeaving(record *record, answer fakes.Answer) {
+// recordLeaving records what an endpoint says of itself in an answer.
+func (checker *checker) recordLeaving(record *record, answer fakes.Answer) {
 	runner, signed := strings.CutPrefix(answer.Receipt, fakes.ReceiptOf(""))
-	heard := hearing{node: record.node, runner: runner}
-	if signed && answer.Header.Get("Server-Leaving") == "1" && checker.saidLeaving[heard].IsZero() {
-		checker.saidLeaving[heard] = checker.now()
+	notice := leavingNotice{node: record.node, runner: runner}
+	if signed && answer.Header.Get("Server-Leaving") == "1" && checker.leavingNotices[notice].IsZero() {
+		checker.leavingNotices[notice] = checker.now()
 	}
 }
 
@@ -361,7 +361,7 @@
 		checker.checkLostAnswer(record, answer)
 		return
 	}
-	checker.noteLeaving(record, answer)
+	checker.recordLeaving(record, answer)
 	switch answer.Status {
 	case http.StatusOK:
 		checker.checkComplete(record, answer)
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -198,8 +198,8 @@
 	}
 }
 
-// hearOfLeaving has a runner say in an answer that it leaves.
-func hearOfLeaving(harness *harness) {
+// passOnLeaving has a runner say in an answer that it leaves.
+func passOnLeaving(harness *harness) {
 	harness.send("a", kindIdempotent)
 	harness.execute("a", "r")
 	answer := completeAnswer("a", "r")
@@ -262,19 +262,19 @@
 			harness.execute("a", "r")
 		}, nil},
 		{"request for a runner that has said that it leaves", func(harness *harness) {
-			hearOfLeaving(harness)
+			passOnLeaving(harness)
 			harness.advance(leavingBound + time.Millisecond)
 			harness.send("b", kindIdempotent)
 			harness.execute("b", "r")
 		}, []string{InvariantLeaving}},
 		{"request sent before the runner's word was passed on", func(harness *harness) {
 			harness.send("b", kindIdempotent)
-			hearOfLeaving(harness)
+			passOnLeaving(harness)
 			harness.advance(time.Second)
 			harness.execute("b", "r")
 		}, nil},
 		{"request for such a runner from a node that was paused", func(harness *harness) {
-			hearOfLeaving(harness)
+			passOnLeaving(harness)
 			harness.timeline.beginFault(nodeComponent(0), harness.clock)(harness.clock.Add(time.Second))
 			harness.advance(2 * time.Second)
 			harness.send("b", kindIdempotent)
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -85,10 +85,10 @@
 break_one "endpoints given up while the store is behind" io/edge/endpoints.go 'control.copies.watermarks[tableEndpoints].RecoveredAt = now // the endpoints' '_ = now // the endpoints' ./platform/fakes TestRequestsWhileStoreIsBehind
 break_one "a removed endpoint that the older copy brings back" io/edge/endpoints.go 'found && err == nil && removed.NotOlder(endpoint)' 'found && err == nil && removed.ID == ""' ./platform/fakes TestRemovedEndpointAfterStoreWentBack
 break_one "requests to an endpoint that says that it leaves" core/reach/choose.go ' && !load.Leaving(candidate.StartedAt)' '' ./core/reach TestEndpointsThatWantNoRequests
-break_one "an endpoint's word that a new row overrides" io/edge/endpoints.go 'endpoint.Draining = endpoint.Draining || endpoints.saysLeaving(endpoint)' '' ./io/edge TestRowDoesNotOverrideWordOfEndpoint
-break_one "an endpoint's word that its peers do not learn" io/edge/peers.go 'control.learnLeaving(digest, now)' '' ./platform/fakes TestRequestsAfterEndpointSaysItLeaves
-break_one "requests to an endpoint that rests" core/reach/choose.go ' && !load.Rests(now)' '' ./core/reach TestEndpointsThatWantNoRequests
-break_one "a rest without a limit" platform/headers.go 'return RetryAfter{Delay: MaxRetryAfter, Unusable: value}' 'return RetryAfter{Delay: math.MaxInt64, Unusable: value}' ./platform TestRetryAfterValues
+break_one "a leaving endpoint that a new row brings back" io/edge/endpoints.go 'endpoint.Draining = endpoint.Draining || endpoints.saysLeaving(endpoint)' '' ./io/edge TestRowDoesNotOverrideLeaving
+break_one "a leaving endpoint that its peers do not learn of" io/edge/peers.go 'control.learnLeaving(digest, now)' '' ./platform/fakes TestRequestsAfterEndpointSaysItLeaves
+break_one "requests to an endpoint before its Retry-After" core/reach/choose.go ' && !load.BackedOff(now)' '' ./core/reach TestEndpointsThatWantNoRequests
+break_one "a Retry-After without a limit" platform/headers.go 'return RetryAfter{Delay: MaxRetryAfter, Unusable: value}' 'return RetryAfter{Delay: math.MaxInt64, Unusable: value}' ./platform TestRetryAfterValues
 break_one "a head without a limit" io/pool/pool.go 'connection.head.limited, connection.head.left = true, maxHeadBytes' '' ./io/pool TestEndlessResponse
 break_one "a body that is cut at the limit" io/pool/pool.go 'err == nil && int64(len(body)) > limit' 'false' ./io/pool 'TestEndlessResponse|TestBodyUpToTheLimit'
 break_one "an event without a limit" io/entry/stream.go 'if relay.event.Len() > maxEventBytes {' 'if relay.event.Len() > 1<<26 {' ./io/entry TestEndlessEvent
