--- a/cmd/standin/runner.go
+++ b/cmd/standin/runner.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// drain registers the runner as draining, says so in its answers, serves requests for drainNotice, waits up
-// to drainTimeout for running requests, and closes the runner.
+// drain registers the runner as draining and says so in its answers, serves requests
+// for drainNotice, waits up to drainTimeout for running requests, and closes the
+// runner.
 func drain(runner *fakes.Runner) {
 	runner.Register("draining")
 	runner.SetLeaving(true)
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -169,7 +169,7 @@
 		control.peers.fetching[typed.table] = false
 	case nodeRowResult:
 		_, done := typed.outcome.(rows.Committed)
-		control.peers.rowWritten, control.peers.rowWriting = done, false
+		control.peers.rowWritten, control.peers.rowWriting, control.peers.rowEra = done, false, typed.era
 	case copiesStale:
 		control.refreshCopies(now)
 	case copyRead:
--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -43,14 +43,14 @@
 	}
 }
 
-// nodeRowLost reports whether the store has come back from a copy that lacks this
-// node's row, or has an older one. Every row that the copy has is read again, so its
-// version is of the latest era.
+// nodeRowLost reports whether, since this node wrote its row, the store has come back
+// from a copy that lacks the row or has an older one. Every row that the copy has is
+// read again, so its version is of the latest era.
 func (control *Control) nodeRowLost() bool {
 	peers := control.peers
 	row, found := peers.rows[peers.self]
-	if !found || !peers.rowWritten {
-		return false // not read yet, or to be written anyway
+	if !found || !peers.rowWritten || peers.rowEra == peers.version.Era() {
+		return false
 	}
 	var wire nodeRow
 	decoded, err := control.store.DecodeRow(tableNames[tableNodes], row)
@@ -91,9 +91,10 @@
 		return
 	}
 	peers.rowWriting = true
+	era := peers.version.Era()
 	go func() {
 		outcome := control.overwriteRow(key, body)
-		control.enqueue(nodeRowResult{outcome: outcome})
+		control.enqueue(nodeRowResult{outcome: outcome, era: era})
 	}()
 }
 
@@ -109,6 +110,7 @@
 // nodeRowResult is the outcome of writing this node's row.
 type nodeRowResult struct {
 	outcome rows.Outcome
+	era     int64 // the store's latest known era when the row was sent
 }
 
 func (nodeRowResult) message() {}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -38,6 +38,7 @@
 	rows               map[string]platform.Entry // of the nodes table, as stored
 	version            rows.Version              // of the newest row, and not below those of the latest era
 	rowWritten         bool                      // this node's row is in the store
+	rowEra             int64                     // the store's era in which it was written
 	rowWriting         bool                      // a write of it is pending
 	behindSince        [tableCount]time.Time     // since when a peer has had a higher version
 	fetching           [tableCount]bool          // a fetch from a peer is pending
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -267,7 +267,7 @@
 			harness.send("b", kindIdempotent)
 			harness.execute("b", "r")
 		}, []string{InvariantLeaving}},
-		{"request sent before the runner's word was passed on", func(harness *harness) {
+		{"request sent before that was passed on", func(harness *harness) {
 			harness.send("b", kindIdempotent)
 			passOnLeaving(harness)
 			harness.advance(time.Second)
