--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -92,18 +92,19 @@
 	if err != nil {
 		return request.handleFailure(candidate, err, sentAt)
 	}
-	request.applyNotices(candidate, exchange.Response)
+	responseheader := request.readHeader(candidate, exchange)
 	body, err := exchange.ReadBody(maxBufferedBytes)
 	if err != nil {
 		return request.handleFailure(candidate, err, sentAt)
 	}
-	return request.classify(candidate, exchange, body, sentAt)
+	return request.classify(candidate, exchange, responseheader, body, sentAt)
 }
 
-// applyNotices applies what an endpoint says of itself in the headers of an answer, before
-// the body has come: that it leaves, or is to get no request for a while.
-func (request *request) applyNotices(candidate *reach.Candidate, response *http.Response) {
-	responseheader := platform.ReadResponseHeader(response)
+// readHeader decodes the headers of an answer, and applies what the endpoint says of
+// itself in them before the body has come: that it leaves, or is to get no request
+// for a while.
+func (request *request) readHeader(candidate *reach.Candidate, exchange *pool.Exchange) platform.ResponseHeader {
+	responseheader := platform.ReadResponseHeader(exchange.Response)
 	if responseheader.Leaving && candidate.Load.MarkLeaving(candidate.StartedAt) {
 		request.server.leaving(candidate.ID, candidate.StartedAt)
 	}
@@ -115,6 +116,7 @@
 			event.Log(request.server.log, event.RetryAfterUnusable, zap.String("endpoint", candidate.ID), zap.String("value", value))
 		})
 	}
+	return responseheader
 }
 
 // classify checks that a response belongs to this request and is complete. A
@@ -122,8 +124,7 @@
 // responses. A status such as 503 means "not run" only if another header of the
 // endpoint says so; without that header, a request that isn't retryable counts as
 // one that may have run. An encoding that was not requested counts as incomplete.
-func (request *request) classify(candidate *reach.Candidate, exchange *pool.Exchange, body []byte, sentAt time.Time) result {
-	responseheader := platform.ReadResponseHeader(exchange.Response)
+func (request *request) classify(candidate *reach.Candidate, exchange *pool.Exchange, responseheader platform.ResponseHeader, body []byte, sentAt time.Time) result {
 	status := exchange.Response.StatusCode
 	switch {
 	case request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID:
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -84,11 +84,10 @@
 	if err != nil {
 		return request.handleFailure(candidate, causeOf(ctx, err), sentAt)
 	}
-	request.applyNotices(candidate, exchange.Response)
+	responseheader := request.readHeader(candidate, exchange)
 	if exchange.Response.StatusCode != http.StatusOK {
-		return relay.handleNonStream(candidate, exchange, sentAt)
+		return relay.handleNonStream(candidate, exchange, responseheader, sentAt)
 	}
-	responseheader := platform.ReadResponseHeader(exchange.Response)
 	if request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID || !responseheader.Receipt || responseheader.Encoded {
 		exchange.Close()
 		return request.handleFailure(candidate, errors.Mark(errors.New("entry: the stream is another request's or bears no receipt"), pool.ErrIncompleteResponse), sentAt)
@@ -113,13 +112,13 @@
 }
 
 // handleNonStream handles a response whose status is not 200.
-func (relay *relay) handleNonStream(candidate *reach.Candidate, exchange *pool.Exchange, sentAt time.Time) result {
+func (relay *relay) handleNonStream(candidate *reach.Candidate, exchange *pool.Exchange, responseheader platform.ResponseHeader, sentAt time.Time) result {
 	request := relay.request
 	body, err := exchange.ReadBody(maxBufferedBytes)
 	if err != nil {
 		return request.handleFailure(candidate, err, sentAt)
 	}
-	result := request.classify(candidate, exchange, body, sentAt)
+	result := request.classify(candidate, exchange, responseheader, body, sentAt)
 	answer, ok := result.(answered)
 	if !ok {
 		return result
