State that is there already, and an order that nobody needs

follow kept whether its last poll had failed beside control.retrying, which says the same and is written by it alone. The list of leaving endpoints in a digest was sorted every 100 ms; its readers take it as a set, like the unresponsive ones. No change of behaviour.

--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -70,16 +70,15 @@
 func (control *Control) follow(ctx context.Context, table int) {
 	delay := minRetryDelay
 	var version rows.Version
-	synced, failed := false, false
+	synced := false
 	for ctx.Err() == nil {
 		if !control.follows(table) {
 			synced = false // changes are missed meanwhile, so the next read is of the full table
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
-		batch, err := control.fetchFromStore(ctx, table, synced, version, failed)
-		failed = err != nil
-		control.retrying[table].Store(failed)
+		batch, err := control.fetchFromStore(ctx, table, synced, version)
+		control.retrying[table].Store(err != nil)
 		switch {
 		case err == nil:
 			delay = minRetryDelay
@@ -108,12 +107,12 @@
 // fetchFromStore reads the full table unless synced, else polls for changes
 // after the version. The store answers a poll after a failure at once, so that
 // this node does not notice only with the next change that the store is back.
-func (control *Control) fetchFromStore(ctx context.Context, table int, synced bool, version rows.Version, failed bool) (platform.Batch, error) {
+func (control *Control) fetchFromStore(ctx context.Context, table int, synced bool, version rows.Version) (platform.Batch, error) {
 	if !synced {
 		return control.store.Read(ctx, tableNames[table])
 	}
 	wait := control.pollWait(table)
-	if failed {
+	if control.retrying[table].Load() {
 		wait = 0
 	}
 	return control.store.Follow(ctx, tableNames[table], version, wait)
--- a/io/edge/leaving.go
+++ b/io/edge/leaving.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -63,7 +62,6 @@
 	for id, startedAt := range endpoints.leaving {
 		listed = append(listed, gossip.Leaving{Endpoint: id, StartedAt: startedAt.UnixMilli()})
 	}
-	slices.SortFunc(listed, gossip.Leaving.Compare)
 	return listed
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -51,11 +50,6 @@
 	StartedAt int64  `cbor:"2,keyasint"` // Unix milliseconds; what it said holds until its next start
 }
 
-// Compare orders by endpoint and start.
-func (leaving Leaving) Compare(other Leaving) int {
-	return cmp.Or(cmp.Compare(leaving.Endpoint, other.Endpoint), cmp.Compare(leaving.StartedAt, other.StartedAt))
-}
-
 // Entry is a row as the platform's store returned it.
 type Entry struct {
 	Key       string       `cbor:"1,keyasint"`
