Bodies are read up to a limit by one function

The store's client had a copy of what Exchange.ReadBody does: read one byte more than the limit and call that an error.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -155,10 +155,7 @@
 // ReadBody reads the complete body. If that fails, or the body is longer than the
 // limit, it closes the connection.
 func (exchange *Exchange) ReadBody(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errors.Newf("pool: the body has more than %d bytes", limit)
-	}
+	body, err := ReadBody(exchange.Response.Body, limit)
 	if err != nil {
 		exchange.Close()
 		return nil, errors.Mark(err, ErrIncompleteResponse)
@@ -166,6 +163,16 @@
 	return body, nil
 }
 
+// ReadBody reads a complete body. One that is longer than the limit is an error, so
+// that a part of it does not pass for the whole.
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	read, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(read)) > limit {
+		err = errors.Newf("pool: the body has more than %d bytes", limit)
+	}
+	return read, err
+}
+
 // Release returns the connection to the pool, after the complete body was read. It
 // closes a connection that can't be reused.
 func (exchange *Exchange) Release() {
