--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -173,9 +175,19 @@
 		candidate.Load.RecordResult(time.Now(), true, time.Since(sentAt))
 		request.server.suspect(candidate.ID)
 	}
+	if connectionEnded(err) {
+		event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
+			zap.Strings("parts", request.header.SharedParts), zap.Int("events", request.attemptEvents), zap.Error(err))
+	}
 	if errors.Is(err, pool.ErrUnsent) {
 		candidate.Load.Avoid(time.Now().Add(request.server.policy.UnreachableBackoff))
 		return unsent{cause: err}
 	}
 	return incomplete{cause: err}
 }
+
+// connectionEnded reports whether an attempt failed because the endpoint, or its host,
+// ended the connection, rather than this node or the caller.
+func connectionEnded(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET) && errors.Is(err, pool.ErrIncompleteResponse) && !errors.Is(err, errCallerConnection)
+}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -20,26 +20,27 @@
 
 // request is the state of a caller's request while it is served.
 type request struct {
-	server       *Server
-	w            http.ResponseWriter
-	r            *http.Request
-	snapshot     *reach.Snapshot
-	receivedAt   time.Time
-	deadline     time.Time
-	header       platform.RequestHeader
-	route        *site.Route
-	team         string
-	priority     int
-	service      string
-	body         []byte
-	tried        []string      // IDs of the endpoints that it was sent to
-	snapshotAge  time.Duration // how old the snapshot was when it was last used
-	mayHaveRun   bool          // an endpoint may have run it
-	status       int
-	outcome      string
-	firstEventAt time.Time     // when the response headers of a stream were written
-	lastEventAt  time.Time     // when the last event was written
-	longestGap   time.Duration // longest time between two events
+	server        *Server
+	w             http.ResponseWriter
+	r             *http.Request
+	snapshot      *reach.Snapshot
+	receivedAt    time.Time
+	deadline      time.Time
+	header        platform.RequestHeader
+	route         *site.Route
+	team          string
+	priority      int
+	service       string
+	body          []byte
+	tried         []string      // IDs of the endpoints that it was sent to
+	snapshotAge   time.Duration // how old the snapshot was when it was last used
+	mayHaveRun    bool          // an endpoint may have run it
+	status        int
+	outcome       string
+	firstEventAt  time.Time     // when the response headers of a stream were written
+	lastEventAt   time.Time     // when the last event was written
+	longestGap    time.Duration // longest time between two events
+	attemptEvents int           // complete events that the present attempt has brought
 }
 
 // admit checks the request and reads its body, before it is sent anywhere. If the
@@ -179,6 +180,7 @@
 		}
 		candidate := decision.(reach.Send).Candidate
 		request.tried = append(request.tried, candidate.ID)
+		request.attemptEvents = 0
 		switch result := send(candidate).(type) {
 		case answered:
 			return nil
@@ -293,7 +295,7 @@
 	if request.route != nil {
 		fields = append(fields, zap.String("route", request.route.Name), zap.String("team", request.team),
 			zap.Strings("endpoints", request.tried), zap.Int64("config", request.snapshot.Index.Config.Version),
-			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Duration("age", request.snapshotAge))
+			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.Duration("age", request.snapshotAge))
 	}
 	event.Log(request.server.log, event.RequestEnded, fields...)
 }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -28,6 +28,9 @@
 // errEventTooLong means that an event does not end within maxEventBytes.
 var errEventTooLong = errors.Newf("entry: an event has more than %d bytes", maxEventBytes)
 
+// errCallerConnection marks failures of the caller's connection.
+var errCallerConnection = errors.New("entry: the caller's connection failed")
+
 // maxEventBytes limits one event.
 const maxEventBytes = 1 << 20
 
@@ -93,6 +96,7 @@
 		return request.handleFailure(candidate, errors.Mark(errors.New("entry: the stream is another request's or bears no receipt"), pool.ErrIncompleteResponse), sentAt)
 	}
 	err = relay.forwardEvents(exchange, func() {
+		request.attemptEvents++
 		removePendingTokens()
 		probe.Reset(policy.ProbeAfter)
 		stall.Reset(policy.StallAfter)
@@ -236,9 +240,10 @@
 	}
 	relay.request.lastEventAt = now
 	if _, err := relay.request.w.Write(relay.event.Bytes()); err != nil {
-		return errors.Wrap(err, "entry: writing to the caller")
+		return errors.Mark(errors.Wrap(err, "entry: writing to the caller"), errCallerConnection)
 	}
-	return errors.Wrap(http.NewResponseController(relay.request.w).Flush(), "entry: writing to the caller")
+	err := http.NewResponseController(relay.request.w).Flush()
+	return errors.Mark(errors.Wrap(err, "entry: writing to the caller"), errCallerConnection)
 }
 
 // causeOf returns the cause for which the context was canceled, if it was and the
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -66,6 +66,7 @@
 	RecordLate            = Event{605, "outcome of a call not yet recorded", zap.WarnLevel}
 	RequestEnded          = Event{606, "request ended", zap.InfoLevel}
 	RetryAfterUnusable    = Event{607, "unusable Retry-After of an endpoint", zap.WarnLevel}
+	AttemptBroken         = Event{608, "endpoint broke off an attempt", zap.WarnLevel}
 )
 
 // All returns every event in the order of the numbers.
@@ -78,7 +79,7 @@
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken,
 	}
 }
 
