Prompt parts that crash endpoints are blocked on all nodes

Cause: nodes treated each request by itself. What ends an endpoint is a part of the prompt that many requests share; nodes forwarded the parts unread, did not connect the end of an endpoint with what ran there, and sent each request to a second endpoint.

Change: core/crash keeps a ledger of the parts that were in prompts an endpoint was about to answer when it crashed, and of the answers since. A part is blocked after three crashes that nothing else explains, five if it was answered before. Nodes exchange crashes, answers and blocks in their digests.

--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hickorybend/core/crash"
 	"hickorybend/core/site"
 )
 
@@ -12,6 +13,13 @@
 	Index    *site.Index // nil while no configuration is known
 	Services map[string]*ServicePool
 	Nodes    int // number of nodes, this one included
+	Blocked  map[crash.Part]Blocked
+}
+
+// Blocked says that requests with a part of a prompt are rejected.
+type Blocked struct {
+	RetryAt time.Time    // when the part may be tried again
+	Trial   *crash.Trial // for one request that this node may send now to try it; nil if there is none
 }
 
 // ServicePool is the endpoints of one service that take requests. A service
@@ -74,7 +82,8 @@
 
 // The reasons for a rejection.
 const (
-	ReasonNoEndpoint Reason = "no-endpoint" // no complete replica or no endpoint is usable
-	ReasonFull       Reason = "full"        // the request would queue beyond its objective
-	ReasonNoService  Reason = "no-service"  // the configuration has no such service
+	ReasonNoEndpoint Reason = "no-endpoint"       // no complete replica or no endpoint is usable
+	ReasonFull       Reason = "full"              // the request would queue beyond its objective
+	ReasonNoService  Reason = "no-service"        // the configuration has no such service
+	ReasonCrashes    Reason = "crashes-endpoints" // a part of the prompt crashes endpoints
 )
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"hickorybend/core/crash"
 	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/rows"
@@ -32,6 +33,7 @@
 	meter            *meter.Meter
 	hadRequests      func() bool                     // whether a request has arrived at this node
 	localDemand      func() map[string]time.Duration // estimated host time requested of each model at this node since the start
+	lastAnswer       func(part crash.Part) time.Time // when a prompt with a part was last answered through this node; zero if not known
 	abortAttempts    func(firstHosts []string)       // cancels the attempts at replicas that can no longer serve, named by their first hosts
 	messages         chan message
 	snapshot         atomic.Pointer[reach.Snapshot]
@@ -52,6 +54,7 @@
 	peers            *peers
 	placement        placement
 	demand           demand
+	crashes          crashes
 	loggedServing    map[string]int // serving replicas of each model, as last logged
 	storeRepliedAt   time.Time      // when the store last answered
 	bootClockOffset  func(monotonic time.Duration) (time.Duration, error)
@@ -60,17 +63,18 @@
 	snapshotStale    bool // the snapshot must be rebuilt
 }
 
-// NewControl creates a node's control. hadRequests, localDemand and
-// abortAttempts do nothing until newServer sets them.
+// NewControl creates a node's control. hadRequests, localDemand,
+// lastAnswer and abortAttempts do nothing until newServer sets them.
 func NewControl(settings Settings, store *platform.Store, engineclient *platform.EngineClient, log *zap.Logger, meter *meter.Meter) *Control {
 	control := &Control{
 		settings: settings, store: store, engineClient: engineclient, log: log, meter: meter,
-		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, abortAttempts: func([]string) {},
+		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, abortAttempts: func([]string) {}, lastAnswer: func(crash.Part) time.Time { return time.Time{} },
 		messages: make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
 	}
 	control.copies = newCopies(settings)
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
+	control.crashes = newCrashes()
 	control.placement = newPlacement(settings)
 	control.demand = demand{previous: map[string]map[string]int64{}, recent: fleet.NewDemand()}
 	if engineclient != nil {
@@ -161,6 +165,10 @@
 		control.probeReplica(typed.endpoint, now)
 	case endpointLeaves:
 		control.handleLeaving(typed, fromAnswer, now)
+	case attemptBroken:
+		control.handleBroken(typed, now)
+	case trialEnded:
+		control.handleTrialEnded(typed, now)
 	case probeResult:
 		control.handleProbeResult(typed, now)
 	case commandResult:
@@ -233,6 +241,7 @@
 func (control *Control) tick(now time.Time) {
 	control.checkSuspension(now)
 	control.checkEndpointDeadlines(now)
+	control.judgeCrashes(now)
 	control.exchangeDigests(now)
 	control.refreshCopies(now)
 	control.reportAges(now)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -52,10 +52,11 @@
 
 func newServer(settings Settings, control *Control, pool *pool.Pool, log *zap.Logger, meter *meter.Meter) *entry.Server {
 	server := entry.New(pool, control.Snapshot(),
-		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving),
+		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded),
 		entry.WithRetryBudget(retry.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, UsableShare: usableBudgetShare}))
 	control.hadRequests = server.HadRequests
 	control.localDemand = server.Demand
+	control.lastAnswer = server.LastAnswer
 	control.abortAttempts = server.AbortAttempts
 	return server
 }
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -218,6 +218,7 @@
 		digest.Unresponsive = append(digest.Unresponsive, id)
 	}
 	digest.Leaving = control.endpoints.leavingList()
+	digest.Crashes = control.crashDigest(time.Now())
 	digest.Versions, digest.ConfirmedAt = control.versions(), control.copies.confirmedAt()
 	digest.Complete, digest.Compacted = control.endpoints.completeVersion, control.endpoints.compactedVersion
 	// Before its first planning pass a holder does not know which endpoints are quarantined.
@@ -285,6 +286,7 @@
 // endpoints and the lease's holder.
 func (control *Control) handlePeerDigest(received digestReceived, now time.Time) {
 	digest := received.digest
+	digest.Crashes = digest.Crashes.ReceivedAt(now)
 	peer := control.peers.nodes[digest.Node]
 	if peer == nil {
 		return // its row has not been read yet
@@ -295,6 +297,7 @@
 	peer.lastExchangeFailed = false
 	control.confirmByPeer(digest, received.askedAt, now)
 	control.learnLeaving(digest, now)
+	control.learnCrashes(digest.Crashes)
 	control.reconcileUnresponsive(digest, now)
 	control.placement.updateHolderReport(digest, now)
 }
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -81,6 +81,7 @@
 	}
 	wasUnresponsive := endpoints.isUnresponsive(result.id)
 	if result.alive {
+		control.crashes.answeredAt[result.id] = result.sentAt
 		delete(endpoints.unresponsive, result.id)
 		control.handleReport(result)
 		control.snapshotStale = control.snapshotStale || wasUnresponsive
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -141,6 +141,9 @@
 		return request.handleFailure(candidate, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrIncompleteResponse), sentAt)
 	}
 	exchange.Release()
+	if status < http.StatusMultipleChoices {
+		request.recordSound()
+	}
 	candidate.Load.RecordResult(time.Now(), status >= http.StatusInternalServerError, time.Since(sentAt))
 	return answered{response: exchange.Response, body: body, header: responseheader}
 }
@@ -176,8 +179,7 @@
 		request.server.suspect(candidate.ID)
 	}
 	if connectionEnded(err) {
-		event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
-			zap.Strings("parts", request.header.SharedParts), zap.Int("events", request.attemptEvents), zap.Error(err))
+		request.handleBroken(candidate, err)
 	}
 	if errors.Is(err, pool.ErrUnsent) {
 		candidate.Load.Avoid(time.Now().Add(request.server.policy.UnreachableBackoff))
--- /dev/null
+++ b/io/entry/crash.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"hickorybend/core/reach"
+	"hickorybend/io/event"
+)
+
+// findBlocked returns why the request may not be sent because of a part of its prompt.
+// A request that gets the permission to try a blocked part is sent once.
+func (request *request) findBlocked() (reach.Blocked, bool) {
+	if len(request.snapshot.Blocked) == 0 {
+		return reach.Blocked{}, false
+	}
+	for _, part := range request.parts {
+		blocked, found := request.snapshot.Blocked[part]
+		if found && !request.claimTrial(blocked) {
+			return blocked, true
+		}
+	}
+	return reach.Blocked{}, false
+}
+
+// claimTrial reports whether the request is the trial of a blocked part, or becomes it.
+func (request *request) claimTrial(blocked reach.Blocked) bool {
+	switch {
+	case request.mayHaveRun || blocked.Trial == nil:
+		return false
+	case request.trial != nil:
+		return request.trial == blocked.Trial
+	case !blocked.Trial.Claim():
+		return false
+	}
+	request.trial = blocked.Trial
+	return true
+}
+
+// endTrial reports the end of the request if it is a trial.
+func (request *request) endTrial() {
+	if request.trial != nil {
+		request.server.trialEnded(request.trial.Part, request.broken)
+	}
+}
+
+// handleBroken handles an attempt whose connection the endpoint's side has ended. The
+// parts of the prompt are suspected if the endpoint turns out to have crashed, unless
+// it had answered for long enough to show that they are sound.
+func (request *request) handleBroken(candidate *reach.Candidate, err error) {
+	request.broken = true
+	event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
+		zap.Strings("parts", request.header.SharedParts), zap.Int("events", request.attemptEvents), zap.Error(err))
+	if len(request.parts) > 0 && request.attemptEvents < request.server.soundEvents {
+		request.server.crashed(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Parts: request.parts, At: time.Now()})
+	}
+}
+
+// recordSound records that an endpoint has answered the request's prompt.
+func (request *request) recordSound() {
+	if len(request.parts) > 0 {
+		request.server.soundTimes.Record(request.parts, time.Now())
+	}
+}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorybend/core/crash"
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
 	"hickorybend/io/event"
@@ -32,9 +33,12 @@
 	priority      int
 	service       string
 	body          []byte
+	parts         []crash.Part  // of the prompt, those that other requests may share
+	trial         *crash.Trial  // that this request has claimed, or nil
 	tried         []string      // IDs of the endpoints that it was sent to
 	snapshotAge   time.Duration // how old the snapshot was when it was last used
 	mayHaveRun    bool          // an endpoint may have run it
+	broken        bool          // an endpoint has broken off an attempt
 	status        int
 	outcome       string
 	firstEventAt  time.Time     // when the response headers of a stream were written
@@ -138,6 +142,9 @@
 // serve forwards an admitted request in the way that its route's kind requires.
 func (request *request) serve() {
 	request.service = request.route.Pick(rand.Float64())
+	for _, id := range request.header.SharedParts {
+		request.parts = append(request.parts, crash.Part{Service: request.service, ID: id})
+	}
 	request.server.depositRetry(request.service, request.receivedAt)
 	request.recordDemand()
 	ctx, cancel := context.WithDeadline(request.r.Context(), request.deadline)
@@ -172,6 +179,7 @@
 // or no further attempt is allowed. It returns nil if one answered. headerWritten
 // reports whether the caller has received part of the response.
 func (request *request) tryEndpoints(ctx context.Context, headerWritten func() bool, send func(*reach.Candidate) result) *failure {
+	defer request.endTrial()
 	cause := "no endpoint took the request"
 	for request.mayAttempt() {
 		decision := request.choose(headerWritten())
@@ -213,6 +221,9 @@
 // resumed reports whether the caller has received part of the response.
 func (request *request) choose(resumed bool) reach.Decision {
 	request.loadSnapshot()
+	if blocked, found := request.findBlocked(); found {
+		return reach.Reject{Reason: reach.ReasonCrashes, RetryAt: blocked.RetryAt}
+	}
 	return reach.Choose(request.server.routing, request.snapshot.Services[request.service], reach.Request{
 		Model: request.header.Model, Now: time.Now(), Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
 		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorybend/core/crash"
 	"hickorybend/core/reach"
 	"hickorybend/core/retry"
 	"hickorybend/io/meter"
@@ -31,6 +32,10 @@
 	suspect     func(endpoint string)
 	confirm     func(ctx context.Context) time.Duration // see WithConfirm
 	leaving     func(endpoint string, startedAt time.Time)
+	crashed     func(AttemptBroken)
+	trialEnded  func(part crash.Part, crashed bool)
+	soundTimes  *crash.SoundTimes
+	soundEvents int       // events of an answer that show that its prompt is sound
 	unusable    sync.Once // the first unusable Retry-After of an endpoint, which is logged
 	log         *zap.Logger
 	meter       *meter.Meter
@@ -86,12 +91,28 @@
 	return func(server *Server) { server.leaving = leaving }
 }
 
+// AttemptBroken says that the connection of an attempt has ended before the endpoint
+// had answered enough to show that the prompt is sound.
+type AttemptBroken struct {
+	Endpoint  string
+	StartedAt time.Time // of the incarnation of the endpoint
+	Parts     []crash.Part
+	At        time.Time
+}
+
+// WithCrashes sets the functions that are called when an attempt was broken off by its
+// endpoint, and when a trial of a blocked part has ended.
+func WithCrashes(crashed func(AttemptBroken), trialEnded func(part crash.Part, crashed bool)) Option {
+	return func(server *Server) { server.crashed, server.trialEnded = crashed, trialEnded }
+}
+
 // New creates a server that routes by the snapshot that the control loop
 // publishes.
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
 		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
+		crashed: func(AttemptBroken) {}, trialEnded: func(crash.Part, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
@@ -113,6 +134,10 @@
 	return stopsAt != nil && stopsAt.Sub(now) < duration
 }
 
+// LastAnswer returns when a prompt with a part was last answered through this node, or
+// the zero time if that is not known.
+func (server *Server) LastAnswer(part crash.Part) time.Time { return server.soundTimes.Last(part) }
+
 // InFlight returns the number of requests in flight.
 func (server *Server) InFlight() int64 { return server.inFlight.Load() }
 
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -97,6 +97,9 @@
 	}
 	err = relay.forwardEvents(exchange, func() {
 		request.attemptEvents++
+		if request.attemptEvents == request.server.soundEvents {
+			request.recordSound()
+		}
 		removePendingTokens()
 		probe.Reset(policy.ProbeAfter)
 		stall.Reset(policy.StallAfter)
@@ -106,6 +109,7 @@
 		return request.handleFailure(candidate, errors.Mark(causeOf(ctx, err), pool.ErrIncompleteResponse), sentAt)
 	}
 	exchange.Release()
+	request.recordSound()
 	candidate.Load.RecordResult(time.Now(), false, time.Since(sentAt))
 	request.outcome = "answered"
 	if len(request.tried) > 1 {
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -52,6 +52,10 @@
 	CommandAnswered       = Event{412, "command answered", zap.InfoLevel}
 	ReplicasServing       = Event{413, "number of serving replicas changed", zap.InfoLevel}
 	PlacementStats        = Event{414, "placement statistics", zap.InfoLevel}
+	EndpointCrashed       = Event{415, "endpoint crashed with requests in progress", zap.WarnLevel}
+	PartBlocked           = Event{416, "requests with a prompt part that crashes endpoints are rejected", zap.ErrorLevel}
+	PartAllowed           = Event{417, "requests with a prompt part are allowed again", zap.WarnLevel}
+	PartTrial             = Event{418, "trial request with a blocked prompt part ended", zap.WarnLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -77,7 +81,7 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken,
 	}
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Copy returns a copy whose maps, which are not nil, and lists Unresponsive and
-// Leaving are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
+// Copy returns a copy whose maps, which are not nil, and lists Unresponsive,
+// Leaving and Crashes are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
 func (digest Digest) Copy() Digest {
 	digest.InFlight = cloneCounts(digest.InFlight)
 	digest.PendingTokens = cloneCounts(digest.PendingTokens)
@@ -16,6 +16,7 @@
 		digest.Demand = map[string]int64{}
 	}
 	digest.Unresponsive, digest.Leaving = slices.Clone(digest.Unresponsive), slices.Clone(digest.Leaving)
+	digest.Crashes = digest.Crashes.copy()
 	return digest
 }
 
@@ -49,6 +50,7 @@
 			digest.Leaving = append(digest.Leaving, leaving)
 		}
 	}
+	digest.Crashes.add(other.Crashes)
 	digest.HadRequests = digest.HadRequests || other.HadRequests
 	if other.NewerThan(digest.Fence, digest.PlanCount) {
 		digest.Fence, digest.PlanCount, digest.Quarantined = other.Fence, other.PlanCount, other.Quarantined
@@ -88,6 +90,7 @@
 			digest.Ages[table] = int64(now.Sub(confirmedAt))
 		}
 	}
+	digest.Crashes = digest.Crashes.withAges(now)
 	return digest
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -42,6 +42,7 @@
 	Compacted        rows.Version     `cbor:"17,keyasint,omitempty"` // that copy has removals up to this version that the node can't list
 	Ages             []int64          `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
 	ConfirmedAt      []time.Time      `cbor:"-"`                     // the same as times of the node's own clock
+	Crashes          Crashes          `cbor:"20,keyasint,omitempty"`
 }
 
 // Leaving names an endpoint that has said in an answer that it leaves.
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -93,6 +93,14 @@
 break_one "a body that is cut at the limit" io/pool/pool.go 'err == nil && int64(len(read)) > limit' 'false' ./io/pool 'TestEndlessResponse|TestBodyUpToTheLimit'
 break_one "an event without a limit" io/entry/stream.go 'if relay.event.Len() > maxEventBytes {' 'if relay.event.Len() > 1<<26 {' ./io/entry TestEndlessEvent
 break_one "a part of a line that passes for a line" io/entry/stream.go 'if !found || continued {' 'if !found {' ./io/entry TestLinesLongerThanTheBuffer
+break_one "a prompt part blamed for crashes before its last answer" core/crash/ledger.go 'seen.at.After(suspected.soundAt) && ' '' ./core/crash TestWhichPartIsBlocked
+break_one "a prompt part blamed for crashes that another one explains" core/crash/ledger.go ' && !explained[incarnation]' ' && (true || explained[incarnation])' ./core/crash TestWhichPartIsBlocked
+break_one "crashes of a rack that count one by one" core/crash/ledger.go '!at.Before(last.Add(ledger.policy.MomentGap))' 'at.After(last)' ./core/crash TestWhichPartIsBlocked
+break_one "a part answered before that is blamed first" core/crash/ledger.go 'return unknown
+	}' 'return otherUnknown
+	}' ./core/crash TestWhichPartIsBlocked
+break_one "crashes of prompt parts that are not recorded" io/edge/crashes.go 'control.crashes.ledger.Record(crash.Report{Part: part, Position: position, Incarnation: incarnation, At: broken.at}, true)' '_ = position' ./platform/fakes TestPromptPartThatCrashesEndpoints
+break_one "an answer that does not lift a block" core/crash/ledger.go 'block.Lifted = true' 'block.Lifted = false' ./core/crash TestBlockEnds
 
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
