Blocked prompt parts survive a restart of all nodes

Callers saw (in the test): after all nodes had started again, requests with a blocked part ended endpoints once more, 12 of them in 4 s where 3 may.

Cause: blocks lived in the nodes' memory and digests only. Change: one row of the store holds the parts that are blocked. A node reads it once, at its start; the node that places writes it when the blocks change, or when the store has come back from an older copy. The row has no times, since clocks jump: trials come as if the part had been blocked at the start.

--- a/core/crash/ledger.go
+++ b/core/crash/ledger.go
@@ -295,6 +295,13 @@
 	return true
 }
 
+// Restore takes a block of which neither this node nor another one knows more than
+// that it was in force. Its next trial is due as if it had begun at its Since.
+func (ledger *Ledger) Restore(block Block) {
+	block.NextTrial = block.Since.Add(ledger.policy.trialDelay(block.Trials))
+	ledger.Merge(block)
+}
+
 // TrialFailed records that a trial of a blocked part ended another endpoint.
 func (ledger *Ledger) TrialFailed(part Part, now time.Time) {
 	block, found := ledger.blocks[part]
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -116,6 +116,7 @@
 		go control.follow(ctx, table)
 	}
 	go control.fetchFromSeeds(ctx)
+	go control.readBlocks(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -169,6 +170,10 @@
 		control.handleBroken(typed, now)
 	case trialEnded:
 		control.handleTrialEnded(typed, now)
+	case blocksRead:
+		control.handleBlocksRead(typed, now)
+	case blocksWritten:
+		control.handleBlocksWritten(typed, now)
 	case probeResult:
 		control.handleProbeResult(typed, now)
 	case commandResult:
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -20,6 +20,7 @@
 	answeredAt map[string]time.Time                  // when the last probe was sent that an endpoint of them has answered
 	trials     map[crash.Part]*crash.Trial           // that this node may send now
 	shown      map[crash.Part]crash.Block            // as last logged and published
+	stored     storedBlocks
 }
 
 // brokenAttempts are the attempts that an endpoint has broken off.
@@ -88,6 +89,7 @@
 	crashes.ledger.Judge(now)
 	control.offerTrials(now)
 	control.showBlocks(now)
+	control.writeBlocks(now)
 }
 
 // confirmCrashes records the crashes of the endpoints that have broken off attempts
