A stream that ends with its connection before any event has been broken off

Callers saw (in the test): status 200 and an empty stream that looked complete. An answer may have neither a length nor chunks; then the end of the connection is the end of the answer, and that of an endpoint which ends before its first event was taken for a whole stream. It also counted as an answer that shows the prompt to be sound. Such a stream is now resumed elsewhere, and only its events show that a prompt is sound.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -108,8 +108,10 @@
 		exchange.Close()
 		return request.handleFailure(candidate, errors.Mark(causeOf(ctx, err), pool.ErrIncompleteResponse), sentAt)
 	}
+	if !exchange.EndsWithConnection() {
+		request.recordSound()
+	}
 	exchange.Release()
-	request.recordSound()
 	candidate.Load.RecordResult(time.Now(), false, time.Since(sentAt))
 	request.outcome = "answered"
 	if len(request.tried) > 1 {
@@ -152,7 +154,7 @@
 	for {
 		id, err := relay.readEvent(reader)
 		if errors.Is(err, io.EOF) && relay.event.Len() == 0 {
-			return nil
+			return relay.checkEnd(exchange)
 		}
 		if err != nil {
 			return err
@@ -171,6 +173,16 @@
 	}
 }
 
+// checkEnd checks a stream that has ended between two events. If nothing but the end of
+// the connection marks its end, and it has no event at all, then the endpoint has ended
+// rather than the stream.
+func (relay *relay) checkEnd(exchange *pool.Exchange) error {
+	if relay.request.attemptEvents == 0 && exchange.EndsWithConnection() {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // readEvent reads one event into relay.event, up to and including the empty line
 // that ends it, and returns its id.
 func (relay *relay) readEvent(reader *bufio.Reader) (string, error) {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -178,7 +178,7 @@
 func (exchange *Exchange) Release() {
 	exchange.once.Do(func() {
 		_ = exchange.Response.Body.Close()
-		if !exchange.stop() || exchange.Response.Close || exchange.connection.reader.Buffered() > 0 || closeDelimited(exchange.Response) {
+		if !exchange.stop() || exchange.Response.Close || exchange.connection.reader.Buffered() > 0 || exchange.EndsWithConnection() {
 			_ = exchange.connection.conn.Close()
 			return
 		}
@@ -199,10 +199,10 @@
 	_ = exchange.connection.conn.SetReadDeadline(deadline)
 }
 
-// closeDelimited reports whether only the close of the connection marks the end of
+// EndsWithConnection reports whether only the end of the connection marks the end of
 // the response body.
-func closeDelimited(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+func (exchange *Exchange) EndsWithConnection() bool {
+	return exchange.Response.ContentLength < 0 && len(exchange.Response.TransferEncoding) == 0
 }
 
 // Dials returns the number of connections opened so far.
