Endpoints that state a limit get no more than that from all nodes

Change: nodes tell each other in digests what endpoints state to them and how many requests they receive; core/limit gives each node a share by these, and lets only some nodes use an endpoint with a small limit, so that the first requests of all nodes together stay within it. core/reach takes a turn for each attempt. Without a turn left callers are rejected at once, with the time of the next one. Ruled out: each node alone within the limit, by the sum; requests that were on their way, since the breaks last as long as the limits.

--- /dev/null
+++ b/core/limit/limit.go
@@ -0,0 +1,79 @@
+package limit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Observation is what an endpoint said of its limit in an answer.
+type Observation struct {
+	StartedAt time.Time // of the incarnation that said so
+	Limited   bool      // it has stated a limit
+	PerSecond float64   // the limit, for all nodes together
+	At        time.Time // when the answer came
+}
+
+// NewerThan reports whether the observation replaces another one of the same endpoint.
+func (observation Observation) NewerThan(other Observation) bool {
+	if !observation.StartedAt.Equal(other.StartedAt) {
+		return observation.StartedAt.After(other.StartedAt)
+	}
+	return observation.At.After(other.At)
+}
+
+// Node is a node that sends requests to a service.
+type Node struct {
+	Name string
+	Rate float64 // requests a second that it has lately received for the service
+}
+
+const (
+	minPerSecond = 0.1 // a lower limit counts as this, so that a node learns of its end
+	minWeight    = 0.2 // of a node without requests, as a fraction of the mean
+	baseNodes    = 4   // nodes that may use an endpoint whose limit is 0
+)
+
+// Share returns how many requests a second the first of the nodes may send to an
+// endpoint that takes perSecond from all of them. It is 0 if others use the endpoint.
+//
+// Each node gets a share by the requests that it receives. A node that spaces its
+// requests evenly sends at most one more in a window than its share of it, and so do
+// all the others: with a limit of 0.5 a second, 390 nodes would send 390 requests at
+// once. So only as many nodes use an endpoint as the limit can bear, those that come
+// first by a hash of their names and the endpoint's. For example, with a limit of
+// 1.2 a second 5 of 6 nodes use the endpoint, for 4.8 + 5 requests in 4 s at most.
+// Every node computes the same from the same list of nodes. Where the lists differ for
+// a moment, the sum of the shares does too, by as much.
+func Share(endpoint string, perSecond float64, nodes []Node) float64 {
+	perSecond = max(perSecond, minPerSecond)
+	self := nodes[0].Name
+	users := slices.Clone(nodes)
+	if most := baseNodes + int(perSecond); len(users) > most {
+		slices.SortFunc(users, func(a, b Node) int {
+			return cmp.Or(cmp.Compare(rank(endpoint, a.Name), rank(endpoint, b.Name)), cmp.Compare(a.Name, b.Name))
+		})
+		users = users[:most]
+	}
+	sum := 0.0
+	for _, user := range users {
+		sum += user.Rate
+	}
+	mean := sum / float64(len(users))
+	weights, own := 0.0, 0.0
+	for _, user := range users {
+		weight := max(user.Rate, minWeight*mean)
+		if sum == 0 {
+			weight = 1
+		}
+		weights += weight
+		if user.Name == self {
+			own = weight
+		}
+	}
+	return perSecond * own / weights
+}
+
+func rank(endpoint, node string) uint64 { return xxhash.Sum64String(endpoint + "/" + node) }
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -20,6 +20,8 @@
 // differently. Prompts whose prefill is pending add the time that their prefill
 // will take, as a fraction of the request's time left.
 //
+// Choose takes this node's turn at the candidate, if that has stated a limit.
+//
 // A sample of the candidates is compared first, and all of them if the sample
 // has no room. Rejecting is cheaper than queueing beyond the objective: a
 // request that waits takes its slot late and delays the next ones too.
@@ -32,17 +34,32 @@
 		candidates = servicepool.Models[request.Model]
 	}
 	limit := maxUtilization(policy, servicepool, request)
-	best, bestScore := pick(policy, sample(policy, candidates, request), request)
-	if best == nil || bestScore.utilization > limit {
-		best, bestScore = pick(policy, candidates, request)
-	}
-	if best == nil {
-		return Reject{Reason: ReasonNoEndpoint, RetryAt: retryAt(policy, candidates, request)}
+	for {
+		best, bestScore := pick(policy, sample(policy, candidates, request), request)
+		if best == nil || bestScore.utilization > limit {
+			best, bestScore = pick(policy, candidates, request)
+		}
+		if best == nil {
+			return Reject{Reason: reasonWithout(candidates, request.Now), RetryAt: retryAt(policy, candidates, request)}
+		}
+		if bestScore.utilization > limit {
+			return Reject{Reason: ReasonFull, RetryAt: request.Now.Add(retryDelay(policy, candidates, request))}
+		}
+		if best.Load.TakeTurn(request.Now) {
+			return Send{Candidate: best}
+		}
+		// Another request has taken the turn, so that the candidate is limited now.
 	}
-	if bestScore.utilization > limit {
-		return Reject{Reason: ReasonFull, RetryAt: request.Now.Add(retryDelay(policy, candidates, request))}
+}
+
+// reasonWithout returns why none of the candidates takes a request.
+func reasonWithout(candidates []*Candidate, now time.Time) Reason {
+	for _, candidate := range candidates {
+		if candidate.Load.Limited(now) {
+			return ReasonLimited
+		}
 	}
-	return Send{Candidate: best}
+	return ReasonNoEndpoint
 }
 
 // sample draws random candidates for a request. Where this zone has many, it
@@ -126,7 +143,7 @@
 // takesRequests reports whether new requests may be sent to the candidate.
 func (candidate *Candidate) takesRequests(now time.Time) bool {
 	load := candidate.Load
-	return !load.Avoided(now) && !load.BackedOff(now) && !load.Leaving(candidate.StartedAt)
+	return !load.Avoided(now) && !load.BackedOff(now) && !load.Leaving(candidate.StartedAt) && !load.Limited(now)
 }
 
 // scoreOf rates a candidate, given the mean answer time of all and the seconds until
@@ -179,24 +196,29 @@
 }
 
 // retryAt returns when a caller may retry a request for which there is no candidate.
-// If all of them have asked for a backoff, that is when the first backoff ends, plus
-// up to backoffSpread of it, so that callers do not all return at once.
+// If all of them have asked for a backoff or stated limits, that is when the first one
+// takes a request again, plus a random part of the time over which callers should
+// return, so that they do not all return at once.
 func retryAt(policy Policy, candidates []*Candidate, request Request) time.Time {
 	earliest := request.Now.Add(retryDelay(policy, candidates, request))
 	var earliestEnd time.Time
+	var spread time.Duration
 	for _, candidate := range candidates {
-		switch {
-		case candidate.Load.Leaving(candidate.StartedAt):
-		case !candidate.Load.BackedOff(request.Now):
+		if candidate.Load.Leaving(candidate.StartedAt) {
+			continue
+		}
+		until, spreadOver := candidate.Load.pausedUntil(request.Now)
+		if !until.After(request.Now) {
 			return earliest
-		case earliestEnd.IsZero() || candidate.Load.BackoffEnd().Before(earliestEnd):
-			earliestEnd = candidate.Load.BackoffEnd()
+		}
+		if earliestEnd.IsZero() || until.Before(earliestEnd) {
+			earliestEnd, spread = until, spreadOver
 		}
 	}
 	if earliestEnd.IsZero() {
 		return earliest
 	}
-	return earliestEnd.Add(time.Duration(backoffSpread * request.Random * float64(earliestEnd.Sub(request.Now))))
+	return earliestEnd.Add(time.Duration(request.Random * float64(spread)))
 }
 
 // backoffSpread is the fraction of a backoff over which callers return after it.
--- a/core/reach/choose_test.go
+++ b/core/reach/choose_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +97,48 @@
 	assert.Assert(t, wait >= 3*time.Second && wait <= 4*time.Second, "%s, the first backoff ends after 3 s", wait)
 }
 
+// TestEndpointsWithLimits checks that an endpoint gets requests at this node's rate
+// only, that others get the rest, and when rejected callers come back.
+func TestEndpointsWithLimits(t *testing.T) {
+	limited, excluded, busy := newCandidate("limited", true, 0), newCandidate("excluded", true, 0), newCandidate("busy", true, 8)
+	limited.Load.SetRate(2)
+	excluded.Load.SetRate(0)
+	pool, request := poolOf(limited, excluded, busy), newRequest()
+	expectChoice(t, pool, request, "limited")
+	expectChoice(t, pool, request, "busy")
+	request.Now = start.Add(499 * time.Millisecond)
+	expectChoice(t, pool, request, "busy")
+	request.Now = start.Add(500 * time.Millisecond)
+	expectChoice(t, pool, request, "limited")
+
+	reject, rejected := reach.Choose(reach.DefaultPolicy(), poolOf(limited, excluded), request).(reach.Reject)
+	assert.Assert(t, rejected)
+	assert.Equal(t, reject.Reason, reach.ReasonLimited)
+	wait := reject.RetryAt.Sub(request.Now)
+	assert.Assert(t, wait >= 500*time.Millisecond && wait <= time.Second, "%s, the next turn is after 0.5 s", wait)
+
+	excluded.Load.RemoveRate()
+	expectChoice(t, poolOf(limited, excluded), request, "excluded")
+	expectChoice(t, poolOf(limited, excluded), request, "excluded")
+}
+
+// TestConcurrentTurns checks that one turn is taken once.
+func TestConcurrentTurns(t *testing.T) {
+	load := &reach.Load{}
+	load.SetRate(1)
+	var taken atomic.Int64
+	var takers sync.WaitGroup
+	for range 100 {
+		takers.Go(func() {
+			if load.TakeTurn(start) {
+				taken.Add(1)
+			}
+		})
+	}
+	takers.Wait()
+	assert.Equal(t, taken.Load(), int64(1))
+}
+
 // BenchmarkChoose chooses among 300 replicas, some of which take no requests.
 func BenchmarkChoose(b *testing.B) {
 	var candidates []*reach.Candidate
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -86,4 +86,5 @@
 	ReasonFull       Reason = "full"              // the request would queue beyond its objective
 	ReasonNoService  Reason = "no-service"        // the configuration has no such service
 	ReasonCrashes    Reason = "crashes-endpoints" // a part of the prompt crashes endpoints
+	ReasonLimited    Reason = "limited"           // the endpoints have stated limits, and this node has had its turns
 )
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -11,6 +11,7 @@
 	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/rows"
+	"hickorybend/io/entry"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
@@ -34,6 +35,7 @@
 	hadRequests      func() bool                     // whether a request has arrived at this node
 	localDemand      func() map[string]time.Duration // estimated host time requested of each model at this node since the start
 	lastAnswer       func(part crash.Part) time.Time // when a prompt with a part was last answered through this node; zero if not known
+	localRequests    func() map[string]int64         // requests for each service that this node has received since the start
 	abortAttempts    func(firstHosts []string)       // cancels the attempts at replicas that can no longer serve, named by their first hosts
 	messages         chan message
 	snapshot         atomic.Pointer[reach.Snapshot]
@@ -55,6 +57,7 @@
 	placement        placement
 	demand           demand
 	crashes          crashes
+	limits           limits
 	loggedServing    map[string]int // serving replicas of each model, as last logged
 	storeRepliedAt   time.Time      // when the store last answered
 	bootClockOffset  func(monotonic time.Duration) (time.Duration, error)
@@ -64,21 +67,26 @@
 }
 
 // NewControl creates a node's control. hadRequests, localDemand,
-// lastAnswer and abortAttempts do nothing until newServer sets them.
+// lastAnswer, localRequests and abortAttempts do nothing until newServer sets them.
 func NewControl(settings Settings, store *platform.Store, engineclient *platform.EngineClient, log *zap.Logger, meter *meter.Meter) *Control {
 	control := &Control{
 		settings: settings, store: store, engineClient: engineclient, log: log, meter: meter,
 		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, abortAttempts: func([]string) {}, lastAnswer: func(crash.Part) time.Time { return time.Time{} },
-		messages: make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
+		localRequests: func() map[string]int64 { return nil },
+		messages:      make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
 	}
 	control.copies = newCopies(settings)
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
 	control.crashes = newCrashes()
+	control.limits = newLimits()
 	control.placement = newPlacement(settings)
 	control.demand = demand{previous: map[string]map[string]int64{}, recent: fleet.NewDemand()}
 	if engineclient != nil {
 		engineclient.OnLeaving(func(endpoint string) { control.Leaving(endpoint, time.Time{}) })
+		engineclient.OnLimit(func(endpoint string, perSecond float64) {
+			control.LimitStated(entry.StatedLimit{Endpoint: endpoint, Limited: true, PerSecond: perSecond, At: time.Now()})
+		})
 	}
 	control.isLeader.Store(true) // until other nodes are known
 	control.snapshot.Store(&reach.Snapshot{Nodes: 1})
@@ -170,6 +178,8 @@
 		control.handleBroken(typed, now)
 	case trialEnded:
 		control.handleTrialEnded(typed, now)
+	case limitStated:
+		control.handleLimitStated(typed, now)
 	case blocksRead:
 		control.handleBlocksRead(typed, now)
 	case blocksWritten:
@@ -248,6 +258,7 @@
 	control.checkEndpointDeadlines(now)
 	control.judgeCrashes(now)
 	control.exchangeDigests(now)
+	control.shareLimits(now)
 	control.refreshCopies(now)
 	control.reportAges(now)
 	control.updateDemand(now)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -52,11 +52,12 @@
 
 func newServer(settings Settings, control *Control, pool *pool.Pool, log *zap.Logger, meter *meter.Meter) *entry.Server {
 	server := entry.New(pool, control.Snapshot(),
-		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded),
+		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded), entry.WithLimits(control.LimitStated),
 		entry.WithRetryBudget(retry.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, UsableShare: usableBudgetShare}))
 	control.hadRequests = server.HadRequests
 	control.localDemand = server.Demand
 	control.lastAnswer = server.LastAnswer
+	control.localRequests = server.Requests
 	control.abortAttempts = server.AbortAttempts
 	return server
 }
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -219,6 +219,7 @@
 	}
 	digest.Leaving = control.endpoints.leavingList()
 	digest.Crashes = control.crashDigest(time.Now())
+	digest.Limits, digest.Requests = control.limitDigest(), control.localRequests()
 	digest.Versions, digest.ConfirmedAt = control.versions(), control.copies.confirmedAt()
 	digest.Complete, digest.Compacted = control.endpoints.completeVersion, control.endpoints.compactedVersion
 	// Before its first planning pass a holder does not know which endpoints are quarantined.
@@ -286,7 +287,7 @@
 // endpoints and the lease's holder.
 func (control *Control) handlePeerDigest(received digestReceived, now time.Time) {
 	digest := received.digest
-	digest.Crashes = digest.Crashes.ReceivedAt(now)
+	digest.Crashes, digest.Limits = digest.Crashes.ReceivedAt(now), gossip.LimitsReceivedAt(digest.Limits, now)
 	peer := control.peers.nodes[digest.Node]
 	if peer == nil {
 		return // its row has not been read yet
@@ -298,6 +299,7 @@
 	control.confirmByPeer(digest, received.askedAt, now)
 	control.learnLeaving(digest, now)
 	control.learnCrashes(digest.Crashes)
+	control.learnLimits(digest.Limits, now)
 	control.reconcileUnresponsive(digest, now)
 	control.placement.updateHolderReport(digest, now)
 }
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -103,8 +103,8 @@
 }
 
 // readHeader decodes the headers of an answer, and applies what the endpoint says of
-// itself in them before the body has come: that it leaves, or is to get no request
-// for a while.
+// itself in them before the body has come: that it leaves, is to get no request for a
+// while, or takes only so many.
 func (request *request) readHeader(candidate *reach.Candidate, exchange *pool.Exchange) platform.ResponseHeader {
 	responseheader := platform.ReadResponseHeader(exchange.Response)
 	if responseheader.Leaving && candidate.Load.MarkLeaving(candidate.StartedAt) {
@@ -118,9 +118,30 @@
 			event.Log(request.server.log, event.RetryAfterUnusable, zap.String("endpoint", candidate.ID), zap.String("value", value))
 		})
 	}
+	request.readLimit(candidate, exchange.Response.StatusCode, responseheader)
 	return responseheader
 }
 
+// readLimit applies the limit that an endpoint states in an answer. Only a success
+// without one ends a limit: another endpoint may have answered at this address, or a
+// process before it.
+func (request *request) readLimit(candidate *reach.Candidate, status int, responseheader platform.ResponseHeader) {
+	limit := responseheader.Limit
+	if limit.Unusable != "" {
+		request.server.unusableLimit.Do(func() {
+			event.Log(request.server.log, event.LimitUnusable, zap.String("endpoint", candidate.ID), zap.String("value", limit.Unusable))
+		})
+	}
+	ends := status < http.StatusMultipleChoices && responseheader.Receipt
+	if status == http.StatusMisdirectedRequest || !limit.Stated && !ends {
+		return
+	}
+	now := time.Now()
+	if candidate.Load.RecordLimit(limit.Stated, limit.PerSecond, now) {
+		request.server.limited(StatedLimit{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Limited: limit.Stated, PerSecond: limit.PerSecond, At: now})
+	}
+}
+
 // classify checks that a response belongs to this request and is complete. A
 // status below 300 needs a receipt, a header that the endpoint sets on its own
 // responses. A status such as 503 means "not run" only if another header of the
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -145,7 +145,7 @@
 	for _, id := range request.header.SharedParts {
 		request.parts = append(request.parts, crash.Part{Service: request.service, ID: id})
 	}
-	request.server.depositRetry(request.service, request.receivedAt)
+	request.server.recordRequest(request.service, request.receivedAt)
 	request.recordDemand()
 	ctx, cancel := context.WithDeadline(request.r.Context(), request.deadline)
 	defer cancel()
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -24,28 +24,31 @@
 
 // Server forwards callers' requests to endpoints.
 type Server struct {
-	policy      Policy
-	routing     reach.Policy
-	retryPolicy retry.Policy
-	pool        *pool.Pool
-	snapshot    *atomic.Pointer[reach.Snapshot]
-	suspect     func(endpoint string)
-	confirm     func(ctx context.Context) time.Duration // see WithConfirm
-	leaving     func(endpoint string, startedAt time.Time)
-	crashed     func(AttemptBroken)
-	trialEnded  func(part crash.Part, crashed bool)
-	soundTimes  *crash.SoundTimes
-	soundEvents int       // events of an answer that show that its prompt is sound
-	unusable    sync.Once // the first unusable Retry-After of an endpoint, which is logged
-	log         *zap.Logger
-	meter       *meter.Meter
-	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
-	inFlight    atomic.Int64
-	hadRequests atomic.Bool
-	mutex       sync.Mutex
-	budgets     map[string]*retry.Budget     // by service
-	attempts    map[string]map[*attempt]bool // in progress, by endpoint
-	demand      map[string]time.Duration     // by model; see Demand
+	policy        Policy
+	routing       reach.Policy
+	retryPolicy   retry.Policy
+	pool          *pool.Pool
+	snapshot      *atomic.Pointer[reach.Snapshot]
+	suspect       func(endpoint string)
+	confirm       func(ctx context.Context) time.Duration // see WithConfirm
+	leaving       func(endpoint string, startedAt time.Time)
+	crashed       func(AttemptBroken)
+	limited       func(StatedLimit)
+	unusableLimit sync.Once        // the first unusable limit of an endpoint, which is logged
+	requests      map[string]int64 // by service; see Requests
+	trialEnded    func(part crash.Part, crashed bool)
+	soundTimes    *crash.SoundTimes
+	soundEvents   int       // events of an answer that show that its prompt is sound
+	unusable      sync.Once // the first unusable Retry-After of an endpoint, which is logged
+	log           *zap.Logger
+	meter         *meter.Meter
+	stopsAt       atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
+	inFlight      atomic.Int64
+	hadRequests   atomic.Bool
+	mutex         sync.Mutex
+	budgets       map[string]*retry.Budget     // by service
+	attempts      map[string]map[*attempt]bool // in progress, by endpoint
+	demand        map[string]time.Duration     // by model; see Demand
 }
 
 // attempt is one sending of a request to an endpoint.
@@ -106,13 +109,29 @@
 	return func(server *Server) { server.crashed, server.trialEnded = crashed, trialEnded }
 }
 
+// StatedLimit is what an endpoint said in an answer of the requests that it takes from
+// all nodes together.
+type StatedLimit struct {
+	Endpoint  string
+	StartedAt time.Time // of the incarnation of the endpoint
+	Limited   bool      // it stated a limit
+	PerSecond float64
+	At        time.Time
+}
+
+// WithLimits sets the function that is called when an endpoint states a limit, and when
+// it no longer does.
+func WithLimits(limited func(StatedLimit)) Option {
+	return func(server *Server) { server.limited = limited }
+}
+
 // New creates a server that routes by the snapshot that the control loop
 // publishes.
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
 		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
-		crashed: func(AttemptBroken) {}, trialEnded: func(crash.Part, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
+		limited: func(StatedLimit) {}, requests: map[string]int64{}, crashed: func(AttemptBroken) {}, trialEnded: func(crash.Part, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
@@ -190,16 +209,25 @@
 	return maps.Clone(server.demand)
 }
 
+// Requests returns the number of requests for each service since the start.
+func (server *Server) Requests() map[string]int64 {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return maps.Clone(server.requests)
+}
+
 func (server *Server) addDemand(model string, hostTime time.Duration) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.demand[model] += hostTime
 }
 
-func (server *Server) depositRetry(service string, now time.Time) {
+// recordRequest counts a request for a service, which adds to its retry budget.
+func (server *Server) recordRequest(service string, now time.Time) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.budget(service).Deposit(now)
+	server.requests[service]++
 }
 
 func (server *Server) withdrawRetry(service string, now time.Time, nodes int) bool {
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -56,6 +56,8 @@
 	PartBlocked           = Event{416, "requests with a prompt part that crashes endpoints are rejected", zap.ErrorLevel}
 	PartAllowed           = Event{417, "requests with a prompt part are allowed again", zap.WarnLevel}
 	PartTrial             = Event{418, "trial request with a blocked prompt part ended", zap.WarnLevel}
+	EndpointLimited       = Event{419, "endpoint limits the requests that it takes", zap.WarnLevel}
+	EndpointUnlimited     = Event{420, "endpoint takes any number of requests again", zap.InfoLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -71,6 +73,7 @@
 	RequestEnded          = Event{606, "request ended", zap.InfoLevel}
 	RetryAfterUnusable    = Event{607, "unusable Retry-After of an endpoint", zap.WarnLevel}
 	AttemptBroken         = Event{608, "endpoint broke off an attempt", zap.WarnLevel}
+	LimitUnusable         = Event{609, "unusable Server-Limit of an endpoint", zap.WarnLevel}
 )
 
 // All returns every event in the order of the numbers.
@@ -81,9 +84,9 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial, EndpointLimited, EndpointUnlimited,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable,
 	}
 }
 
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -7,7 +7,7 @@
 )
 
 // Copy returns a copy whose maps, which are not nil, and lists Unresponsive,
-// Leaving and Crashes are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
+// Leaving, Crashes and Limits are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
 func (digest Digest) Copy() Digest {
 	digest.InFlight = cloneCounts(digest.InFlight)
 	digest.PendingTokens = cloneCounts(digest.PendingTokens)
@@ -16,7 +16,11 @@
 		digest.Demand = map[string]int64{}
 	}
 	digest.Unresponsive, digest.Leaving = slices.Clone(digest.Unresponsive), slices.Clone(digest.Leaving)
-	digest.Crashes = digest.Crashes.copy()
+	digest.Crashes, digest.Limits = digest.Crashes.copy(), slices.Clone(digest.Limits)
+	digest.Requests = maps.Clone(digest.Requests)
+	if digest.Requests == nil {
+		digest.Requests = map[string]int64{}
+	}
 	return digest
 }
 
@@ -50,7 +54,11 @@
 			digest.Leaving = append(digest.Leaving, leaving)
 		}
 	}
+	for service, count := range other.Requests {
+		digest.Requests[service] += count
+	}
 	digest.Crashes.add(other.Crashes)
+	digest.Limits = addLimits(digest.Limits, other.Limits)
 	digest.HadRequests = digest.HadRequests || other.HadRequests
 	if other.NewerThan(digest.Fence, digest.PlanCount) {
 		digest.Fence, digest.PlanCount, digest.Quarantined = other.Fence, other.PlanCount, other.Quarantined
@@ -90,7 +98,7 @@
 			digest.Ages[table] = int64(now.Sub(confirmedAt))
 		}
 	}
-	digest.Crashes = digest.Crashes.withAges(now)
+	digest.Crashes, digest.Limits = digest.Crashes.withAges(now), limitsWithAges(digest.Limits, now)
 	return digest
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -43,6 +43,8 @@
 	Ages             []int64          `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
 	ConfirmedAt      []time.Time      `cbor:"-"`                     // the same as times of the node's own clock
 	Crashes          Crashes          `cbor:"20,keyasint,omitempty"`
+	Limits           []EndpointLimit  `cbor:"21,keyasint,omitempty"` // what endpoints stated to this node
+	Requests         map[string]int64 `cbor:"22,keyasint,omitempty"` // requests received since the start, by service
 }
 
 // Leaving names an endpoint that has said in an answer that it leaves.
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -102,6 +102,10 @@
 break_one "crashes of prompt parts that are not recorded" io/edge/crashes.go 'control.crashes.ledger.Record(crash.Report{Part: part, Position: position, Incarnation: incarnation, At: broken.at}, true)' '_ = position' ./platform/fakes TestPromptPartThatCrashesEndpoints
 break_one "blocks that are not stored" io/edge/blocks.go 'control.overwriteRow(blocksKey, body)' 'control.overwriteRow(blocksKey, body[:0])' ./platform/fakes TestBlocksSurviveRestartOfAllNodes
 break_one "an answer that does not lift a block" core/crash/ledger.go 'block.Lifted = true' 'block.Lifted = false' ./core/crash TestBlockEnds
+break_one "a limit that each node uses alone" core/limit/limit.go 'return perSecond * own / weights' 'return perSecond * own / own' ./core/limit 'TestSharesAddUp|TestNodesStayWithin'
+break_one "a small limit that all nodes use at once" core/limit/limit.go 'len(users) > most' 'false && most > 0' ./core/limit TestNodesStayWithinTheLimit
+break_one "a request that takes no turn" core/reach/choose.go 'best.Load.TakeTurn(request.Now)' 'true' ./core/reach TestEndpointsWithLimits
+break_one "a limit that ends with a late report" io/edge/limits.go '!observation.NewerThan(control.limits.known[id])' 'false' ./io/edge TestEndOfALimit
 
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
