A stalled stream is cut only if another endpoint may take it over

Cause: the stall timeout ended the attempt without a look whether another one is allowed: attempts left, retry budget, time, and an endpoint with room. It looks now, and otherwise waits on for the rest of the answer; an endpoint that does not answer probes still ends the attempt.

--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -29,10 +29,7 @@
 	if servicepool == nil {
 		return Reject{Reason: ReasonNoService, RetryAt: request.Now.Add(policy.MinRetryDelay)}
 	}
-	candidates := servicepool.Plain
-	if servicepool.Engine != nil {
-		candidates = servicepool.Models[request.Model]
-	}
+	candidates := servicepool.candidates(request.Model)
 	limit := maxUtilization(policy, servicepool, request)
 	for {
 		best, bestScore := pick(policy, sample(policy, candidates, request), request)
@@ -52,6 +49,24 @@
 	}
 }
 
+// HasRoom reports whether Choose would send the request somewhere. It takes no turn.
+func HasRoom(policy Policy, servicepool *ServicePool, request Request) bool {
+	if servicepool == nil {
+		return false
+	}
+	best, bestScore := pick(policy, servicepool.candidates(request.Model), request)
+	return best != nil && bestScore.utilization <= maxUtilization(policy, servicepool, request)
+}
+
+// candidates returns the endpoints that may take a request for a model, or for the
+// plain service.
+func (servicepool *ServicePool) candidates(model string) []*Candidate {
+	if servicepool.Engine != nil {
+		return servicepool.Models[model]
+	}
+	return servicepool.Plain
+}
+
 // reasonWithout returns why none of the candidates takes a request.
 func reasonWithout(candidates []*Candidate, now time.Time) Reason {
 	for _, candidate := range candidates {
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"slices"
 	"time"
 
 	"hickorybend/core/crash"
@@ -16,6 +17,14 @@
 	Blocked  map[crash.Part]Blocked
 }
 
+// Blocks reports whether requests with one of the parts are rejected.
+func (snapshot *Snapshot) Blocks(parts []crash.Part) bool {
+	return slices.ContainsFunc(parts, func(part crash.Part) bool {
+		_, blocked := snapshot.Blocked[part]
+		return blocked
+	})
+}
+
 // Blocked says that requests with a part of a prompt are rejected.
 type Blocked struct {
 	RetryAt time.Time    // when the part may be tried again
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -32,6 +32,15 @@
 // Withdraw reports whether the budget allows a retry when this many nodes share
 // it, and counts the retry if so.
 func (budget *Budget) Withdraw(now time.Time, nodes int) bool {
+	if !budget.Allows(now, nodes) {
+		return false
+	}
+	budget.retries[budget.bucket%bucketCount]++
+	return true
+}
+
+// Allows reports whether the budget allows a retry when this many nodes share it.
+func (budget *Budget) Allows(now time.Time, nodes int) bool {
 	budget.advance(now)
 	requests, retries := 0, 0
 	for i := range bucketCount {
@@ -39,11 +48,7 @@
 		retries += budget.retries[i]
 	}
 	limit := budget.policy.UsableShare * (budget.policy.Ratio*float64(requests) + budget.policy.Extra/float64(max(nodes, 1)))
-	if float64(retries+1) > limit {
-		return false
-	}
-	budget.retries[budget.bucket%bucketCount]++
-	return true
+	return float64(retries+1) <= limit
 }
 
 // advance moves the window to the bucket of the given time and clears the
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -224,10 +224,15 @@
 	if blocked, found := request.findBlocked(); found {
 		return reach.Reject{Reason: reach.ReasonCrashes, RetryAt: blocked.RetryAt}
 	}
-	return reach.Choose(request.server.routing, request.snapshot.Services[request.service], reach.Request{
+	return reach.Choose(request.server.routing, request.snapshot.Services[request.service], request.routingRequest(resumed))
+}
+
+// routingRequest describes the request for the choice of an endpoint.
+func (request *request) routingRequest(resumed bool) reach.Request {
+	return reach.Request{
 		Model: request.header.Model, Now: time.Now(), Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
 		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
-	})
+	}
 }
 
 // retriedTimeoutFraction is the fraction of a route's timeout below which a
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -236,6 +236,13 @@
 	return server.budget(service).Withdraw(now, nodes)
 }
 
+// allowsRetry reports whether withdrawRetry would succeed.
+func (server *Server) allowsRetry(service string, now time.Time, nodes int) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.budget(service).Allows(now, nodes)
+}
+
 func (server *Server) budget(service string) *retry.Budget {
 	budget := server.budgets[service]
 	if budget == nil {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -78,7 +78,7 @@
 	defer cancel(nil)
 	probe := time.AfterFunc(policy.ProbeAfter+request.route.LatencyObjective, func() { request.server.suspect(candidate.ID) })
 	defer probe.Stop()
-	stall := time.AfterFunc(policy.StallAfter, func() { cancel(errStalled) })
+	stall := request.watchForStall(func() { cancel(errStalled) })
 	defer stall.Stop()
 	candidate.Load.AddPendingTokens(request.header.PromptTokens)
 	removePendingTokens := sync.OnceFunc(func() { candidate.Load.AddPendingTokens(-request.header.PromptTokens) })
@@ -121,6 +121,42 @@
 	return answered{response: exchange.Response, header: responseheader}
 }
 
+// watchForStall returns a timer that calls cancel after StallAfter if another endpoint
+// may then take the request over. Otherwise it waits on: the rest of the answer may still
+// come.
+func (request *request) watchForStall(cancel func()) *time.Timer {
+	alternative := request.alternative()
+	var stall *time.Timer
+	assigned := make(chan struct{}) // closed once the function may use stall
+	stall = time.AfterFunc(request.server.policy.StallAfter, func() {
+		<-assigned
+		if alternative() {
+			cancel()
+			return
+		}
+		stall.Reset(request.server.policy.StallAfter)
+	})
+	close(assigned)
+	return stall
+}
+
+// alternative returns a function that reports whether another attempt at the request
+// would be made if the present one ended now. Other goroutines may call it while the
+// attempt is running.
+func (request *request) alternative() func() bool {
+	server, service, deadline, parts := request.server, request.service, request.deadline, request.parts
+	mayRepeat := site.Retryable(request.route.Kind) && len(request.tried) < min(request.route.MaxAttempts, server.policy.MaxEndpoints)
+	next := request.routingRequest(true)
+	return func() bool {
+		now, snapshot := time.Now(), server.snapshot.Load()
+		if !mayRepeat || snapshot.Blocks(parts) || deadline.Sub(now) < server.policy.MinTimeLeft || !server.allowsRetry(service, now, snapshot.Nodes) {
+			return false
+		}
+		next.Now = now
+		return reach.HasRoom(server.routing, snapshot.Services[service], next)
+	}
+}
+
 // handleNonStream handles a response whose status is not 200.
 func (relay *relay) handleNonStream(candidate *reach.Candidate, exchange *pool.Exchange, responseheader platform.ResponseHeader, sentAt time.Time) result {
 	request := relay.request
