The look for another endpoint shares no state between two stalls

Found by the race detector in TestStalledStreamWithoutAlternative: the function that looks for an alternative wrote to a variable that its next call reads, from another goroutine of the timer.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -146,12 +146,13 @@
 func (request *request) alternative() func() bool {
 	server, service, deadline, parts := request.server, request.service, request.deadline, request.parts
 	mayRepeat := site.Retryable(request.route.Kind) && len(request.tried) < min(request.route.MaxAttempts, server.policy.MaxEndpoints)
-	next := request.routingRequest(true)
+	resumed := request.routingRequest(true)
 	return func() bool {
 		now, snapshot := time.Now(), server.snapshot.Load()
 		if !mayRepeat || snapshot.Blocks(parts) || deadline.Sub(now) < server.policy.MinTimeLeft || !server.allowsRetry(service, now, snapshot.Nodes) {
 			return false
 		}
+		next := resumed
 		next.Now = now
 		return reach.HasRoom(server.routing, snapshot.Services[service], next)
 	}
