--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -114,7 +112,7 @@
 		candidate.Load.BackOff(time.Now().Add(delay))
 	}
 	if value := responseheader.RetryAfter.Unusable; value != "" {
-		request.server.unusable.Do(func() {
+		request.server.unusableRetryAfter.Do(func() {
 			event.Log(request.server.log, event.RetryAfterUnusable, zap.String("endpoint", candidate.ID), zap.String("value", value))
 		})
 	}
@@ -122,26 +120,6 @@
 	return responseheader
 }
 
-// readLimit applies the limit that an endpoint states in an answer. Only a success
-// without one ends a limit: another endpoint may have answered at this address, or a
-// process before it.
-func (request *request) readLimit(candidate *reach.Candidate, status int, responseheader platform.ResponseHeader) {
-	limit := responseheader.Limit
-	if limit.Unusable != "" {
-		request.server.unusableLimit.Do(func() {
-			event.Log(request.server.log, event.LimitUnusable, zap.String("endpoint", candidate.ID), zap.String("value", limit.Unusable))
-		})
-	}
-	ends := status < http.StatusMultipleChoices && responseheader.Receipt
-	if status == http.StatusMisdirectedRequest || !limit.Stated && !ends {
-		return
-	}
-	now := time.Now()
-	if candidate.Load.RecordLimit(limit.Stated, limit.PerSecond, now) {
-		request.server.limited(StatedLimit{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Limited: limit.Stated, PerSecond: limit.PerSecond, At: now})
-	}
-}
-
 // classify checks that a response belongs to this request and is complete. A
 // status below 300 needs a receipt, a header that the endpoint sets on its own
 // responses. A status such as 503 means "not run" only if another header of the
@@ -208,9 +186,3 @@
 	}
 	return incomplete{cause: err}
 }
-
-// connectionEnded reports whether an attempt failed because the endpoint, or its host,
-// ended the connection, rather than this node or the caller.
-func connectionEnded(err error) bool {
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET) && errors.Is(err, pool.ErrIncompleteResponse) && !errors.Is(err, errCallerConnection)
-}
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -1,14 +1,34 @@
 package entry
 
 import (
+	"io"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorybend/core/crash"
 	"hickorybend/core/reach"
 	"hickorybend/io/event"
+	"hickorybend/io/pool"
 )
 
+// AttemptBroken says that the connection of an attempt has ended before the endpoint
+// had answered enough to show that the prompt is sound.
+type AttemptBroken struct {
+	Endpoint  string
+	StartedAt time.Time // of the incarnation of the endpoint
+	Parts     []crash.Part
+	At        time.Time
+}
+
+// WithCrashes sets the functions that are called when an attempt was broken off by its
+// endpoint, and when a trial of a blocked part has ended.
+func WithCrashes(broken func(AttemptBroken), trialEnded func(part crash.Part, crashed bool)) Option {
+	return func(server *Server) { server.attemptBroken, server.trialEnded = broken, trialEnded }
+}
+
 // findBlocked returns why the request may not be sent because of a part of its prompt.
 // A request that gets the permission to try a blocked part is sent once.
 func (request *request) findBlocked() (reach.Blocked, bool) {
@@ -53,7 +73,7 @@
 	event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
 		zap.Strings("parts", request.header.SharedParts), zap.Int("events", request.attemptEvents), zap.Error(err))
 	if len(request.parts) > 0 && request.attemptEvents < request.server.soundEvents {
-		request.server.crashed(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Parts: request.parts, At: time.Now()})
+		request.server.attemptBroken(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Parts: request.parts, At: time.Now()})
 	}
 }
 
@@ -63,3 +83,9 @@
 		request.server.soundTimes.Record(request.parts, time.Now())
 	}
 }
+
+// connectionEnded reports whether an attempt failed because the endpoint, or its host,
+// ended the connection, rather than this node or the caller.
+func connectionEnded(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET) && errors.Is(err, pool.ErrIncompleteResponse) && !errors.Is(err, errCallerConnection)
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -32,23 +32,26 @@
 	suspect       func(endpoint string)
 	confirm       func(ctx context.Context) time.Duration // see WithConfirm
 	leaving       func(endpoint string, startedAt time.Time)
-	crashed       func(AttemptBroken)
-	limited       func(StatedLimit)
-	unusableLimit sync.Once        // the first unusable limit of an endpoint, which is logged
-	requests      map[string]int64 // by service; see Requests
+	attemptBroken func(AttemptBroken)
 	trialEnded    func(part crash.Part, crashed bool)
+	limitStated   func(StatedLimit)
 	soundTimes    *crash.SoundTimes
-	soundEvents   int       // events of an answer that show that its prompt is sound
-	unusable      sync.Once // the first unusable Retry-After of an endpoint, which is logged
-	log           *zap.Logger
-	meter         *meter.Meter
-	stopsAt       atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
-	inFlight      atomic.Int64
-	hadRequests   atomic.Bool
-	mutex         sync.Mutex
-	budgets       map[string]*retry.Budget     // by service
-	attempts      map[string]map[*attempt]bool // in progress, by endpoint
-	demand        map[string]time.Duration     // by model; see Demand
+	soundEvents   int // events of an answer that show that its prompt is sound
+
+	// The first unusable Retry-After and Server-Limit of an endpoint, which are logged.
+	unusableRetryAfter sync.Once
+	unusableLimit      sync.Once
+
+	log         *zap.Logger
+	meter       *meter.Meter
+	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
+	inFlight    atomic.Int64
+	hadRequests atomic.Bool
+	mutex       sync.Mutex
+	budgets     map[string]*retry.Budget     // by service
+	attempts    map[string]map[*attempt]bool // in progress, by endpoint
+	demand      map[string]time.Duration     // by model; see Demand
+	requests    map[string]int64             // by service; see Requests
 }
 
 // attempt is one sending of a request to an endpoint.
@@ -94,44 +97,13 @@
 	return func(server *Server) { server.leaving = leaving }
 }
 
-// AttemptBroken says that the connection of an attempt has ended before the endpoint
-// had answered enough to show that the prompt is sound.
-type AttemptBroken struct {
-	Endpoint  string
-	StartedAt time.Time // of the incarnation of the endpoint
-	Parts     []crash.Part
-	At        time.Time
-}
-
-// WithCrashes sets the functions that are called when an attempt was broken off by its
-// endpoint, and when a trial of a blocked part has ended.
-func WithCrashes(crashed func(AttemptBroken), trialEnded func(part crash.Part, crashed bool)) Option {
-	return func(server *Server) { server.crashed, server.trialEnded = crashed, trialEnded }
-}
-
-// StatedLimit is what an endpoint said in an answer of the requests that it takes from
-// all nodes together.
-type StatedLimit struct {
-	Endpoint  string
-	StartedAt time.Time // of the incarnation of the endpoint
-	Limited   bool      // it stated a limit
-	PerSecond float64
-	At        time.Time
-}
-
-// WithLimits sets the function that is called when an endpoint states a limit, and when
-// it no longer does.
-func WithLimits(limited func(StatedLimit)) Option {
-	return func(server *Server) { server.limited = limited }
-}
-
 // New creates a server that routes by the snapshot that the control loop
 // publishes.
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
 		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
-		limited: func(StatedLimit) {}, requests: map[string]int64{}, crashed: func(AttemptBroken) {}, trialEnded: func(crash.Part, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
+		limitStated: func(StatedLimit) {}, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(crash.Part, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
