An answer lifts a block of which only the store told

Callers would have seen: after all nodes had started again, requests with a blocked part stayed rejected though a trial had been answered, since answers were looked up only for parts that were near at a known crash. The same after an hour without a crash. Answers count for blocked parts as well now; and lifted blocks go before others when there are too many.

--- a/core/crash/ledger.go
+++ b/core/crash/ledger.go
@@ -90,8 +90,7 @@
 	}
 }
 
-// Suspects returns the parts that were near at a crash, so that the caller can say
-// when they were last answered.
+// Suspects returns the parts that were near at a crash.
 func (ledger *Ledger) Suspects() []Part {
 	parts := make([]Part, 0, len(ledger.suspects))
 	for part := range ledger.suspects {
@@ -100,6 +99,18 @@
 	return parts
 }
 
+// Watched returns the parts of which answers count: those that were near at a crash,
+// and the blocked ones, which may not be known to have been.
+func (ledger *Ledger) Watched() []Part {
+	parts := ledger.Suspects()
+	for part := range ledger.blocks {
+		if ledger.suspects[part] == nil && ledger.active(part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 // RecentSuspects returns the parts that were near at a recent crash, which other nodes
 // suspect too: the most suspicious ones if there are too many.
 func (ledger *Ledger) RecentSuspects(now time.Time) []Part {
@@ -228,8 +239,9 @@
 	return found && !block.Lifted
 }
 
-// forget drops suspects that were answered since or whose last crash is long ago, and
-// the least suspicious ones and the oldest blocks beyond the limits.
+// forget drops suspects that were answered since or whose last crash is long ago. Beyond
+// the limits, it drops the least suspicious ones, and lifted blocks before others, the
+// oldest first.
 func (ledger *Ledger) forget(now time.Time) {
 	for part, suspected := range ledger.suspects {
 		age := now.Sub(suspected.last)
@@ -249,6 +261,16 @@
 	if excess := len(ledger.blocks) - ledger.policy.MaxBlocks; excess > 0 {
 		blocks := ledger.Blocks()
 		slices.SortFunc(blocks, func(a, b Block) int { return a.Since.Compare(b.Since) })
+		slices.SortStableFunc(blocks, func(a, b Block) int {
+			switch {
+			case a.Lifted == b.Lifted:
+				return 0
+			case a.Lifted:
+				return -1
+			default:
+				return 1
+			}
+		})
 		for _, block := range blocks[:excess] {
 			delete(ledger.blocks, block.Part)
 		}
--- a/core/crash/ledger_test.go
+++ b/core/crash/ledger_test.go
@@ -129,6 +129,18 @@
 	assert.Equal(t, ledger.Blocks()[0].Round, 2)
 }
 
+// TestRestoredBlockEnds guards against a block of which only the store told, and which
+// no answer could lift.
+func TestRestoredBlockEnds(t *testing.T) {
+	ledger := crash.New(crash.DefaultPolicy())
+	ledger.Restore(crash.Block{Part: partOf("b"), Round: 1, Since: start})
+	assert.Equal(t, blockedParts(ledger), "b")
+	assert.DeepEqual(t, ledger.Watched(), []crash.Part{partOf("b")})
+	ledger.RecordSound(partOf("b"), start.Add(time.Minute))
+	assert.Equal(t, blockedParts(ledger), "")
+	assert.Equal(t, len(ledger.Watched()), 0)
+}
+
 // TestMergeOfBlocks checks that nodes which learn of the same blocks in any order
 // agree in the end.
 func TestMergeOfBlocks(t *testing.T) {
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -81,7 +81,7 @@
 func (control *Control) judgeCrashes(now time.Time) {
 	crashes := &control.crashes
 	control.confirmCrashes(now)
-	for _, part := range crashes.ledger.Suspects() {
+	for _, part := range crashes.ledger.Watched() {
 		if at := control.lastAnswer(part); !at.IsZero() {
 			crashes.ledger.RecordSound(part, at)
 		}
