The stall timer of a stream ends with its attempt

Found by reading: a timer that ran out in the moment in which its attempt ended was armed again for ever, since the request had no alternative then either. It looks at the attempt's context first now. TestStallTimerEndsWithItsAttempt fails without that and passes with it.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -78,7 +78,7 @@
 	defer cancel(nil)
 	probe := time.AfterFunc(policy.ProbeAfter+request.route.LatencyObjective, func() { request.server.suspect(candidate.ID) })
 	defer probe.Stop()
-	stall := request.watchForStall(func() { cancel(errStalled) })
+	stall := request.watchForStall(ctx, cancel)
 	defer stall.Stop()
 	candidate.Load.AddPendingTokens(request.header.PromptTokens)
 	removePendingTokens := sync.OnceFunc(func() { candidate.Load.AddPendingTokens(-request.header.PromptTokens) })
@@ -121,20 +121,22 @@
 	return answered{response: exchange.Response, header: responseheader}
 }
 
-// watchForStall returns a timer that calls cancel after StallAfter if another endpoint
-// may then take the request over. Otherwise it waits on: the rest of the answer may still
-// come.
-func (request *request) watchForStall(cancel func()) *time.Timer {
+// watchForStall returns a timer that cancels the context of an attempt after StallAfter
+// if another endpoint may then take the request over. Otherwise it waits on, until the
+// attempt has ended: the rest of the answer may still come.
+func (request *request) watchForStall(ctx context.Context, cancel context.CancelCauseFunc) *time.Timer {
 	alternative := request.alternative()
 	var stall *time.Timer
 	assigned := make(chan struct{}) // closed once the function may use stall
 	stall = time.AfterFunc(request.server.policy.StallAfter, func() {
 		<-assigned
-		if alternative() {
-			cancel()
-			return
+		switch {
+		case ctx.Err() != nil:
+		case alternative():
+			cancel(errStalled)
+		default:
+			stall.Reset(request.server.policy.StallAfter)
 		}
-		stall.Reset(request.server.policy.StallAfter)
 	})
 	close(assigned)
 	return stall
--- a/io/entry/stream_test.go
+++ b/io/entry/stream_test.go
@@ -3,12 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"hickorybend/core/reach"
+	"hickorybend/core/site"
+	"hickorybend/io/pool"
 )
 
 // endless repeats a text without end.
@@ -66,6 +73,22 @@
 }
 
 // FuzzEvent checks that all bytes of complete events are read, in order.
+// TestStallTimerEndsWithItsAttempt guards against a timer that is armed again for ever,
+// because it ran out in the moment in which its attempt ended.
+func TestStallTimerEndsWithItsAttempt(t *testing.T) {
+	snapshot := &atomic.Pointer[reach.Snapshot]{}
+	snapshot.Store(&reach.Snapshot{})
+	server := New(pool.New(), snapshot, WithPolicy(Policy{StallAfter: time.Millisecond}))
+	request := &request{server: server, route: &site.Route{Kind: site.AtMostOnce{}}, snapshot: snapshot.Load()}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	stall := request.watchForStall(ctx, cancel)
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, ctx.Err(), "no other endpoint could take the request over")
+	cancel(nil)
+	time.Sleep(20 * time.Millisecond)
+	assert.Assert(t, !stall.Stop(), "the timer is still armed")
+}
+
 func FuzzEvent(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n", 16)
 	f.Add("data: "+strings.Repeat("x", 30)+"\r\n\r\n", 17)
