The log says when a node ends an attempt because its endpoint is silent

606 of such a request tells why no further endpoint took it, not why its attempt had ended. Three timers can have ended it: unanswered probes, the stall timer of streams, and the timeout of attempts at idempotent requests. 610 names the request, the endpoint, the timer and the time; a 502 of an idempotent request now names the timer, too.

No logic is changed.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -18,6 +18,10 @@
 // maxBufferedBytes limits the body of a response that is buffered completely.
 const maxBufferedBytes = 16 << 20
 
+// errAttemptTimeout cancels an attempt at an idempotent request after
+// IdempotentAttemptTimeout. Its text can reach the caller in the body of a 502.
+var errAttemptTimeout = errors.New("entry: the endpoint does not answer in time")
+
 // result is the outcome of one attempt: answered, unsent, notExecuted or
 // incomplete.
 type result interface {
@@ -83,19 +87,19 @@
 	sentAt := time.Now()
 	if _, idempotent := request.route.Kind.(site.Idempotent); idempotent && len(request.tried) < request.route.MaxAttempts {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, request.server.policy.IdempotentAttemptTimeout)
+		ctx, cancel = context.WithTimeoutCause(ctx, request.server.policy.IdempotentAttemptTimeout, errAttemptTimeout)
 		defer cancel()
 	}
 	ctx, endAttempt := request.server.beginAttempt(ctx, candidate)
 	defer endAttempt()
 	exchange, err := request.server.pool.Send(ctx, candidate.Address, request.forwardedRequest(candidate, ""))
 	if err != nil {
-		return request.handleFailure(candidate, err, sentAt)
+		return request.handleFailure(candidate, causeOf(ctx, err), sentAt)
 	}
 	responseheader := request.readHeader(candidate, exchange)
 	body, err := exchange.ReadBody(maxBufferedBytes)
 	if err != nil {
-		return request.handleFailure(candidate, err, sentAt)
+		return request.handleFailure(candidate, causeOf(ctx, err), sentAt)
 	}
 	return request.classify(candidate, exchange, responseheader, body, sentAt)
 }
@@ -180,6 +184,10 @@
 	if connectionEnded(err) {
 		request.handleBroken(candidate, err)
 	}
+	if errors.IsAny(err, errStalled, errMemberLost, errAttemptTimeout) {
+		event.Log(request.server.log, event.AttemptSilent, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
+			zap.Int("events", request.attemptEvents), zap.Duration("took", time.Since(sentAt)), zap.Error(err))
+	}
 	if errors.Is(err, pool.ErrUnsent) {
 		candidate.Load.Avoid(time.Now().Add(request.server.policy.UnreachableBackoff))
 		return unsent{cause: err}
