--- a/core/crash/part.go
+++ b/core/crash/input.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// Part is a part of the prompts of requests to one service.
-type Part struct {
+// Input is what requests that crash endpoints are recognized by: a part of the
+// prompts of requests to one service.
+type Input struct {
 	Service string
 	ID      string
 }
@@ -18,27 +19,27 @@
 }
 
 // Report says that an incarnation of an endpoint crashed when it was about to answer
-// a prompt with a part.
+// a request with an input.
 type Report struct {
-	Part        Part
+	Input       Input
 	Position    int // of the part in the prompt
 	Incarnation Incarnation
 	At          time.Time
 }
 
-// Block says that requests with a part are rejected, or were. Of two blocks of one
-// part, newerThan tells which one holds.
+// Block says that requests with an input are rejected, or were. Of two blocks of one
+// input, newerThan tells which one holds.
 type Block struct {
-	Part      Part
-	Round     int // number of times that the part has been blocked
+	Input     Input
+	Round     int // number of times that the input has been blocked
 	Lifted    bool
 	Since     time.Time // when this round began
 	Crashes   int       // crashes that led to it
-	Trials    int       // requests that were sent in this round to find out whether the part still crashes endpoints, and did
+	Trials    int       // requests that were sent in this round to find out whether the input still crashes endpoints, and did
 	NextTrial time.Time // when the next such request may be sent
 }
 
-// newerThan reports whether the block replaces another one of the same part.
+// newerThan reports whether the block replaces another one of the same input.
 func (block Block) newerThan(other Block) bool {
 	switch {
 	case block.Round != other.Round:
@@ -50,10 +51,10 @@
 	}
 }
 
-// Trial is the permission to send one request with a blocked part. Request
+// Trial is the permission to send one request with a blocked input. Request
 // goroutines compete for it.
 type Trial struct {
-	Part    Part
+	Input   Input
 	claimed atomic.Bool
 }
 
--- a/core/crash/ledger.go
+++ b/core/crash/ledger.go
@@ -6,21 +6,21 @@
 	"time"
 )
 
-// Ledger holds what is known of the parts that were near when endpoints crashed. It
+// Ledger holds what is known of the inputs that were near when endpoints crashed. It
 // belongs to one goroutine.
 type Ledger struct {
 	policy    Policy
-	suspects  map[Part]*suspect
-	blocks    map[Part]Block
+	suspects  map[Input]*suspect
+	blocks    map[Input]Block
 	changed   bool      // since the last Judge
 	settlesAt time.Time // when all recorded crashes count
 	judgedAt  time.Time
 }
 
-// suspect is a part that was near at crashes.
+// suspect is an input that was near at crashes.
 type suspect struct {
 	position int
-	soundAt  time.Time // latest known answer to a prompt with the part; zero if none
+	soundAt  time.Time // latest known answer to a request with the input; zero if none
 	crashes  map[Incarnation]sighting
 	last     time.Time // when the latest of them happened
 }
@@ -33,16 +33,16 @@
 
 // New creates an empty ledger.
 func New(policy Policy) *Ledger {
-	return &Ledger{policy: policy, suspects: map[Part]*suspect{}, blocks: map[Part]Block{}}
+	return &Ledger{policy: policy, suspects: map[Input]*suspect{}, blocks: map[Input]Block{}}
 }
 
 // Record records a crash. own means that this node saw it, rather than another one.
 // Nodes see the same crash at different times; the earliest counts.
 func (ledger *Ledger) Record(report Report, own bool) {
-	suspected := ledger.suspects[report.Part]
+	suspected := ledger.suspects[report.Input]
 	if suspected == nil {
 		suspected = &suspect{crashes: map[Incarnation]sighting{}}
-		ledger.suspects[report.Part] = suspected
+		ledger.suspects[report.Input] = suspected
 	}
 	suspected.position = max(suspected.position, report.Position)
 	known, found := suspected.crashes[report.Incarnation]
@@ -76,71 +76,71 @@
 	}
 }
 
-// RecordSound records that an endpoint has answered a prompt with a part. Crashes
-// before that do not count against the part, and a block that began before is
+// RecordSound records that an endpoint has answered a request with an input. Crashes
+// before that do not count against the input, and a block that began before is
 // lifted.
-func (ledger *Ledger) RecordSound(part Part, at time.Time) {
-	if suspected := ledger.suspects[part]; suspected != nil && at.After(suspected.soundAt) {
+func (ledger *Ledger) RecordSound(input Input, at time.Time) {
+	if suspected := ledger.suspects[input]; suspected != nil && at.After(suspected.soundAt) {
 		suspected.soundAt = at
 		ledger.changed = true
 	}
-	if block, found := ledger.blocks[part]; found && !block.Lifted && at.After(block.Since) {
+	if block, found := ledger.blocks[input]; found && !block.Lifted && at.After(block.Since) {
 		block.Lifted = true
-		ledger.blocks[part] = block
+		ledger.blocks[input] = block
 	}
 }
 
-// Suspects returns the parts that were near at a crash.
-func (ledger *Ledger) Suspects() []Part {
-	parts := make([]Part, 0, len(ledger.suspects))
-	for part := range ledger.suspects {
-		parts = append(parts, part)
+// Suspects returns the inputs that were near at a crash.
+func (ledger *Ledger) Suspects() []Input {
+	inputs := make([]Input, 0, len(ledger.suspects))
+	for input := range ledger.suspects {
+		inputs = append(inputs, input)
 	}
-	return parts
+	return inputs
 }
 
-// Watched returns the parts of which answers count: those that were near at a crash,
+// Watched returns the inputs of which answers count: those that were near at a crash,
 // and the blocked ones, which may not be known to have been.
-func (ledger *Ledger) Watched() []Part {
-	parts := ledger.Suspects()
-	for part := range ledger.blocks {
-		if ledger.suspects[part] == nil && ledger.active(part) {
-			parts = append(parts, part)
+func (ledger *Ledger) Watched() []Input {
+	inputs := ledger.Suspects()
+	for input := range ledger.blocks {
+		if ledger.suspects[input] == nil && ledger.active(input) {
+			inputs = append(inputs, input)
 		}
 	}
-	return parts
+	return inputs
 }
 
-// RecentSuspects returns the parts that were near at a recent crash, which other nodes
+// RecentSuspects returns the inputs that were near at a recent crash, which other nodes
 // suspect too: the most suspicious ones if there are too many.
-func (ledger *Ledger) RecentSuspects(now time.Time) []Part {
-	parts := slices.DeleteFunc(ledger.Suspects(), func(part Part) bool {
-		return now.Sub(ledger.suspects[part].last) >= ledger.policy.ReportFor
+func (ledger *Ledger) RecentSuspects(now time.Time) []Input {
+	inputs := slices.DeleteFunc(ledger.Suspects(), func(input Input) bool {
+		return now.Sub(ledger.suspects[input].last) >= ledger.policy.ReportFor
 	})
-	if len(parts) > ledger.policy.MaxReports {
-		slices.SortFunc(parts, func(a, b Part) int {
+	if len(inputs) > ledger.policy.MaxReports {
+		slices.SortFunc(inputs, func(a, b Input) int {
 			return cmp.Compare(len(ledger.suspects[b].crashes), len(ledger.suspects[a].crashes))
 		})
-		parts = parts[:ledger.policy.MaxReports]
+		inputs = inputs[:ledger.policy.MaxReports]
 	}
-	return parts
+	return inputs
 }
 
-// Judge blocks the parts that must have caused crashes.
+// Judge blocks the inputs that must have caused crashes.
 //
-// Everything that an endpoint runs ends with it, so every part that was near gets
+// Everything that an endpoint runs ends with it, so every input that was near gets
 // its share of the blame. Parts are told apart as follows:
 //
-//   - An answer on a part shows that the part is sound: earlier crashes do not count
-//     against it. Sound parts are answered again and again elsewhere.
-//   - The most likely part is blocked first, and the crashes at which it was near do
+//   - An answer on an input shows that the input is sound: earlier crashes do not count
+//     against it. Sound inputs are answered again and again elsewhere.
+//   - The most likely input is blocked first, and the crashes at which it was near do
 //     not count against the others any more. For example, part b crashes endpoints, and all
 //     requests with b begin with part f, as do sound ones. At three crashes both were
 //     near. Answers on f are known from before, so b needs fewer crashes, is
 //     blocked, and explains all three. If neither has ever been answered, the later part
 //     in the prompt is blocked: were it f, requests with f and without b would crash
 //     endpoints as well, and these crashes count against f.
-//   - Crashes in one moment count as one: when a rack fails, every part with enough
+//   - Crashes in one moment count as one: when a rack fails, every input with enough
 //     requests is near at several of its endpoints.
 func (ledger *Ledger) Judge(now time.Time) {
 	ledger.forget(now)
@@ -149,47 +149,47 @@
 	}
 	ledger.changed, ledger.judgedAt = false, now
 	for {
-		part, crashes := ledger.mostLikely(now)
+		input, crashes := ledger.mostLikely(now)
 		if crashes == 0 {
 			return
 		}
-		ledger.blocks[part] = Block{
-			Part: part, Round: ledger.blocks[part].Round + 1, Since: now, Crashes: crashes, NextTrial: now.Add(ledger.policy.trialDelay(0)),
+		ledger.blocks[input] = Block{
+			Input: input, Round: ledger.blocks[input].Round + 1, Since: now, Crashes: crashes, NextTrial: now.Add(ledger.policy.trialDelay(0)),
 		}
 	}
 }
 
-// mostLikely returns the part that is most likely to have caused crashes, and their
+// mostLikely returns the input that is most likely to have caused crashes, and their
 // number, among those that have reached their threshold. The number is 0 if there is
 // none.
-func (ledger *Ledger) mostLikely(now time.Time) (Part, int) {
+func (ledger *Ledger) mostLikely(now time.Time) (Input, int) {
 	explained := ledger.explained()
-	var best Part
+	var best Input
 	bestCrashes := 0
-	for part, suspected := range ledger.suspects {
-		if ledger.active(part) {
+	for input, suspected := range ledger.suspects {
+		if ledger.active(input) {
 			continue
 		}
 		crashes := ledger.countCrashes(suspected, explained, now)
 		if crashes < ledger.threshold(suspected) {
 			continue
 		}
-		if bestCrashes == 0 || ledger.likelier(part, crashes, best, bestCrashes) {
-			best, bestCrashes = part, crashes
+		if bestCrashes == 0 || ledger.likelier(input, crashes, best, bestCrashes) {
+			best, bestCrashes = input, crashes
 		}
 	}
 	return best, bestCrashes
 }
 
-// likelier reports whether a part is more likely to have caused crashes than another
+// likelier reports whether an input is more likely to have caused crashes than another
 // one.
-func (ledger *Ledger) likelier(part Part, crashes int, other Part, otherCrashes int) bool {
-	suspected, otherSuspected := ledger.suspects[part], ledger.suspects[other]
+func (ledger *Ledger) likelier(input Input, crashes int, other Input, otherCrashes int) bool {
+	suspected, otherSuspected := ledger.suspects[input], ledger.suspects[other]
 	if unknown, otherUnknown := suspected.soundAt.IsZero(), otherSuspected.soundAt.IsZero(); unknown != otherUnknown {
 		return unknown
 	}
 	order := cmp.Or(cmp.Compare(crashes, otherCrashes), cmp.Compare(suspected.position, otherSuspected.position),
-		cmp.Compare(other.Service, part.Service), cmp.Compare(other.ID, part.ID))
+		cmp.Compare(other.Service, input.Service), cmp.Compare(other.ID, input.ID))
 	return order > 0
 }
 
@@ -200,11 +200,11 @@
 	return ledger.policy.SoundThreshold
 }
 
-// explained returns the crashes at which a blocked part was near.
+// explained returns the crashes at which a blocked input was near.
 func (ledger *Ledger) explained() map[Incarnation]bool {
 	explained := map[Incarnation]bool{}
-	for part := range ledger.blocks {
-		if suspected := ledger.suspects[part]; suspected != nil && ledger.active(part) {
+	for input := range ledger.blocks {
+		if suspected := ledger.suspects[input]; suspected != nil && ledger.active(input) {
 			for incarnation := range suspected.crashes {
 				explained[incarnation] = true
 			}
@@ -213,7 +213,7 @@
 	return explained
 }
 
-// countCrashes returns the number of moments with crashes that count against a part.
+// countCrashes returns the number of moments with crashes that count against an input.
 func (ledger *Ledger) countCrashes(suspected *suspect, explained map[Incarnation]bool, now time.Time) int {
 	var times []time.Time
 	for incarnation, seen := range suspected.crashes {
@@ -233,9 +233,9 @@
 	return count
 }
 
-// active reports whether requests with the part are rejected.
-func (ledger *Ledger) active(part Part) bool {
-	block, found := ledger.blocks[part]
+// active reports whether requests with the input are rejected.
+func (ledger *Ledger) active(input Input) bool {
+	block, found := ledger.blocks[input]
 	return found && !block.Lifted
 }
 
@@ -243,19 +243,19 @@
 // the limits, it drops the least suspicious ones, and lifted blocks before others, the
 // oldest first.
 func (ledger *Ledger) forget(now time.Time) {
-	for part, suspected := range ledger.suspects {
+	for input, suspected := range ledger.suspects {
 		age := now.Sub(suspected.last)
 		if age > ledger.policy.SuspectTTL || age > ledger.policy.ReportFor && suspected.soundAt.After(suspected.last) {
-			delete(ledger.suspects, part)
+			delete(ledger.suspects, input)
 		}
 	}
 	if excess := len(ledger.suspects) - ledger.policy.MaxSuspects; excess > 0 {
-		parts := ledger.Suspects()
-		slices.SortFunc(parts, func(a, b Part) int {
+		inputs := ledger.Suspects()
+		slices.SortFunc(inputs, func(a, b Input) int {
 			return cmp.Or(cmp.Compare(len(ledger.suspects[a].crashes), len(ledger.suspects[b].crashes)), ledger.suspects[a].last.Compare(ledger.suspects[b].last))
 		})
-		for _, part := range parts[:excess] {
-			delete(ledger.suspects, part)
+		for _, input := range inputs[:excess] {
+			delete(ledger.suspects, input)
 		}
 	}
 	if excess := len(ledger.blocks) - ledger.policy.MaxBlocks; excess > 0 {
@@ -272,7 +272,7 @@
 			}
 		})
 		for _, block := range blocks[:excess] {
-			delete(ledger.blocks, block.Part)
+			delete(ledger.blocks, block.Input)
 		}
 	}
 }
@@ -281,13 +281,13 @@
 // newest if there are too many.
 func (ledger *Ledger) Reports(now time.Time) []Report {
 	var reports []Report
-	for part, suspected := range ledger.suspects {
+	for input, suspected := range ledger.suspects {
 		if now.Sub(suspected.last) >= ledger.policy.ReportFor {
 			continue
 		}
 		for incarnation, seen := range suspected.crashes {
 			if seen.own && now.Sub(seen.at) < ledger.policy.ReportFor {
-				reports = append(reports, Report{Part: part, Position: suspected.position, Incarnation: incarnation, At: seen.at})
+				reports = append(reports, Report{Input: input, Position: suspected.position, Incarnation: incarnation, At: seen.at})
 			}
 		}
 	}
@@ -310,10 +310,10 @@
 // Merge takes another node's block if it is newer than the known one, and reports
 // whether it was.
 func (ledger *Ledger) Merge(block Block) bool {
-	if known, found := ledger.blocks[block.Part]; found && !block.newerThan(known) {
+	if known, found := ledger.blocks[block.Input]; found && !block.newerThan(known) {
 		return false
 	}
-	ledger.blocks[block.Part] = block
+	ledger.blocks[block.Input] = block
 	return true
 }
 
@@ -324,13 +324,13 @@
 	ledger.Merge(block)
 }
 
-// TrialFailed records that a trial of a blocked part ended another endpoint.
-func (ledger *Ledger) TrialFailed(part Part, now time.Time) {
-	block, found := ledger.blocks[part]
+// TrialFailed records that a trial of a blocked input ended another endpoint.
+func (ledger *Ledger) TrialFailed(input Input, now time.Time) {
+	block, found := ledger.blocks[input]
 	if !found || block.Lifted {
 		return
 	}
 	block.Trials++
 	block.NextTrial = now.Add(ledger.policy.trialDelay(block.Trials))
-	ledger.blocks[part] = block
+	ledger.blocks[input] = block
 }
--- a/core/crash/ledger_test.go
+++ b/core/crash/ledger_test.go
@@ -14,7 +14,7 @@
 
 var start = time.Unix(1000, 0)
 
-func partOf(id string) crash.Part { return crash.Part{Service: "llm", ID: id} }
+func partOf(id string) crash.Input { return crash.Input{Service: "llm", ID: id} }
 
 // crashOf says that an endpoint crashed, a time after the start, when it was about to
 // answer prompts with these parts.
@@ -33,7 +33,7 @@
 func record(ledger *crash.Ledger, happened crashOf) {
 	for position, id := range strings.Fields(happened.parts) {
 		ledger.Record(crash.Report{
-			Part: partOf(id), Position: position, Incarnation: crash.Incarnation{Endpoint: happened.endpoint}, At: start.Add(happened.at),
+			Input: partOf(id), Position: position, Incarnation: crash.Incarnation{Endpoint: happened.endpoint}, At: start.Add(happened.at),
 		}, true)
 	}
 }
@@ -42,7 +42,7 @@
 	var ids []string
 	for _, block := range ledger.Blocks() {
 		if !block.Lifted {
-			ids = append(ids, block.Part.ID)
+			ids = append(ids, block.Input.ID)
 		}
 	}
 	slices.Sort(ids)
@@ -133,9 +133,9 @@
 // no answer could lift.
 func TestRestoredBlockEnds(t *testing.T) {
 	ledger := crash.New(crash.DefaultPolicy())
-	ledger.Restore(crash.Block{Part: partOf("b"), Round: 1, Since: start})
+	ledger.Restore(crash.Block{Input: partOf("b"), Round: 1, Since: start})
 	assert.Equal(t, blockedParts(ledger), "b")
-	assert.DeepEqual(t, ledger.Watched(), []crash.Part{partOf("b")})
+	assert.DeepEqual(t, ledger.Watched(), []crash.Input{partOf("b")})
 	ledger.RecordSound(partOf("b"), start.Add(time.Minute))
 	assert.Equal(t, blockedParts(ledger), "")
 	assert.Equal(t, len(ledger.Watched()), 0)
@@ -145,8 +145,8 @@
 // agree in the end.
 func TestMergeOfBlocks(t *testing.T) {
 	blocks := []crash.Block{
-		{Part: partOf("b"), Round: 1}, {Part: partOf("b"), Round: 1, Trials: 1}, {Part: partOf("b"), Round: 1, Lifted: true},
-		{Part: partOf("b"), Round: 2}, {Part: partOf("b"), Round: 2, Trials: 2},
+		{Input: partOf("b"), Round: 1}, {Input: partOf("b"), Round: 1, Trials: 1}, {Input: partOf("b"), Round: 1, Lifted: true},
+		{Input: partOf("b"), Round: 2}, {Input: partOf("b"), Round: 2, Trials: 2},
 	}
 	for i := range blocks {
 		ledger := crash.New(crash.DefaultPolicy())
@@ -179,7 +179,7 @@
 func TestSoundTimesAreBounded(t *testing.T) {
 	soundtimes := crash.NewSoundTimes()
 	for i := range 100_000 {
-		soundtimes.Record([]crash.Part{partOf(fmt.Sprint(i))}, start.Add(time.Duration(i)))
+		soundtimes.Record([]crash.Input{partOf(fmt.Sprint(i))}, start.Add(time.Duration(i)))
 	}
 	assert.Equal(t, soundtimes.Last(partOf("99999")), start.Add(99_999))
 	assert.Equal(t, soundtimes.Last(partOf("97000")), start.Add(97_000))
--- a/core/crash/policy.go
+++ b/core/crash/policy.go
@@ -2,23 +2,23 @@
 
 import "time"
 
-// Policy holds the limits by which parts are blocked.
+// Policy holds the limits by which inputs are blocked.
 type Policy struct {
-	UnknownThreshold int             // crashes that block a part of which no answer is known
-	SoundThreshold   int             // crashes since its last answer that block a part that was answered before
+	UnknownThreshold int             // crashes that block an input of which no answer is known
+	SoundThreshold   int             // crashes since its last answer that block an input that was answered before
 	MomentGap        time.Duration   // crashes less than this apart count as one: a host or a rack may have failed
 	Settle           time.Duration   // after a crash before it counts, for the other nodes' reports
 	SoundEvents      int             // events of an answer that show that its prompt crashes no endpoint
 	ReportFor        time.Duration   // how long a crash is reported to other nodes
-	SuspectTTL       time.Duration   // after its last crash, a part is no longer suspected
+	SuspectTTL       time.Duration   // after its last crash, an input is no longer suspected
 	TrialDelays      []time.Duration // before the first trial, the second and so on; the last one repeats
 	MaxSuspects      int
-	MaxCrashes       int // kept for one part
+	MaxCrashes       int // kept for one input
 	MaxBlocks        int
 	MaxReports       int // sent to another node at once
 }
 
-// DefaultPolicy suits nodes that exchange reports several times a second. A part is
+// DefaultPolicy suits nodes that exchange reports several times a second. An input is
 // blocked everywhere within two seconds of the crash that decides, and its trials end
 // no more than two endpoints in the first hour.
 func DefaultPolicy() Policy {
--- a/core/crash/spread_test.go
+++ b/core/crash/spread_test.go
@@ -50,7 +50,7 @@
 type simRequest struct {
 	node, endpoint int
 	arrivedAt      time.Duration
-	parts          []crash.Part
+	parts          []crash.Input
 	bad            bool
 }
 
@@ -67,12 +67,12 @@
 func (simulation *simulation) time() time.Time { return start.Add(simulation.now) }
 
 // blocked reports whether a node rejects requests with a part.
-func (simulation *simulation) blocked(node int, part crash.Part) bool {
+func (simulation *simulation) blocked(node int, part crash.Input) bool {
 	if simulation.threshold > 0 {
 		return simulation.counts[node][part.ID] >= simulation.threshold
 	}
 	for _, block := range simulation.ledgers[node].Blocks() {
-		if block.Part == part && !block.Lifted {
+		if block.Input == part && !block.Lifted {
 			return true
 		}
 	}
@@ -82,7 +82,7 @@
 // arrive sends a request to a random endpoint that is up, unless the node rejects it.
 func (simulation *simulation) arrive(first string, bad bool) {
 	node, endpoint := simulation.random.IntN(simNodes), simulation.random.IntN(simEndpoints)
-	parts := []crash.Part{partOf(first)}
+	parts := []crash.Input{partOf(first)}
 	if bad {
 		parts = append(parts, partOf("bad"))
 	}
@@ -119,7 +119,7 @@
 		}
 		for position, part := range request.parts {
 			simulation.counts[request.node][part.ID]++
-			simulation.ledgers[request.node].Record(crash.Report{Part: part, Position: position, Incarnation: incarnation, At: simulation.time()}, true)
+			simulation.ledgers[request.node].Record(crash.Report{Input: part, Position: position, Incarnation: incarnation, At: simulation.time()}, true)
 		}
 	}
 	simulation.running = left
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -14,20 +14,20 @@
 	Index    *site.Index // nil while no configuration is known
 	Services map[string]*ServicePool
 	Nodes    int // number of nodes, this one included
-	Blocked  map[crash.Part]Blocked
+	Blocked  map[crash.Input]Blocked
 }
 
-// Blocks reports whether requests with one of the parts are rejected.
-func (snapshot *Snapshot) Blocks(parts []crash.Part) bool {
-	return slices.ContainsFunc(parts, func(part crash.Part) bool {
-		_, blocked := snapshot.Blocked[part]
+// Blocks reports whether requests with one of the inputs are rejected.
+func (snapshot *Snapshot) Blocks(inputs []crash.Input) bool {
+	return slices.ContainsFunc(inputs, func(input crash.Input) bool {
+		_, blocked := snapshot.Blocked[input]
 		return blocked
 	})
 }
 
-// Blocked says that requests with a part of a prompt are rejected.
+// Blocked says that requests with an input are rejected.
 type Blocked struct {
-	RetryAt time.Time    // when the part may be tried again
+	RetryAt time.Time    // when the input may be tried again
 	Trial   *crash.Trial // for one request that this node may send now to try it; nil if there is none
 }
 
@@ -94,6 +94,6 @@
 	ReasonNoEndpoint Reason = "no-endpoint"       // no complete replica or no endpoint is usable
 	ReasonFull       Reason = "full"              // the request would queue beyond its objective
 	ReasonNoService  Reason = "no-service"        // the configuration has no such service
-	ReasonCrashes    Reason = "crashes-endpoints" // a part of the prompt crashes endpoints
+	ReasonCrashes    Reason = "crashes-endpoints" // an input crashes endpoints
 	ReasonLimited    Reason = "limited"           // the endpoints have stated limits, and this node has had its turns
 )
--- a/io/edge/blocks.go
+++ b/io/edge/blocks.go
@@ -15,17 +15,17 @@
 	"hickorybend/io/event"
 )
 
-// blocksKey is the row of the blocked parts of prompts. Nodes learn of blocks from
+// blocksKey is the row of the blocked inputs. Nodes learn of blocks from
 // each other; the row is for the case that all of them start again. Each node reads it
 // when it starts, and the node that places writes it.
 var blocksKey = rows.Key{Partition: "blocks", Sort: "all"}
 
 const blocksRetryDelay = time.Second // after a failed read or write of the row
 
-// storedBlock is a blocked part in the row.
+// storedBlock is a blocked input in the row.
 type storedBlock struct {
 	Service string `json:"service"`
-	Part    string `json:"part"`
+	Input   string `json:"part"`
 	Round   int    `json:"round"`
 	Crashes int    `json:"crashes"`
 	Trials  int    `json:"trials"`
@@ -79,7 +79,7 @@
 	stored.read, stored.latest, stored.era = true, read.blocks, read.era
 	for _, block := range read.blocks {
 		control.crashes.ledger.Restore(crash.Block{
-			Part: crash.Part{Service: block.Service, ID: block.Part}, Round: block.Round, Crashes: block.Crashes, Trials: block.Trials, Since: now,
+			Input: crash.Input{Service: block.Service, ID: block.Input}, Round: block.Round, Crashes: block.Crashes, Trials: block.Trials, Since: now,
 		})
 	}
 }
@@ -106,16 +106,16 @@
 	}()
 }
 
-// activeBlocks returns the blocked parts as they are stored, in a fixed order.
+// activeBlocks returns the blocked inputs as they are stored, in a fixed order.
 func (crashes *crashes) activeBlocks() []storedBlock {
 	var blocks []storedBlock
 	for _, block := range crashes.ledger.Blocks() {
 		if !block.Lifted {
-			blocks = append(blocks, storedBlock{Service: block.Part.Service, Part: block.Part.ID, Round: block.Round, Crashes: block.Crashes, Trials: block.Trials})
+			blocks = append(blocks, storedBlock{Service: block.Input.Service, Input: block.Input.ID, Round: block.Round, Crashes: block.Crashes, Trials: block.Trials})
 		}
 	}
 	slices.SortFunc(blocks, func(a, b storedBlock) int {
-		return strings.Compare(a.Service+"\x00"+a.Part, b.Service+"\x00"+b.Part)
+		return strings.Compare(a.Service+"\x00"+a.Input, b.Service+"\x00"+b.Input)
 	})
 	return blocks
 }
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -12,27 +12,27 @@
 	"hickorybend/io/gossip"
 )
 
-// crashes is what this node knows of crashes of endpoints and of the parts of prompts
+// crashes is what this node knows of crashes of endpoints and of the inputs
 // that cause them.
 type crashes struct {
 	ledger     *crash.Ledger
 	broken     map[crash.Incarnation]*brokenAttempts // that may have crashed
 	answeredAt map[string]time.Time                  // when the last probe was sent that an endpoint of them has answered
-	trials     map[crash.Part]*crash.Trial           // that this node may send now
-	shown      map[crash.Part]crash.Block            // as last logged and published
+	trials     map[crash.Input]*crash.Trial          // that this node may send now
+	shown      map[crash.Input]crash.Block           // as last logged and published
 	stored     storedBlocks
 }
 
 // brokenAttempts are the attempts that an endpoint has broken off.
 type brokenAttempts struct {
-	at        time.Time          // of the first
-	positions map[crash.Part]int // the parts of the prompts
+	at        time.Time           // of the first
+	positions map[crash.Input]int // of the inputs of the requests
 }
 
 func newCrashes() crashes {
 	return crashes{
 		ledger: crash.New(crash.DefaultPolicy()), broken: map[crash.Incarnation]*brokenAttempts{}, answeredAt: map[string]time.Time{},
-		trials: map[crash.Part]*crash.Trial{}, shown: map[crash.Part]crash.Block{},
+		trials: map[crash.Input]*crash.Trial{}, shown: map[crash.Input]crash.Block{},
 	}
 }
 
@@ -41,9 +41,9 @@
 	entry.AttemptBroken
 }
 
-// trialEnded reports that a request which tried a blocked part has ended.
+// trialEnded reports that a request which tried a blocked input has ended.
 type trialEnded struct {
-	part    crash.Part
+	input   crash.Input
 	crashed bool // its endpoint
 }
 
@@ -57,8 +57,8 @@
 }
 
 // TrialEnded records the end of a trial. It does not wait for the control loop.
-func (control *Control) TrialEnded(part crash.Part, crashed bool) {
-	go control.enqueue(trialEnded{part: part, crashed: crashed})
+func (control *Control) TrialEnded(input crash.Input, crashed bool) {
+	go control.enqueue(trialEnded{input: input, crashed: crashed})
 }
 
 // handleBroken remembers an attempt until it is known whether its endpoint has
@@ -67,23 +67,23 @@
 	incarnation := crash.Incarnation{Endpoint: attempt.Endpoint, StartedAt: attempt.StartedAt.UnixMilli()}
 	broken := control.crashes.broken[incarnation]
 	if broken == nil {
-		broken = &brokenAttempts{at: attempt.At, positions: map[crash.Part]int{}}
+		broken = &brokenAttempts{at: attempt.At, positions: map[crash.Input]int{}}
 		control.crashes.broken[incarnation] = broken
 	}
-	for position, part := range attempt.Parts {
-		broken.positions[part] = max(broken.positions[part], position)
+	for position, input := range attempt.Inputs {
+		broken.positions[input] = max(broken.positions[input], position)
 	}
 	control.probe(attempt.Endpoint, now)
 }
 
-// judgeCrashes blocks the parts of prompts that must have crashed endpoints, and
+// judgeCrashes blocks the inputs that must have crashed endpoints, and
 // publishes all blocks.
 func (control *Control) judgeCrashes(now time.Time) {
 	crashes := &control.crashes
 	control.confirmCrashes(now)
-	for _, part := range crashes.ledger.Watched() {
-		if at := control.lastAnswer(part); !at.IsZero() {
-			crashes.ledger.RecordSound(part, at)
+	for _, input := range crashes.ledger.Watched() {
+		if at := control.lastAnswer(input); !at.IsZero() {
+			crashes.ledger.RecordSound(input, at)
 		}
 	}
 	crashes.ledger.Judge(now)
@@ -116,26 +116,26 @@
 
 func (control *Control) recordCrash(incarnation crash.Incarnation, broken *brokenAttempts) {
 	var ids []string
-	for part, position := range broken.positions {
-		control.crashes.ledger.Record(crash.Report{Part: part, Position: position, Incarnation: incarnation, At: broken.at}, true)
-		ids = append(ids, part.ID)
+	for input, position := range broken.positions {
+		control.crashes.ledger.Record(crash.Report{Input: input, Position: position, Incarnation: incarnation, At: broken.at}, true)
+		ids = append(ids, input.ID)
 	}
 	control.meter.Count("endpoint_crashes", "")
 	event.Log(control.log, event.EndpointCrashed, zap.String("endpoint", incarnation.Endpoint), zap.Strings("parts", ids))
 }
 
-// offerTrials offers the trials of blocked parts that are due. Only the node that
-// places does so, so that all nodes together send one request with a part at a time.
+// offerTrials offers the trials of blocked inputs that are due. Only the node that
+// places does so, so that all nodes together send one request with an input at a time.
 func (control *Control) offerTrials(now time.Time) {
 	crashes := &control.crashes
 	for _, block := range crashes.ledger.Blocks() {
 		due := control.placement.active && !block.Lifted && !now.Before(block.NextTrial)
-		switch trial := crashes.trials[block.Part]; {
+		switch trial := crashes.trials[block.Input]; {
 		case due && trial == nil:
-			crashes.trials[block.Part] = &crash.Trial{Part: block.Part}
+			crashes.trials[block.Input] = &crash.Trial{Input: block.Input}
 			control.snapshotStale = true
 		case !due && trial != nil:
-			delete(crashes.trials, block.Part)
+			delete(crashes.trials, block.Input)
 			control.snapshotStale = true
 		}
 	}
@@ -144,25 +144,25 @@
 // handleTrialEnded records the end of a trial. The next one, if no answer has lifted
 // the block, is offered when it is due.
 func (control *Control) handleTrialEnded(ended trialEnded, now time.Time) {
-	delete(control.crashes.trials, ended.part)
+	delete(control.crashes.trials, ended.input)
 	if ended.crashed {
-		control.crashes.ledger.TrialFailed(ended.part, now)
+		control.crashes.ledger.TrialFailed(ended.input, now)
 	}
 	control.snapshotStale = true
-	event.Log(control.log, event.PartTrial, zap.String("service", ended.part.Service), zap.String("part", ended.part.ID), zap.Bool("crashed", ended.crashed))
+	event.Log(control.log, event.PartTrial, zap.String("service", ended.input.Service), zap.String("input", ended.input.ID), zap.Bool("crashed", ended.crashed))
 }
 
 // showBlocks logs the blocks that are new or were lifted, and has them published.
 func (control *Control) showBlocks(now time.Time) {
 	crashes := &control.crashes
 	active, previous := 0, crashes.shown
-	crashes.shown = map[crash.Part]crash.Block{}
+	crashes.shown = map[crash.Input]crash.Block{}
 	for _, block := range crashes.ledger.Blocks() {
 		if !block.Lifted {
 			active++
 		}
-		crashes.shown[block.Part] = block
-		shown := previous[block.Part]
+		crashes.shown[block.Input] = block
+		shown := previous[block.Input]
 		if shown == block {
 			continue
 		}
@@ -174,18 +174,18 @@
 		if block.Lifted {
 			change = event.PartAllowed
 		}
-		event.Log(control.log, change, zap.String("service", block.Part.Service), zap.String("part", block.Part.ID), zap.Int("round", block.Round),
+		event.Log(control.log, change, zap.String("service", block.Input.Service), zap.String("input", block.Input.ID), zap.Int("round", block.Round),
 			zap.Int("crashes", block.Crashes), zap.Duration("age", now.Sub(block.Since)), zap.Duration("next-trial", block.NextTrial.Sub(now)))
 	}
 	control.meter.Gauge("prompt_parts_blocked", float64(active))
 }
 
-// blockedParts returns the parts whose requests are rejected, for the snapshot.
-func (crashes *crashes) blockedParts() map[crash.Part]reach.Blocked {
-	blocked := map[crash.Part]reach.Blocked{}
+// blockedInputs returns the inputs whose requests are rejected, for the snapshot.
+func (crashes *crashes) blockedInputs() map[crash.Input]reach.Blocked {
+	blocked := map[crash.Input]reach.Blocked{}
 	for _, block := range crashes.ledger.Blocks() {
 		if !block.Lifted {
-			blocked[block.Part] = reach.Blocked{RetryAt: block.NextTrial, Trial: crashes.trials[block.Part]}
+			blocked[block.Input] = reach.Blocked{RetryAt: block.NextTrial, Trial: crashes.trials[block.Input]}
 		}
 	}
 	return blocked
@@ -197,18 +197,18 @@
 	var digest gossip.Crashes
 	for _, report := range ledger.Reports(now) {
 		digest.Reports = append(digest.Reports, gossip.CrashReport{
-			Service: report.Part.Service, Part: report.Part.ID, Position: report.Position,
+			Service: report.Input.Service, Input: report.Input.ID, Position: report.Position,
 			Endpoint: report.Incarnation.Endpoint, StartedAt: report.Incarnation.StartedAt, At: report.At,
 		})
 	}
-	for _, part := range ledger.RecentSuspects(now) {
-		if at := control.lastAnswer(part); !at.IsZero() {
-			digest.Answers = append(digest.Answers, gossip.PartAnswer{Service: part.Service, Part: part.ID, At: at})
+	for _, input := range ledger.RecentSuspects(now) {
+		if at := control.lastAnswer(input); !at.IsZero() {
+			digest.Answers = append(digest.Answers, gossip.InputAnswer{Service: input.Service, Input: input.ID, At: at})
 		}
 	}
 	for _, block := range ledger.Blocks() {
-		digest.Blocks = append(digest.Blocks, gossip.PartBlock{
-			Service: block.Part.Service, Part: block.Part.ID, Round: block.Round, Lifted: block.Lifted, Crashes: block.Crashes,
+		digest.Blocks = append(digest.Blocks, gossip.InputBlock{
+			Service: block.Input.Service, Input: block.Input.ID, Round: block.Round, Lifted: block.Lifted, Crashes: block.Crashes,
 			Trials: block.Trials, Since: block.Since, NextTrial: block.NextTrial,
 		})
 	}
@@ -220,16 +220,16 @@
 	ledger := control.crashes.ledger
 	for _, report := range digest.Reports {
 		ledger.Record(crash.Report{
-			Part: crash.Part{Service: report.Service, ID: report.Part}, Position: report.Position,
+			Input: crash.Input{Service: report.Service, ID: report.Input}, Position: report.Position,
 			Incarnation: crash.Incarnation{Endpoint: report.Endpoint, StartedAt: report.StartedAt}, At: report.At,
 		}, false)
 	}
 	for _, answer := range digest.Answers {
-		ledger.RecordSound(crash.Part{Service: answer.Service, ID: answer.Part}, answer.At)
+		ledger.RecordSound(crash.Input{Service: answer.Service, ID: answer.Input}, answer.At)
 	}
 	for _, block := range digest.Blocks {
 		ledger.Merge(crash.Block{
-			Part: crash.Part{Service: block.Service, ID: block.Part}, Round: block.Round, Lifted: block.Lifted, Since: block.Since,
+			Input: crash.Input{Service: block.Service, ID: block.Input}, Round: block.Round, Lifted: block.Lifted, Since: block.Since,
 			Crashes: block.Crashes, Trials: block.Trials, NextTrial: block.NextTrial,
 		})
 	}
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -19,24 +19,24 @@
 type AttemptBroken struct {
 	Endpoint  string
 	StartedAt time.Time // of the incarnation of the endpoint
-	Parts     []crash.Part
+	Inputs    []crash.Input
 	At        time.Time
 }
 
 // WithCrashes sets the functions that are called when an attempt was broken off by its
-// endpoint, and when a trial of a blocked part has ended.
-func WithCrashes(broken func(AttemptBroken), trialEnded func(part crash.Part, crashed bool)) Option {
+// endpoint, and when a trial of a blocked input has ended.
+func WithCrashes(broken func(AttemptBroken), trialEnded func(input crash.Input, crashed bool)) Option {
 	return func(server *Server) { server.attemptBroken, server.trialEnded = broken, trialEnded }
 }
 
-// findBlocked returns why the request may not be sent because of a part of its prompt.
-// A request that gets the permission to try a blocked part is sent once.
+// findBlocked returns why the request may not be sent because of one of its inputs.
+// A request that gets the permission to try a blocked input is sent once.
 func (request *request) findBlocked() (reach.Blocked, bool) {
 	if len(request.snapshot.Blocked) == 0 {
 		return reach.Blocked{}, false
 	}
-	for _, part := range request.parts {
-		blocked, found := request.snapshot.Blocked[part]
+	for _, input := range request.inputs {
+		blocked, found := request.snapshot.Blocked[input]
 		if found && !request.claimTrial(blocked) {
 			return blocked, true
 		}
@@ -44,7 +44,7 @@
 	return reach.Blocked{}, false
 }
 
-// claimTrial reports whether the request is the trial of a blocked part, or becomes it.
+// claimTrial reports whether the request is the trial of a blocked input, or becomes it.
 func (request *request) claimTrial(blocked reach.Blocked) bool {
 	switch {
 	case request.mayHaveRun || blocked.Trial == nil:
@@ -61,26 +61,26 @@
 // endTrial reports the end of the request if it is a trial.
 func (request *request) endTrial() {
 	if request.trial != nil {
-		request.server.trialEnded(request.trial.Part, request.broken)
+		request.server.trialEnded(request.trial.Input, request.broken)
 	}
 }
 
 // handleBroken handles an attempt whose connection the endpoint's side has ended. The
-// parts of the prompt are suspected if the endpoint turns out to have crashed, unless
+// inputs are suspected if the endpoint turns out to have crashed, unless
 // it had answered for long enough to show that they are sound.
 func (request *request) handleBroken(candidate *reach.Candidate, err error) {
 	request.broken = true
 	event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
 		zap.Strings("parts", request.header.SharedParts), zap.Int("events", request.attemptEvents), zap.Error(err))
-	if len(request.parts) > 0 && request.attemptEvents < request.server.soundEvents {
-		request.server.attemptBroken(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Parts: request.parts, At: time.Now()})
+	if len(request.inputs) > 0 && request.attemptEvents < request.server.soundEvents {
+		request.server.attemptBroken(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Inputs: request.inputs, At: time.Now()})
 	}
 }
 
 // recordSound records that an endpoint has answered the request's prompt.
 func (request *request) recordSound() {
-	if len(request.parts) > 0 {
-		request.server.soundTimes.Record(request.parts, time.Now())
+	if len(request.inputs) > 0 {
+		request.server.soundTimes.Record(request.inputs, time.Now())
 	}
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -33,7 +33,7 @@
 	priority      int
 	service       string
 	body          []byte
-	parts         []crash.Part  // of the prompt, those that other requests may share
+	inputs        []crash.Input // that it is recognized by if it crashes endpoints
 	trial         *crash.Trial  // that this request has claimed, or nil
 	tried         []string      // IDs of the endpoints that it was sent to
 	snapshotAge   time.Duration // how old the snapshot was when it was last used
@@ -143,7 +143,7 @@
 func (request *request) serve() {
 	request.service = request.route.Pick(rand.Float64())
 	for _, id := range request.header.SharedParts {
-		request.parts = append(request.parts, crash.Part{Service: request.service, ID: id})
+		request.inputs = append(request.inputs, crash.Input{Service: request.service, ID: id})
 	}
 	request.server.recordRequest(request.service, request.receivedAt)
 	request.recordDemand()
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -33,7 +33,7 @@
 	confirm       func(ctx context.Context) time.Duration // see WithConfirm
 	leaving       func(endpoint string, startedAt time.Time)
 	attemptBroken func(AttemptBroken)
-	trialEnded    func(part crash.Part, crashed bool)
+	trialEnded    func(input crash.Input, crashed bool)
 	limitStated   func(StatedLimit)
 	soundTimes    *crash.SoundTimes
 	soundEvents   int // events of an answer that show that its prompt is sound
@@ -103,7 +103,7 @@
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
 		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
-		limitStated: func(StatedLimit) {}, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(crash.Part, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
+		limitStated: func(StatedLimit) {}, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(crash.Input, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
@@ -125,9 +125,9 @@
 	return stopsAt != nil && stopsAt.Sub(now) < duration
 }
 
-// LastAnswer returns when a prompt with a part was last answered through this node, or
+// LastAnswer returns when a request with an input was last answered through this node, or
 // the zero time if that is not known.
-func (server *Server) LastAnswer(part crash.Part) time.Time { return server.soundTimes.Last(part) }
+func (server *Server) LastAnswer(input crash.Input) time.Time { return server.soundTimes.Last(input) }
 
 // InFlight returns the number of requests in flight.
 func (server *Server) InFlight() int64 { return server.inFlight.Load() }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -146,12 +146,12 @@
 // would be made if the present one ended now. Other goroutines may call it while the
 // attempt is running.
 func (request *request) alternative() func() bool {
-	server, service, deadline, parts := request.server, request.service, request.deadline, request.parts
+	server, service, deadline, inputs := request.server, request.service, request.deadline, request.inputs
 	mayRepeat := site.Retryable(request.route.Kind) && len(request.tried) < min(request.route.MaxAttempts, server.policy.MaxEndpoints)
 	resumed := request.routingRequest(true)
 	return func() bool {
 		now, snapshot := time.Now(), server.snapshot.Load()
-		if !mayRepeat || snapshot.Blocks(parts) || deadline.Sub(now) < server.policy.MinTimeLeft || !server.allowsRetry(service, now, snapshot.Nodes) {
+		if !mayRepeat || snapshot.Blocks(inputs) || deadline.Sub(now) < server.policy.MinTimeLeft || !server.allowsRetry(service, now, snapshot.Nodes) {
 			return false
 		}
 		next := resumed
--- a/io/gossip/crashes.go
+++ b/io/gossip/crashes.go
@@ -5,20 +5,20 @@
 	"time"
 )
 
-// Crashes is what a node knows of crashes of endpoints and of the parts of prompts
+// Crashes is what a node knows of crashes of endpoints and of the inputs
 // that cause them; see package crash. Ages and delays are in nanoseconds; the times
 // beside them are of the node's own clock.
 type Crashes struct {
 	Reports []CrashReport `cbor:"1,keyasint,omitempty"` // crashes that the node saw
-	Answers []PartAnswer  `cbor:"2,keyasint,omitempty"` // the node's last answers to prompts with the suspected parts
-	Blocks  []PartBlock   `cbor:"3,keyasint,omitempty"` // all that the node knows of
+	Answers []InputAnswer `cbor:"2,keyasint,omitempty"` // the node's last answers to requests with the suspected inputs
+	Blocks  []InputBlock  `cbor:"3,keyasint,omitempty"` // all that the node knows of
 }
 
-// CrashReport says that a part was in a prompt that an endpoint was about to answer
+// CrashReport says that an input was in a request that an endpoint was about to answer
 // when it crashed.
 type CrashReport struct {
 	Service   string    `cbor:"1,keyasint"`
-	Part      string    `cbor:"2,keyasint"`
+	Input     string    `cbor:"2,keyasint"`
 	Position  int       `cbor:"3,keyasint,omitempty"` // of the part in the prompt
 	Endpoint  string    `cbor:"4,keyasint"`
 	StartedAt int64     `cbor:"5,keyasint"` // Unix milliseconds; of the incarnation that crashed
@@ -26,18 +26,18 @@
 	At        time.Time `cbor:"-"`
 }
 
-// PartAnswer says when an endpoint last answered a prompt with a part.
-type PartAnswer struct {
+// InputAnswer says when an endpoint last answered a request with an input.
+type InputAnswer struct {
 	Service string    `cbor:"1,keyasint"`
-	Part    string    `cbor:"2,keyasint"`
+	Input   string    `cbor:"2,keyasint"`
 	Age     int64     `cbor:"3,keyasint"`
 	At      time.Time `cbor:"-"`
 }
 
-// PartBlock says that requests with a part are rejected, or were.
-type PartBlock struct {
+// InputBlock says that requests with an input are rejected, or were.
+type InputBlock struct {
 	Service        string    `cbor:"1,keyasint"`
-	Part           string    `cbor:"2,keyasint"`
+	Input          string    `cbor:"2,keyasint"`
 	Round          int       `cbor:"3,keyasint"`
 	Lifted         bool      `cbor:"4,keyasint,omitempty"`
 	Crashes        int       `cbor:"5,keyasint,omitempty"`
