The log says which input a request was

606 and 608 have input: a hash over method, host, target, team and body, which a repetition has too and which can be found again in the logs.

--- a/core/crash/input.go
+++ b/core/crash/input.go
@@ -1,17 +1,45 @@
 package crash
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"sync/atomic"
 	"time"
 )
 
 // Input is what requests that crash endpoints are recognized by: a part of the
-// prompts of requests to one service.
+// prompts of requests to one service, or a whole request.
 type Input struct {
-	Service string
+	Service string // empty for a whole request, which crashes endpoints of whichever service gets it
 	ID      string
 }
 
+// IsRequest reports whether the input is a whole request.
+func (input Input) IsRequest() bool { return input.Service == "" }
+
+// Request is what a request has in common with its repetitions.
+type Request struct {
+	Method string
+	Host   string
+	Target string // path and query
+	Team   string
+	Body   []byte
+}
+
+const requestIDBytes = 16
+
+// Input returns the input that stands for the request and its repetitions. Its ID is a
+// hash, so that it can be logged and compared whatever the body is.
+func (request Request) Input() Input {
+	hash := sha256.New()
+	for _, field := range [][]byte{[]byte(request.Method), []byte(request.Host), []byte(request.Target), []byte(request.Team), request.Body} {
+		_ = binary.Write(hash, binary.BigEndian, int64(len(field))) // a Hash returns no error
+		_, _ = hash.Write(field)
+	}
+	return Input{ID: hex.EncodeToString(hash.Sum(nil)[:requestIDBytes])}
+}
+
 // Incarnation is one start of an endpoint.
 type Incarnation struct {
 	Endpoint  string
@@ -22,7 +50,7 @@
 // a request with an input.
 type Report struct {
 	Input       Input
-	Position    int // of the part in the prompt
+	Position    int // of a part in the prompt; a whole request comes after its parts
 	Incarnation Incarnation
 	At          time.Time
 }
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -115,13 +115,17 @@
 }
 
 func (control *Control) recordCrash(incarnation crash.Incarnation, broken *brokenAttempts) {
-	var ids []string
+	var parts, requests []string
 	for input, position := range broken.positions {
 		control.crashes.ledger.Record(crash.Report{Input: input, Position: position, Incarnation: incarnation, At: broken.at}, true)
-		ids = append(ids, input.ID)
+		if input.IsRequest() {
+			requests = append(requests, input.ID)
+		} else {
+			parts = append(parts, input.ID)
+		}
 	}
 	control.meter.Count("endpoint_crashes", "")
-	event.Log(control.log, event.EndpointCrashed, zap.String("endpoint", incarnation.Endpoint), zap.Strings("parts", ids))
+	event.Log(control.log, event.EndpointCrashed, zap.String("endpoint", incarnation.Endpoint), zap.Strings("parts", parts), zap.Strings("inputs", requests))
 }
 
 // offerTrials offers the trials of blocked inputs that are due. Only the node that
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"syscall"
 	"time"
 
@@ -29,6 +30,15 @@
 	return func(server *Server) { server.attemptBroken, server.trialEnded = broken, trialEnded }
 }
 
+// identity returns the input that stands for the whole request and its repetitions. Its
+// headers are left out: IDs, deadlines and idempotency keys differ from one repetition
+// to the next.
+func (request *request) identity() crash.Input {
+	return crash.Request{
+		Method: request.r.Method, Host: strings.ToLower(request.r.Host), Target: request.r.URL.RequestURI(), Team: request.team, Body: request.body,
+	}.Input()
+}
+
 // findBlocked returns why the request may not be sent because of one of its inputs.
 // A request that gets the permission to try a blocked input is sent once.
 func (request *request) findBlocked() (reach.Blocked, bool) {
@@ -71,7 +81,7 @@
 func (request *request) handleBroken(candidate *reach.Candidate, err error) {
 	request.broken = true
 	event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
-		zap.Strings("parts", request.header.SharedParts), zap.Int("events", request.attemptEvents), zap.Error(err))
+		zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID), zap.Int("events", request.attemptEvents), zap.Error(err))
 	if len(request.inputs) > 0 && request.attemptEvents < request.server.soundEvents {
 		request.server.attemptBroken(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Inputs: request.inputs, At: time.Now()})
 	}
