Endpoints of services without an engine no longer count as being probed for ever

Control.probe marked such an endpoint as being probed and then sent no probe, so nothing removed the mark. If its service later got an engine, the endpoint was never probed.

TestPlainEndpointMarkedAsProbed failed before.

--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -45,15 +45,12 @@
 	if !found || endpoints.probing[id] || now.Before(endpoints.probedAt[id].Add(probeInterval)) {
 		return
 	}
+	if service, found := control.service(endpoint.Service); found && service.Engine == nil {
+		return
+	}
 	endpoints.probing[id] = true
 	endpoints.probedAt[id] = now
-	service, found := control.service(endpoint.Service)
-	go func() {
-		if found && service.Engine == nil {
-			return
-		}
-		control.enqueue(control.requestReport(endpoint, now))
-	}()
+	go func() { control.enqueue(control.requestReport(endpoint, now)) }()
 }
 
 // requestReport asks an endpoint for its report, up to probeAttempts times.
