A crash of an endpoint without an engine is known at once

Cause: an endpoint that has broken off an attempt is asked for its report, which endpoints without an engine do not have. Their crash was known only when their row went or their start changed, 3.6 s or more later. A connection that was reset for another reason counted as a crash at the next start, whenever that was.

Change: such an endpoint's health path is requested, only after it has broken off an attempt and within a second of that. Any answer shows that it runs; two connections refused or reset, or another endpoint's answer, that it has ended. No answer shows nothing: it may have no free slot, or stand still. The check does not make the endpoint unresponsive. Attempts whose endpoint has not ended 10 s later are forgotten.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -176,6 +176,8 @@
 		control.handleLeaving(typed, fromAnswer, now)
 	case attemptBroken:
 		control.handleBroken(typed, now)
+	case healthChecked:
+		control.handleHealthChecked(typed)
 	case trialEnded:
 		control.handleTrialEnded(typed, now)
 	case limitStated:
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -27,8 +27,15 @@
 type brokenAttempts struct {
 	at        time.Time           // of the first
 	positions map[crash.Input]int // of the inputs of the requests
+	checking  bool                // a health check is pending
+	checkedAt time.Time           // when the last one was sent
 }
 
+const (
+	maxBrokenInputs = 256              // of one endpoint
+	brokenTTL       = 10 * time.Second // after which attempts were broken off for another reason than a crash
+)
+
 func newCrashes() crashes {
 	return crashes{
 		ledger: crash.New(crash.DefaultPolicy()), broken: map[crash.Incarnation]*brokenAttempts{}, answeredAt: map[string]time.Time{},
@@ -71,9 +78,11 @@
 		control.crashes.broken[incarnation] = broken
 	}
 	for position, input := range attempt.Inputs {
-		broken.positions[input] = max(broken.positions[input], position)
+		if len(broken.positions) < maxBrokenInputs {
+			broken.positions[input] = max(broken.positions[input], position)
+		}
 	}
-	control.probe(attempt.Endpoint, now)
+	control.checkEnded(incarnation, broken, now)
 }
 
 // judgeCrashes blocks the inputs that must have crashed endpoints, and
@@ -92,6 +101,16 @@
 	control.writeBlocks(now)
 }
 
+// checkEnded asks an endpoint that has broken off attempts whether it still runs.
+func (control *Control) checkEnded(incarnation crash.Incarnation, broken *brokenAttempts, now time.Time) {
+	endpoint := control.endpoints.byID[incarnation.Endpoint]
+	if service, found := control.service(endpoint.Service); found && service.Engine == nil {
+		control.checkHealth(incarnation, broken, service.HealthPath, now)
+		return
+	}
+	control.probe(incarnation.Endpoint, now)
+}
+
 // confirmCrashes records the crashes of the endpoints that have broken off attempts
 // and have ended since. One that answers a probe has not: its connections broke for
 // another reason.
@@ -105,8 +124,10 @@
 			delete(crashes.broken, incarnation)
 		case crashes.answeredAt[incarnation.Endpoint].After(broken.at):
 			delete(crashes.broken, incarnation)
+		case now.Sub(broken.at) > brokenTTL:
+			delete(crashes.broken, incarnation)
 		default:
-			control.probe(incarnation.Endpoint, now)
+			control.checkEnded(incarnation, broken, now)
 		}
 	}
 	if len(crashes.broken) == 0 {
