A repeated request that crashes endpoints is recognized and rejected

Callers saw: one request, sent again with the same path, caller and body, ended each endpoint that began to run it.

Cause: core/crash recognized parts of prompts only. Requests to services without an engine have none, so nothing connected the crashes.

Ruled out: endpoints that crash of their own or of load (the failing test has neither and shows the same).

Change: a whole request is an input too, a hash over method, host, target, team and body. It is blocked after three crashes that nothing explains. Those of a request that was never answered are counted one by one; of one that was, crashes in one moment count as one, so that a popular read that runs on several endpoints of a failing rack is not blocked. Answers are remembered in a memory of their own. Of requests with as many crashes all are blocked. Reports name the most suspicious inputs first. Row, digests and trials are those of parts.

--- a/core/crash/ledger.go
+++ b/core/crash/ledger.go
@@ -118,14 +118,19 @@
 		return now.Sub(ledger.suspects[input].last) >= ledger.policy.ReportFor
 	})
 	if len(inputs) > ledger.policy.MaxReports {
-		slices.SortFunc(inputs, func(a, b Input) int {
-			return cmp.Compare(len(ledger.suspects[b].crashes), len(ledger.suspects[a].crashes))
-		})
+		slices.SortFunc(inputs, ledger.compareSuspicion)
 		inputs = inputs[:ledger.policy.MaxReports]
 	}
 	return inputs
 }
 
+// compareSuspicion sorts the most suspicious inputs first: by the number of crashes that
+// they were near at, then the newest first.
+func (ledger *Ledger) compareSuspicion(a, b Input) int {
+	suspected, other := ledger.suspects[a], ledger.suspects[b]
+	return cmp.Or(cmp.Compare(len(other.crashes), len(suspected.crashes)), other.last.Compare(suspected.last))
+}
+
 // Judge blocks the inputs that must have caused crashes.
 //
 // Everything that an endpoint runs ends with it, so every input that was near gets
@@ -141,7 +146,13 @@
 //     in the prompt is blocked: were it f, requests with f and without b would crash
 //     endpoints as well, and these crashes count against f.
 //   - Crashes in one moment count as one: when a rack fails, every input with enough
-//     requests is near at several of its endpoints.
+//     requests is near at several of its endpoints. Only those of a whole request that
+//     has never been answered are counted one by one: a popular request, which may run on
+//     several endpoints at once, has been answered.
+//   - A whole request explains crashes before a part that explains no more of them: were it
+//     the part, other requests with it would crash endpoints as well. Two whole
+//     requests with as many crashes can't be told apart, so both are blocked, and the
+//     sound one is allowed again after its trial.
 func (ledger *Ledger) Judge(now time.Time) {
 	ledger.forget(now)
 	if !ledger.changed && !ledger.judgedAt.Before(ledger.settlesAt) {
@@ -149,36 +160,50 @@
 	}
 	ledger.changed, ledger.judgedAt = false, now
 	for {
-		input, crashes := ledger.mostLikely(now)
-		if crashes == 0 {
-			return
+		inputs, crashes := ledger.mostLikely(now)
+		for _, input := range inputs {
+			ledger.blocks[input] = Block{
+				Input: input, Round: ledger.blocks[input].Round + 1, Since: now, Crashes: crashes, NextTrial: now.Add(ledger.policy.trialDelay(0)),
+			}
 		}
-		ledger.blocks[input] = Block{
-			Input: input, Round: ledger.blocks[input].Round + 1, Since: now, Crashes: crashes, NextTrial: now.Add(ledger.policy.trialDelay(0)),
+		if len(inputs) == 0 {
+			return
 		}
 	}
 }
 
 // mostLikely returns the input that is most likely to have caused crashes, and their
-// number, among those that have reached their threshold. The number is 0 if there is
-// none.
-func (ledger *Ledger) mostLikely(now time.Time) (Input, int) {
+// number, among those that have reached their threshold. Whole requests that are as
+// likely as each other are returned together.
+func (ledger *Ledger) mostLikely(now time.Time) ([]Input, int) {
 	explained := ledger.explained()
-	var best Input
-	bestCrashes := 0
+	candidates := map[Input]int{}
 	for input, suspected := range ledger.suspects {
-		if ledger.active(input) {
-			continue
+		crashes := ledger.countCrashes(input, suspected, explained, now)
+		if !ledger.active(input) && crashes >= ledger.threshold(input, suspected) {
+			candidates[input] = crashes
 		}
-		crashes := ledger.countCrashes(suspected, explained, now)
-		if crashes < ledger.threshold(suspected) {
-			continue
+	}
+	var best Input
+	for input, crashes := range candidates {
+		if candidates[best] == 0 || ledger.likelier(input, crashes, best, candidates[best]) {
+			best = input
 		}
-		if bestCrashes == 0 || ledger.likelier(input, crashes, best, bestCrashes) {
-			best, bestCrashes = input, crashes
+	}
+	crashes := candidates[best]
+	switch {
+	case crashes == 0:
+		return nil, 0
+	case !best.IsRequest():
+		return []Input{best}, crashes
+	}
+	var inputs []Input
+	for input := range candidates {
+		if input.IsRequest() && candidates[input] == crashes && ledger.suspects[input].soundAt.IsZero() == ledger.suspects[best].soundAt.IsZero() {
+			inputs = append(inputs, input)
 		}
 	}
-	return best, bestCrashes
+	return inputs, crashes
 }
 
 // likelier reports whether an input is more likely to have caused crashes than another
@@ -188,16 +213,23 @@
 	if unknown, otherUnknown := suspected.soundAt.IsZero(), otherSuspected.soundAt.IsZero(); unknown != otherUnknown {
 		return unknown
 	}
+	if crashes == otherCrashes && input.IsRequest() != other.IsRequest() {
+		return input.IsRequest()
+	}
 	order := cmp.Or(cmp.Compare(crashes, otherCrashes), cmp.Compare(suspected.position, otherSuspected.position),
 		cmp.Compare(other.Service, input.Service), cmp.Compare(other.ID, input.ID))
 	return order > 0
 }
 
-func (ledger *Ledger) threshold(suspected *suspect) int {
-	if suspected.soundAt.IsZero() {
+func (ledger *Ledger) threshold(input Input, suspected *suspect) int {
+	switch {
+	case input.IsRequest():
+		return ledger.policy.RequestThreshold
+	case suspected.soundAt.IsZero():
 		return ledger.policy.UnknownThreshold
+	default:
+		return ledger.policy.SoundThreshold
 	}
-	return ledger.policy.SoundThreshold
 }
 
 // explained returns the crashes at which a blocked input was near.
@@ -213,14 +245,18 @@
 	return explained
 }
 
-// countCrashes returns the number of moments with crashes that count against an input.
-func (ledger *Ledger) countCrashes(suspected *suspect, explained map[Incarnation]bool, now time.Time) int {
+// countCrashes returns the number of moments with crashes that count against an input,
+// or, for a whole request that has never been answered, the number of crashes.
+func (ledger *Ledger) countCrashes(input Input, suspected *suspect, explained map[Incarnation]bool, now time.Time) int {
 	var times []time.Time
 	for incarnation, seen := range suspected.crashes {
 		if seen.at.After(suspected.soundAt) && !seen.at.After(now.Add(-ledger.policy.Settle)) && !explained[incarnation] {
 			times = append(times, seen.at)
 		}
 	}
+	if input.IsRequest() && suspected.soundAt.IsZero() {
+		return len(times)
+	}
 	slices.SortFunc(times, time.Time.Compare)
 	count := 0
 	var last time.Time
@@ -249,12 +285,10 @@
 			delete(ledger.suspects, input)
 		}
 	}
-	if excess := len(ledger.suspects) - ledger.policy.MaxSuspects; excess > 0 {
+	if len(ledger.suspects) > ledger.policy.MaxSuspects {
 		inputs := ledger.Suspects()
-		slices.SortFunc(inputs, func(a, b Input) int {
-			return cmp.Or(cmp.Compare(len(ledger.suspects[a].crashes), len(ledger.suspects[b].crashes)), ledger.suspects[a].last.Compare(ledger.suspects[b].last))
-		})
-		for _, input := range inputs[:excess] {
+		slices.SortFunc(inputs, ledger.compareSuspicion)
+		for _, input := range inputs[ledger.policy.MaxSuspects:] {
 			delete(ledger.suspects, input)
 		}
 	}
@@ -277,8 +311,8 @@
 	}
 }
 
-// Reports returns the recent crashes that this node saw, for the other nodes: the
-// newest if there are too many.
+// Reports returns the recent crashes that this node saw, for the other nodes: those of
+// the most suspicious inputs if there are too many.
 func (ledger *Ledger) Reports(now time.Time) []Report {
 	var reports []Report
 	for input, suspected := range ledger.suspects {
@@ -292,7 +326,9 @@
 		}
 	}
 	if len(reports) > ledger.policy.MaxReports {
-		slices.SortFunc(reports, func(a, b Report) int { return b.At.Compare(a.At) })
+		slices.SortFunc(reports, func(a, b Report) int {
+			return cmp.Or(ledger.compareSuspicion(a.Input, b.Input), b.At.Compare(a.At))
+		})
 		reports = reports[:ledger.policy.MaxReports]
 	}
 	return reports
--- a/core/crash/ledger_test.go
+++ b/core/crash/ledger_test.go
@@ -14,7 +14,14 @@
 
 var start = time.Unix(1000, 0)
 
-func partOf(id string) crash.Input { return crash.Input{Service: "llm", ID: id} }
+// partOf returns the part of prompts with an ID or, if it begins with a slash, the whole
+// request.
+func partOf(id string) crash.Input {
+	if strings.HasPrefix(id, "/") {
+		return crash.Input{ID: id}
+	}
+	return crash.Input{Service: "llm", ID: id}
+}
 
 // crashOf says that an endpoint crashed, a time after the start, when it was about to
 // answer prompts with these parts.
@@ -177,7 +184,7 @@
 // TestSoundTimesAreBounded checks that the latest answers are remembered, however many
 // parts there are.
 func TestSoundTimesAreBounded(t *testing.T) {
-	soundtimes := crash.NewSoundTimes()
+	soundtimes := crash.NewSoundTimes(crash.PartGeneration)
 	for i := range 100_000 {
 		soundtimes.Record([]crash.Input{partOf(fmt.Sprint(i))}, start.Add(time.Duration(i)))
 	}
--- a/core/crash/policy.go
+++ b/core/crash/policy.go
@@ -6,6 +6,7 @@
 type Policy struct {
 	UnknownThreshold int             // crashes that block an input of which no answer is known
 	SoundThreshold   int             // crashes since its last answer that block an input that was answered before
+	RequestThreshold int             // crashes that block a whole request
 	MomentGap        time.Duration   // crashes less than this apart count as one: a host or a rack may have failed
 	Settle           time.Duration   // after a crash before it counts, for the other nodes' reports
 	SoundEvents      int             // events of an answer that show that its prompt crashes no endpoint
@@ -23,10 +24,10 @@
 // no more than two endpoints in the first hour.
 func DefaultPolicy() Policy {
 	return Policy{
-		UnknownThreshold: 3, SoundThreshold: 5, MomentGap: 100 * time.Millisecond, Settle: 500 * time.Millisecond, SoundEvents: 4,
+		UnknownThreshold: 3, SoundThreshold: 5, RequestThreshold: 3, MomentGap: 100 * time.Millisecond, Settle: 500 * time.Millisecond, SoundEvents: 4,
 		ReportFor: 6 * time.Second, SuspectTTL: time.Hour,
 		TrialDelays: []time.Duration{10 * time.Second, 10 * time.Minute, time.Hour, 24 * time.Hour},
-		MaxSuspects: 512, MaxCrashes: 64, MaxBlocks: 128, MaxReports: 64,
+		MaxSuspects: 1024, MaxCrashes: 64, MaxBlocks: 128, MaxReports: 64,
 	}
 }
 
--- a/core/crash/sound.go
+++ b/core/crash/sound.go
@@ -5,19 +5,26 @@
 	"time"
 )
 
-// soundGeneration is how many inputs a generation of SoundTimes holds.
-const soundGeneration = 4096
+// The number of inputs that a generation of SoundTimes holds.
+const (
+	PartGeneration    = 4096
+	RequestGeneration = 32768 // whole requests are far more than parts
+)
 
 // SoundTimes remembers when endpoints last answered requests with an input, for the
 // inputs that were answered most recently. All request goroutines share it.
 type SoundTimes struct {
-	mutex    sync.Mutex
-	current  map[Input]time.Time
-	previous map[Input]time.Time // the generation before; dropped when current is full
+	mutex      sync.Mutex
+	generation int // inputs in one generation
+	current    map[Input]time.Time
+	previous   map[Input]time.Time // the generation before; dropped when current is full
 }
 
-// NewSoundTimes returns an empty SoundTimes.
-func NewSoundTimes() *SoundTimes { return &SoundTimes{current: map[Input]time.Time{}} }
+// NewSoundTimes returns an empty SoundTimes that remembers the last answers to at least
+// as many inputs as a generation holds, and at most twice as many.
+func NewSoundTimes(generation int) *SoundTimes {
+	return &SoundTimes{generation: generation, current: map[Input]time.Time{}}
+}
 
 // Record records that an endpoint has answered a request with the inputs.
 func (soundtimes *SoundTimes) Record(inputs []Input, now time.Time) {
@@ -26,7 +33,7 @@
 	for _, input := range inputs {
 		soundtimes.current[input] = now
 	}
-	if len(soundtimes.current) >= soundGeneration {
+	if len(soundtimes.current) >= soundtimes.generation {
 		soundtimes.previous, soundtimes.current = soundtimes.current, map[Input]time.Time{}
 	}
 }
--- a/core/crash/spread_test.go
+++ b/core/crash/spread_test.go
@@ -58,7 +58,7 @@
 	simulation := &simulation{random: rand.New(rand.NewPCG(seed, 7)), upAt: make([]time.Duration, simEndpoints), starts: make([]int, simEndpoints), wrongly: map[string]bool{}, threshold: threshold}
 	for range simNodes {
 		simulation.ledgers = append(simulation.ledgers, crash.New(crash.DefaultPolicy()))
-		simulation.sound = append(simulation.sound, crash.NewSoundTimes())
+		simulation.sound = append(simulation.sound, crash.NewSoundTimes(crash.PartGeneration))
 		simulation.counts = append(simulation.counts, map[string]int{})
 	}
 	return simulation
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -174,7 +174,7 @@
 		control.crashes.ledger.TrialFailed(ended.input, now)
 	}
 	control.snapshotStale = true
-	event.Log(control.log, event.PartTrial, zap.String("service", ended.input.Service), zap.String("input", ended.input.ID), zap.Bool("crashed", ended.crashed))
+	event.Log(control.log, event.PartTrial, zap.String("kind", kindOf(ended.input)), zap.String("service", ended.input.Service), zap.String("input", ended.input.ID), zap.Bool("crashed", ended.crashed))
 }
 
 // showBlocks logs the blocks that are new or were lifted, and has them published.
@@ -199,12 +199,20 @@
 		if block.Lifted {
 			change = event.PartAllowed
 		}
-		event.Log(control.log, change, zap.String("service", block.Input.Service), zap.String("input", block.Input.ID), zap.Int("round", block.Round),
+		event.Log(control.log, change, zap.String("kind", kindOf(block.Input)), zap.String("service", block.Input.Service), zap.String("input", block.Input.ID), zap.Int("round", block.Round),
 			zap.Int("crashes", block.Crashes), zap.Duration("age", now.Sub(block.Since)), zap.Duration("next-trial", block.NextTrial.Sub(now)))
 	}
 	control.meter.Gauge("prompt_parts_blocked", float64(active))
 }
 
+// kindOf names the kind of an input in the log.
+func kindOf(input crash.Input) string {
+	if input.IsRequest() {
+		return "request"
+	}
+	return "prompt-part"
+}
+
 // blockedInputs returns the inputs whose requests are rejected, for the snapshot.
 func (crashes *crashes) blockedInputs() map[crash.Input]reach.Blocked {
 	blocked := map[crash.Input]reach.Blocked{}
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -144,8 +144,11 @@
 		return request.handleFailure(candidate, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrIncompleteResponse), sentAt)
 	}
 	exchange.Release()
-	if status < http.StatusMultipleChoices {
+	switch {
+	case status < http.StatusMultipleChoices:
 		request.recordSound()
+	case status < http.StatusInternalServerError && responseheader.Receipt:
+		request.recordRequestSound(time.Now())
 	}
 	candidate.Load.RecordResult(time.Now(), status >= http.StatusInternalServerError, time.Since(sentAt))
 	return answered{response: exchange.Response, body: body, header: responseheader}
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -39,6 +39,15 @@
 	}.Input()
 }
 
+// inputID returns the ID of the input that stands for the whole request, or an empty
+// string if the request was not admitted.
+func (request *request) inputID() string {
+	if len(request.inputs) == 0 {
+		return ""
+	}
+	return request.inputs[len(request.inputs)-1].ID
+}
+
 // findBlocked returns why the request may not be sent because of one of its inputs.
 // A request that gets the permission to try a blocked input is sent once.
 func (request *request) findBlocked() (reach.Blocked, bool) {
@@ -81,17 +90,25 @@
 func (request *request) handleBroken(candidate *reach.Candidate, err error) {
 	request.broken = true
 	event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
-		zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID), zap.Int("events", request.attemptEvents), zap.Error(err))
-	if len(request.inputs) > 0 && request.attemptEvents < request.server.soundEvents {
+		zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Int("events", request.attemptEvents), zap.Error(err))
+	if request.attemptEvents < request.server.soundEvents {
 		request.server.attemptBroken(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Inputs: request.inputs, At: time.Now()})
 	}
 }
 
-// recordSound records that an endpoint has answered the request's prompt.
+// recordSound records that an endpoint has answered the request.
 func (request *request) recordSound() {
-	if len(request.inputs) > 0 {
-		request.server.soundTimes.Record(request.inputs, time.Now())
+	now := time.Now()
+	if parts := request.inputs[:len(request.inputs)-1]; len(parts) > 0 {
+		request.server.soundTimes.Record(parts, now)
 	}
+	request.recordRequestSound(now)
+}
+
+// recordRequestSound records that an endpoint has answered the whole request, which need
+// not mean that it has read the prompt.
+func (request *request) recordRequestSound(now time.Time) {
+	request.server.soundRequests.Record(request.inputs[len(request.inputs)-1:], now)
 }
 
 // connectionEnded reports whether an attempt failed because the endpoint, or its host,
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -33,8 +33,7 @@
 	priority      int
 	service       string
 	body          []byte
-	inputs        []crash.Input // that it is recognized by if it crashes endpoints
-	inputID       string        // of the whole request among them
+	inputs        []crash.Input // that it is recognized by if it crashes endpoints, itself last
 	trial         *crash.Trial  // that this request has claimed, or nil
 	tried         []string      // IDs of the endpoints that it was sent to
 	snapshotAge   time.Duration // how old the snapshot was when it was last used
@@ -146,7 +145,7 @@
 	for _, id := range request.header.SharedParts {
 		request.inputs = append(request.inputs, crash.Input{Service: request.service, ID: id})
 	}
-	request.inputID = request.identity().ID
+	request.inputs = append(request.inputs, request.identity())
 	request.server.recordRequest(request.service, request.receivedAt)
 	request.recordDemand()
 	ctx, cancel := context.WithDeadline(request.r.Context(), request.deadline)
@@ -313,7 +312,7 @@
 	if request.route != nil {
 		fields = append(fields, zap.String("route", request.route.Name), zap.String("team", request.team),
 			zap.Strings("endpoints", request.tried), zap.Int64("config", request.snapshot.Index.Config.Version),
-			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID), zap.Duration("age", request.snapshotAge))
+			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Duration("age", request.snapshotAge))
 	}
 	event.Log(request.server.log, event.RequestEnded, fields...)
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -35,8 +35,9 @@
 	attemptBroken func(AttemptBroken)
 	trialEnded    func(input crash.Input, crashed bool)
 	limitStated   func(StatedLimit)
-	soundTimes    *crash.SoundTimes
-	soundEvents   int // events of an answer that show that its prompt is sound
+	soundTimes    *crash.SoundTimes // of parts of prompts
+	soundRequests *crash.SoundTimes // of whole requests
+	soundEvents   int               // events of an answer that show that its prompt is sound
 
 	// The first unusable Retry-After and Server-Limit of an endpoint, which are logged.
 	unusableRetryAfter sync.Once
@@ -103,7 +104,7 @@
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
 		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
-		limitStated: func(StatedLimit) {}, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(crash.Input, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
+		limitStated: func(StatedLimit) {}, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(crash.Input, bool) {}, soundTimes: crash.NewSoundTimes(crash.PartGeneration), soundRequests: crash.NewSoundTimes(crash.RequestGeneration), soundEvents: crash.DefaultPolicy().SoundEvents,
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
 		demand: map[string]time.Duration{},
 	}
@@ -127,7 +128,12 @@
 
 // LastAnswer returns when a request with an input was last answered through this node, or
 // the zero time if that is not known.
-func (server *Server) LastAnswer(input crash.Input) time.Time { return server.soundTimes.Last(input) }
+func (server *Server) LastAnswer(input crash.Input) time.Time {
+	if input.IsRequest() {
+		return server.soundRequests.Last(input)
+	}
+	return server.soundTimes.Last(input)
+}
 
 // InFlight returns the number of requests in flight.
 func (server *Server) InFlight() int64 { return server.inFlight.Load() }
