A request that was near at a crash is sent to one endpoint only

A request that crashes endpoints was sent to a second endpoint each time, until it had crashed three. Now a whole request that was near at a crash, on whichever node, and has not been answered since, is not sent again once an endpoint may have run it. What counts is what was known before the attempt, so a sound request that ran beside the first crash keeps its second attempt.

--- a/core/crash/ledger.go
+++ b/core/crash/ledger.go
@@ -131,6 +131,14 @@
 	return cmp.Or(cmp.Compare(len(other.crashes), len(suspected.crashes)), other.last.Compare(suspected.last))
 }
 
+// Unexplained returns the whole requests that were near at crashes and have not been
+// answered since.
+func (ledger *Ledger) Unexplained() []Input {
+	return slices.DeleteFunc(ledger.Suspects(), func(input Input) bool {
+		return !input.IsRequest() || !ledger.suspects[input].last.After(ledger.suspects[input].soundAt)
+	})
+}
+
 // Judge blocks the inputs that must have caused crashes.
 //
 // Everything that an endpoint runs ends with it, so every input that was near gets
--- a/core/crash/request_test.go
+++ b/core/crash/request_test.go
@@ -106,6 +106,7 @@
 			for _, ledger := range ledgers {
 				ledger.Judge(now.Add(500 * time.Millisecond))
 				assert.Equal(t, blockedParts(ledger), test.want)
+				assert.DeepEqual(t, ledger.Unexplained(), []crash.Input{partOf("/bad")})
 			}
 		})
 	}
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -15,6 +15,9 @@
 	Services map[string]*ServicePool
 	Nodes    int // number of nodes, this one included
 	Blocked  map[crash.Input]Blocked
+
+	// Whole requests that were near at crashes and have not been answered since.
+	Suspected map[crash.Input]bool
 }
 
 // Blocks reports whether requests with one of the inputs are rejected.
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,7 @@
 	answeredAt map[string]time.Time                  // when the last probe was sent that an endpoint of them has answered
 	trials     map[crash.Input]*crash.Trial          // that this node may send now
 	shown      map[crash.Input]crash.Block           // as last logged and published
+	suspected  map[crash.Input]bool                  // as last published
 	stored     storedBlocks
 }
 
@@ -96,6 +98,7 @@
 		}
 	}
 	crashes.ledger.Judge(now)
+	control.showSuspects()
 	control.offerTrials(now)
 	control.showBlocks(now)
 	control.writeBlocks(now)
@@ -177,6 +180,18 @@
 	event.Log(control.log, event.PartTrial, zap.String("kind", kindOf(ended.input)), zap.String("service", ended.input.Service), zap.String("input", ended.input.ID), zap.Bool("crashed", ended.crashed))
 }
 
+// showSuspects has the whole requests published that were near at unexplained crashes.
+func (control *Control) showSuspects() {
+	suspected := map[crash.Input]bool{}
+	for _, input := range control.crashes.ledger.Unexplained() {
+		suspected[input] = true
+	}
+	if !maps.Equal(suspected, control.crashes.suspected) {
+		control.crashes.suspected = suspected
+		control.snapshotStale = true
+	}
+}
+
 // showBlocks logs the blocks that are new or were lifted, and has them published.
 func (control *Control) showBlocks(now time.Time) {
 	crashes := &control.crashes
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -21,7 +21,7 @@
 
 // publish builds the snapshot for request handling and publishes it.
 func (control *Control) publish(time.Time) {
-	snapshot := &reach.Snapshot{Index: control.config.index, Services: map[string]*reach.ServicePool{}, Nodes: control.peers.count(), Blocked: control.crashes.blockedInputs()}
+	snapshot := &reach.Snapshot{Index: control.config.index, Services: map[string]*reach.ServicePool{}, Nodes: control.peers.count(), Blocked: control.crashes.blockedInputs(), Suspected: control.crashes.suspected}
 	if snapshot.Index != nil {
 		for i := range snapshot.Index.Config.Services {
 			service := &snapshot.Index.Config.Services[i]
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -34,6 +34,7 @@
 	service       string
 	body          []byte
 	inputs        []crash.Input // that it is recognized by if it crashes endpoints, itself last
+	suspected     bool          // it was near at a crash before its latest attempt, and was not answered since
 	trial         *crash.Trial  // that this request has claimed, or nil
 	tried         []string      // IDs of the endpoints that it was sent to
 	snapshotAge   time.Duration // how old the snapshot was when it was last used
@@ -225,6 +226,7 @@
 	if blocked, found := request.findBlocked(); found {
 		return reach.Reject{Reason: reach.ReasonCrashes, RetryAt: blocked.RetryAt}
 	}
+	request.suspected = request.snapshot.Suspected[request.inputs[len(request.inputs)-1]]
 	return reach.Choose(request.server.routing, request.snapshot.Services[request.service], request.routingRequest(resumed))
 }
 
@@ -275,7 +277,7 @@
 	}
 	now := time.Now()
 	switch {
-	case request.mayHaveRun && (len(request.tried) >= request.route.MaxAttempts || !site.Retryable(request.route.Kind)):
+	case request.mayHaveRun && (request.suspected || len(request.tried) >= request.route.MaxAttempts || !site.Retryable(request.route.Kind)):
 		return false
 	case len(request.tried) >= request.server.policy.MaxEndpoints, request.deadline.Sub(now) < request.server.policy.MinTimeLeft:
 		return false
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -147,7 +147,7 @@
 // attempt is running.
 func (request *request) alternative() func() bool {
 	server, service, deadline, inputs := request.server, request.service, request.deadline, request.inputs
-	mayRepeat := site.Retryable(request.route.Kind) && len(request.tried) < min(request.route.MaxAttempts, server.policy.MaxEndpoints)
+	mayRepeat := site.Retryable(request.route.Kind) && !request.suspected && len(request.tried) < min(request.route.MaxAttempts, server.policy.MaxEndpoints)
 	resumed := request.routingRequest(true)
 	return func() bool {
 		now, snapshot := time.Now(), server.snapshot.Load()
