--- a/core/crash/spread_test.go
+++ b/core/crash/spread_test.go
@@ -12,20 +12,23 @@
 )
 
 const (
-	simNodes       = 6
-	simEndpoints   = 24
-	simStep        = 10 * time.Millisecond
-	simExchange    = 100 * time.Millisecond // between two exchanges of reports
-	simTransit     = 40 * time.Millisecond
-	simBegin       = 150 * time.Millisecond // from arrival until the answer begins
-	simSound       = 350 * time.Millisecond // from arrival until the answer shows that the prompt is sound
-	simDowntime    = 3 * time.Second
-	simFirstParts  = 60
-	simCrashFrom   = 10 * time.Second // when the requests with the part that crashes endpoints come
-	simCrashUntil  = 30 * time.Second
-	simContact     = 3 * time.Second
-	simTolerated   = 3
-	simDecisive    = 5
+	simNodes      = 6
+	simEndpoints  = 24
+	simStep       = 10 * time.Millisecond
+	simExchange   = 100 * time.Millisecond // between two exchanges of reports
+	simTransit    = 40 * time.Millisecond
+	simBegin      = 150 * time.Millisecond // from arrival until the answer begins
+	simSound      = 350 * time.Millisecond // from arrival until the answer shows that the prompt is sound
+	simDowntime   = 3 * time.Second
+	simFirstParts = 60
+	simCrashFrom  = 10 * time.Second // when the requests with the part that crashes endpoints come
+	simCrashUntil = 30 * time.Second
+	simContact    = 3 * time.Second
+	simTolerated  = 3
+	simDecisive   = 5
+
+	simDecisiveOfRequest = 3
+
 	simRunOn       = 12 * time.Second // an answer that has shown that its prompt is sound goes on for this long
 	simDayLength   = 45 * time.Second
 	simRequestRate = 66 // a second
@@ -43,6 +46,7 @@
 	crashes   []time.Duration // by the part
 	arrivals  []time.Duration // of requests with the part
 	wrongly   map[string]bool // sound parts that were blocked
+	whole     bool            // inputs are whole requests, a third of them unique, rather than parts of prompts
 	threshold int             // of the baseline, which only counts; 0 for the ledger
 	counts    []map[string]int
 }
@@ -83,12 +87,19 @@
 func (simulation *simulation) arrive(first string, bad bool) {
 	node, endpoint := simulation.random.IntN(simNodes), simulation.random.IntN(simEndpoints)
 	parts := []crash.Input{partOf(first)}
-	if bad {
+	switch {
+	case simulation.whole && bad:
+		parts = []crash.Input{partOf("/bad")}
+	case simulation.whole && simulation.random.IntN(3) == 0:
+		parts = []crash.Input{partOf(fmt.Sprint("/", simulation.now, "-", len(simulation.running)))}
+	case simulation.whole:
+		parts = []crash.Input{partOf("/" + first)}
+	case bad:
 		parts = append(parts, partOf("bad"))
 	}
 	for _, part := range parts {
 		if simulation.blocked(node, part) {
-			if part.ID != "bad" {
+			if part.ID != "bad" && part.ID != "/bad" {
 				simulation.wrongly[part.ID] = true
 			}
 			return
@@ -205,13 +216,17 @@
 }
 
 // late counts the requests with the part that were sent later than simContact after
-// the fifth crash.
+// the fifth crash, or the whole requests after the third.
 func (simulation *simulation) late() (late int) {
-	if len(simulation.crashes) < simDecisive {
+	decisive := simDecisive
+	if simulation.whole {
+		decisive = simDecisiveOfRequest
+	}
+	if len(simulation.crashes) < decisive {
 		return 0
 	}
 	for _, arrivedAt := range simulation.arrivals {
-		if arrivedAt > simulation.crashes[simDecisive-1]+simContact {
+		if arrivedAt > simulation.crashes[decisive-1]+simContact {
 			late++
 		}
 	}
@@ -238,3 +253,21 @@
 	assert.Equal(t, wrongly, 0)
 	assert.Assert(t, baselineWrongly > 0)
 }
+
+// TestCrashingRequestAmongOtherCrashes plays the same days with a whole request that
+// crashes endpoints, beside popular requests that run on several endpoints of a failing
+// group, and unique ones.
+func TestCrashingRequestAmongOtherCrashes(t *testing.T) {
+	crashes, wrongly := 0, 0
+	const days = 12
+	for seed := range uint64(days) {
+		simulation := newSimulation(seed, 0)
+		simulation.whole = true
+		simulation.play()
+		assert.Check(t, simulation.late() <= simTolerated, "seed %d: %d late requests, %d crashes", seed, simulation.late(), len(simulation.crashes))
+		crashes += len(simulation.crashes)
+		wrongly += len(simulation.wrongly)
+	}
+	t.Logf("in %d days: %d crashes by the request and %d sound requests rejected", days, crashes, wrongly)
+	assert.Equal(t, wrongly, 0)
+}
