Operators can list and lift blocks, and see the evidence

416 lists in evidence the endpoints that crashed and when; it and 417, 418 name the kind of the input. Nodes of the edge form have no control address: the calls are two more procedures on the address for other nodes, guarded by the peer key, beside the digests. The crashes until then no longer count, at other nodes neither.

The events are named InputBlocked, InputAllowed and InputTrial in the code.

--- a/core/crash/ledger.go
+++ b/core/crash/ledger.go
@@ -358,9 +358,45 @@
 		return false
 	}
 	ledger.blocks[block.Input] = block
+	if block.Lifted {
+		ledger.acquit(block.Input)
+	}
+	return true
+}
+
+// Lift ends a block by an operator's order, and reports whether there was one. The
+// crashes until now do not count against the input any more.
+func (ledger *Ledger) Lift(input Input) bool {
+	block, found := ledger.blocks[input]
+	if !found || block.Lifted {
+		return false
+	}
+	block.Lifted = true
+	ledger.blocks[input] = block
+	ledger.acquit(input)
 	return true
 }
 
+// acquit drops what was known against an input.
+func (ledger *Ledger) acquit(input Input) {
+	if suspected := ledger.suspects[input]; suspected != nil && suspected.last.After(suspected.soundAt) {
+		suspected.soundAt = suspected.last
+		ledger.changed = true
+	}
+}
+
+// Evidence returns the crashes that this node knows an input was near at, in their order.
+func (ledger *Ledger) Evidence(input Input) []Report {
+	var reports []Report
+	if suspected := ledger.suspects[input]; suspected != nil {
+		for incarnation, seen := range suspected.crashes {
+			reports = append(reports, Report{Input: input, Position: suspected.position, Incarnation: incarnation, At: seen.at})
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return a.At.Compare(b.At) })
+	return reports
+}
+
 // Restore takes a block of which neither this node nor another one knows more than
 // that it was in force. Its next trial is due as if it had begun at its Since.
 func (ledger *Ledger) Restore(block Block) {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -184,6 +184,10 @@
 		control.handleLimitStated(typed, now)
 	case blocksRead:
 		control.handleBlocksRead(typed, now)
+	case blocksListed:
+		control.handleBlocksListed(typed, now)
+	case blockLifted:
+		control.handleBlockLifted(typed, now)
 	case blocksWritten:
 		control.handleBlocksWritten(typed, now)
 	case probeResult:
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -177,7 +177,7 @@
 		control.crashes.ledger.TrialFailed(ended.input, now)
 	}
 	control.snapshotStale = true
-	event.Log(control.log, event.PartTrial, zap.String("kind", kindOf(ended.input)), zap.String("service", ended.input.Service), zap.String("input", ended.input.ID), zap.Bool("crashed", ended.crashed))
+	event.Log(control.log, event.InputTrial, zap.String("kind", kindOf(ended.input)), zap.String("service", ended.input.Service), zap.String("input", ended.input.ID), zap.Bool("crashed", ended.crashed))
 }
 
 // showSuspects has the whole requests published that were near at unexplained crashes.
@@ -210,16 +210,27 @@
 		if shown.Round == block.Round && shown.Lifted == block.Lifted {
 			continue
 		}
-		change := event.PartBlocked
+		change := event.InputBlocked
 		if block.Lifted {
-			change = event.PartAllowed
+			change = event.InputAllowed
 		}
 		event.Log(control.log, change, zap.String("kind", kindOf(block.Input)), zap.String("service", block.Input.Service), zap.String("input", block.Input.ID), zap.Int("round", block.Round),
-			zap.Int("crashes", block.Crashes), zap.Duration("age", now.Sub(block.Since)), zap.Duration("next-trial", block.NextTrial.Sub(now)))
+			zap.Int("crashes", block.Crashes), zap.Duration("age", now.Sub(block.Since)), zap.Duration("next-trial", block.NextTrial.Sub(now)),
+			zap.Strings("evidence", control.evidence(block.Input)))
 	}
 	control.meter.Gauge("prompt_parts_blocked", float64(active))
 }
 
+// evidence lists the endpoints that crashed when they were about to answer a request
+// with an input, and when, as far as this node knows.
+func (control *Control) evidence(input crash.Input) []string {
+	var evidence []string
+	for _, report := range control.crashes.ledger.Evidence(input) {
+		evidence = append(evidence, report.Incarnation.Endpoint+" "+report.At.UTC().Format(time.RFC3339Nano))
+	}
+	return evidence
+}
+
 // kindOf names the kind of an input in the log.
 func kindOf(input crash.Input) string {
 	if input.IsRequest() {
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -53,11 +53,12 @@
 	ReplicasServing       = Event{413, "number of serving replicas changed", zap.InfoLevel}
 	PlacementStats        = Event{414, "placement statistics", zap.InfoLevel}
 	EndpointCrashed       = Event{415, "endpoint crashed with requests in progress", zap.WarnLevel}
-	PartBlocked           = Event{416, "requests with a prompt part that crashes endpoints are rejected", zap.ErrorLevel}
-	PartAllowed           = Event{417, "requests with a prompt part are allowed again", zap.WarnLevel}
-	PartTrial             = Event{418, "trial request with a blocked prompt part ended", zap.WarnLevel}
+	InputBlocked          = Event{416, "requests that crash endpoints are rejected", zap.ErrorLevel}
+	InputAllowed          = Event{417, "requests that were rejected are allowed again", zap.WarnLevel}
+	InputTrial            = Event{418, "trial of rejected requests ended", zap.WarnLevel}
 	EndpointLimited       = Event{419, "endpoint limits the requests that it takes", zap.WarnLevel}
 	EndpointUnlimited     = Event{420, "endpoint takes any number of requests again", zap.InfoLevel}
+	BlockLifted           = Event{421, "operator lifted a block", zap.WarnLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -85,7 +86,7 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial, EndpointLimited, EndpointUnlimited,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent,
 	}
--- a/io/gossip/crashes.go
+++ b/io/gossip/crashes.go
@@ -48,6 +48,27 @@
 	NextTrial      time.Time `cbor:"-"`
 }
 
+// BlockStatus is a block with the crashes that a node knows its input was near at.
+type BlockStatus struct {
+	Block    InputBlock    `cbor:"1,keyasint"`
+	Evidence []CrashReport `cbor:"2,keyasint,omitempty"`
+}
+
+// BlockStatusList is what a node knows of the inputs that are blocked.
+type BlockStatusList struct {
+	Blocks []BlockStatus `cbor:"1,keyasint,omitempty"`
+}
+
+// LiftRequest orders a node to lift the blocks of the inputs with an ID.
+type LiftRequest struct {
+	Input string `cbor:"1,keyasint"`
+}
+
+// LiftReply says whether there were such blocks.
+type LiftReply struct {
+	Lifted bool `cbor:"1,keyasint,omitempty"`
+}
+
 // maxSummedReports limits the reports and the answers in a leader's sum.
 const maxSummedReports = 256
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -15,8 +15,11 @@
 const (
 	procedureExchange = "/hickorybend.gossip/tell"
 	procedureFetch    = "/hickorybend.gossip/fetch"
+	procedureBlocks   = "/hickorybend.gossip/blocks"
+	procedureLift     = "/hickorybend.gossip/lift"
 	exchangeTimeout   = 500 * time.Millisecond // a round trip between zones takes 10 ms
 	fetchTimeout      = 1500 * time.Millisecond
+	operatorTimeout   = 5 * time.Second // of the calls that operators make
 )
 
 // ErrNoReply marks errors of calls that another node did not answer.
@@ -94,15 +97,21 @@
 type Local interface {
 	HandleDigest(digest Digest) Digest
 	Table(table int, after rows.Version) Table
+	BlockStatusList(ctx context.Context) (BlockStatusList, error)
+	Lift(ctx context.Context, request LiftRequest) (LiftReply, error)
 }
 
+// blocksRequest asks for the blocked inputs.
+type blocksRequest struct{}
+
 // fetchRequest asks for the changes in a table after a version.
 type fetchRequest struct {
 	Table int          `cbor:"1,keyasint"`
 	After rows.Version `cbor:"2,keyasint"`
 }
 
-// Handler returns the path prefix and the handler of calls from other nodes.
+// Handler returns the path prefix and the handler of calls from other nodes, and of
+// operators who have the nodes' key.
 func Handler(local Local, peerKey string) (string, http.Handler) {
 	options := wire.HandlerOptions([]wire.Key{{Name: "peer", SHA256: wire.HashKey(peerKey)}})
 	mux := http.NewServeMux()
@@ -114,6 +123,14 @@
 		table := local.Table(request.Msg.Table, request.Msg.After)
 		return connect.NewResponse(&table), nil
 	}, options...))
+	mux.Handle(procedureBlocks, connect.NewUnaryHandler(procedureBlocks, func(ctx context.Context, _ *connect.Request[blocksRequest]) (*connect.Response[BlockStatusList], error) {
+		blockstatuslist, err := local.BlockStatusList(ctx)
+		return connect.NewResponse(&blockstatuslist), err
+	}, options...))
+	mux.Handle(procedureLift, connect.NewUnaryHandler(procedureLift, func(ctx context.Context, request *connect.Request[LiftRequest]) (*connect.Response[LiftReply], error) {
+		liftreply, err := local.Lift(ctx, *request.Msg)
+		return connect.NewResponse(&liftreply), err
+	}, options...))
 	return "/hickorybend.gossip/", mux
 }
 
@@ -121,6 +138,8 @@
 type Client struct {
 	exchange *connect.Client[Digest, Digest]
 	fetch    *connect.Client[fetchRequest, Table]
+	blocks   *connect.Client[blocksRequest, BlockStatusList]
+	lift     *connect.Client[LiftRequest, LiftReply]
 }
 
 // NewClient creates a client for the node at an address.
@@ -129,6 +148,8 @@
 	return &Client{
 		exchange: connect.NewClient[Digest, Digest](client, "http://"+address+procedureExchange, options...),
 		fetch:    connect.NewClient[fetchRequest, Table](client, "http://"+address+procedureFetch, options...),
+		blocks:   connect.NewClient[blocksRequest, BlockStatusList](client, "http://"+address+procedureBlocks, options...),
+		lift:     connect.NewClient[LiftRequest, LiftReply](client, "http://"+address+procedureLift, options...),
 	}
 }
 
@@ -154,3 +175,26 @@
 	}
 	return *reply.Msg, nil
 }
+
+// BlockStatusList returns what the node knows of the inputs that are blocked.
+func (client *Client) BlockStatusList(ctx context.Context) (BlockStatusList, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	reply, err := client.blocks.CallUnary(ctx, connect.NewRequest(&blocksRequest{}))
+	if err != nil {
+		return BlockStatusList{}, errors.Mark(errors.Wrap(err, "gossip: listing blocks"), ErrNoReply)
+	}
+	return *reply.Msg, nil
+}
+
+// Lift has the node lift the blocks of the inputs with an ID, which it tells the other
+// nodes. It reports whether there were such blocks.
+func (client *Client) Lift(ctx context.Context, input string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	reply, err := client.lift.CallUnary(ctx, connect.NewRequest(&LiftRequest{Input: input}))
+	if err != nil {
+		return false, errors.Mark(errors.Wrap(err, "gossip: lifting a block"), ErrNoReply)
+	}
+	return reply.Msg.Lifted, nil
+}
