--- a/core/crash/request_test.go
+++ b/core/crash/request_test.go
@@ -111,3 +111,31 @@
 		})
 	}
 }
+
+// TestLiftedBlockElsewhere guards against a block that an operator has lifted at one
+// node, and that the crashes which another node knows bring back.
+func TestLiftedBlockElsewhere(t *testing.T) {
+	ledger, other := crash.New(crash.DefaultPolicy()), crash.New(crash.DefaultPolicy())
+	for _, event := range crashesOf("/bad", "/bad", "/bad") {
+		record(ledger, event.(crashOf))
+		record(other, event.(crashOf))
+	}
+	now := start.Add(time.Minute)
+	ledger.Judge(now)
+	other.Judge(now)
+	assert.Assert(t, ledger.Lift(partOf("/bad")))
+	assert.Assert(t, !ledger.Lift(partOf("/bad")))
+	for _, block := range ledger.Blocks() {
+		assert.Assert(t, other.Merge(block))
+	}
+	for _, lifted := range []*crash.Ledger{ledger, other} {
+		record(lifted, crashOf{"e-after", 90 * time.Second, "/bad"})
+		lifted.Judge(start.Add(100 * time.Second))
+		assert.Equal(t, blockedParts(lifted), "", "one crash since then")
+	}
+	for i := range 3 {
+		record(other, crashOf{fmt.Sprint("again", i), 2*time.Minute + time.Duration(i)*time.Second, "/bad"})
+	}
+	other.Judge(now.Add(5 * time.Minute))
+	assert.Equal(t, blockedParts(other), "/bad")
+}
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -99,9 +99,26 @@
 break_one "a part answered before that is blamed first" core/crash/ledger.go 'return unknown
 	}' 'return otherUnknown
 	}' ./core/crash TestWhichPartIsBlocked
-break_one "crashes of prompt parts that are not recorded" io/edge/crashes.go 'control.crashes.ledger.Record(crash.Report{Part: part, Position: position, Incarnation: incarnation, At: broken.at}, true)' '_ = position' ./platform/fakes TestPromptPartThatCrashesEndpoints
+break_one "crashes of prompt parts that are not recorded" io/edge/crashes.go 'control.crashes.ledger.Record(crash.Report{Input: input, Position: position, Incarnation: incarnation, At: broken.at}, true)' '_ = position' ./platform/fakes TestPromptPartThatCrashesEndpoints
 break_one "blocks that are not stored" io/edge/blocks.go 'control.overwriteRow(blocksKey, body)' 'control.overwriteRow(blocksKey, body[:0])' ./platform/fakes TestBlocksSurviveRestartOfAllNodes
 break_one "an answer that does not lift a block" core/crash/ledger.go 'block.Lifted = true' 'block.Lifted = false' ./core/crash TestBlockEnds
+break_one "a request that is not the same as its repetition" io/entry/crash.go 'Target: request.r.URL.RequestURI()' 'Target: request.header.RequestID' ./platform/fakes TestRequestThatCrashesEndpoints/unsafe
+break_one "fields of a request hashed without their lengths" core/crash/input.go '_ = binary.Write(hash, binary.BigEndian, int64(len(field)))' '_ = binary.BigEndian' ./core/crash TestSoundRequestSharesID
+break_one "crashes of an unknown request that count by moments" core/crash/ledger.go 'if input.IsRequest() && suspected.soundAt.IsZero() {' 'if false {' ./core/crash TestWhichRequestIsBlocked
+break_one "crashes of a popular read that count one by one" core/crash/ledger.go 'if input.IsRequest() && suspected.soundAt.IsZero() {' 'if input.IsRequest() {' ./core/crash TestWhichRequestIsBlocked
+break_one "a request blamed for a part of its prompt" core/crash/ledger.go 'if crashes == otherCrashes && input.IsRequest() != other.IsRequest() {' 'if input.IsRequest() != other.IsRequest() {' ./core/crash TestWhichRequestIsBlocked
+break_one "one of two requests as likely as each other blocked" core/crash/ledger.go 'case !best.IsRequest():' 'default:' ./core/crash TestWhichRequestIsBlocked
+break_one "the most suspicious request not reported" core/crash/ledger.go 'cmp.Or(ledger.compareSuspicion(a.Input, b.Input), b.At.Compare(a.At))' 'b.At.Compare(a.At)' ./core/crash TestNewBodiesHideCrashingRequest
+break_one "a crash that another node saw not counted" io/edge/crashes.go 'for _, report := range digest.Reports {' 'for _, report := range digest.Reports[:0] {' ./platform/fakes TestCrashesSeenByDifferentNodes
+break_one "an endpoint without an engine not asked whether it runs" io/edge/crashes.go 'control.checkHealth(incarnation, broken, service.HealthPath, now)' '_ = now' ./io/edge TestCrashOfPlainEndpointKnownLate
+break_one "an endpoint that does not answer counts as ended" io/edge/health.go 'ended: errors.Is(err, platform.ErrEnded)' 'ended: err != nil' ./io/edge TestCrashOfPlainEndpointKnownLate
+break_one "an endpoint without an engine that is never probed again" io/edge/probe.go 'service.Engine == nil {
+		return' 'service.Engine == nil {
+		endpoints.probing[id] = true
+		return' ./io/edge TestPlainEndpointMarkedAsProbed
+break_one "a suspected request sent to a second endpoint" io/entry/request.go 'request.suspected || ' '' ./platform/fakes TestSuspectedRequestSentTwice
+break_one "a lifted block that its crashes bring back" core/crash/ledger.go 'ledger.acquit(input)' '' ./core/crash TestLiftedBlockElsewhere
+break_one "a lifted block that another node's crashes bring back" core/crash/ledger.go 'ledger.acquit(block.Input)' '' ./core/crash TestLiftedBlockElsewhere
 break_one "a limit that each node uses alone" core/limit/limit.go 'return perSecond * own / weights' 'return perSecond * own / own' ./core/limit 'TestSharesAddUp|TestNodesStayWithin'
 break_one "a small limit that all nodes use at once" core/limit/limit.go 'len(users) > most' 'false && most > 0' ./core/limit TestNodesStayWithinTheLimit
 break_one "a request that takes no turn" core/reach/choose.go 'best.Load.TakeTurn(request.Now)' 'true' ./core/reach TestEndpointsWithLimits
