--- a/core/crash/input_test.go
+++ b/core/crash/input_test.go
@@ -1,7 +1,11 @@
 package crash_test
 
 import (
+	"fmt"
+	"runtime"
+	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -31,3 +35,38 @@
 		assert.Equal(t, request.Input(), input)
 	}
 }
+
+// BenchmarkRequestInput measures the hash of a usual and of the largest body.
+func BenchmarkRequestInput(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 16 << 20} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			request := crash.Request{Method: "POST", Host: "site.example", Target: "/book/look/1", Team: "school", Body: make([]byte, size)}
+			for b.Loop() {
+				request.Input()
+			}
+		})
+	}
+}
+
+// BenchmarkSoundRequests measures what it takes to remember an answer, and the bytes that
+// a full memory takes up.
+func BenchmarkSoundRequests(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	soundtimes := crash.NewSoundTimes(crash.RequestGeneration)
+	inputs := make([]crash.Input, 1)
+	for i := range 2*crash.RequestGeneration - 1 {
+		inputs[0] = crash.Request{Target: strconv.Itoa(i)}.Input()
+		soundtimes.Record(inputs, time.Now())
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	next := 2 * crash.RequestGeneration
+	for b.Loop() {
+		next++
+		inputs[0] = crash.Request{Target: strconv.Itoa(next)}.Input()
+		soundtimes.Record(inputs, time.Now())
+	}
+	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes-held")
+}
