An answer that promises that a request has not run no longer acquits it

A 429 or 421 with a receipt counted as an answer to the request, so that one that crashes endpoints could pass for sound. Found reading the code; TestCrashingRequestAcquittedByRejection fails without the condition, at status 429.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -147,7 +147,7 @@
 	switch {
 	case status < http.StatusMultipleChoices:
 		request.recordSound()
-	case status < http.StatusInternalServerError && responseheader.Receipt:
+	case showsExecution(status, responseheader):
 		request.recordRequestSound(time.Now())
 	}
 	candidate.Load.RecordResult(time.Now(), status >= http.StatusInternalServerError, time.Since(sentAt))
@@ -165,6 +165,12 @@
 	}
 }
 
+// showsExecution reports whether an answer without success shows that the endpoint has
+// run the request and goes on. A server error may come before that.
+func showsExecution(status int, responseheader platform.ResponseHeader) bool {
+	return status < http.StatusInternalServerError && !claimsNotExecuted(status) && responseheader.Receipt
+}
+
 // handleNotExecuted keeps new requests away from an endpoint that had no capacity.
 // It keeps them away longer, and has the endpoint probed, if another endpoint has
 // the address or the response names a faulty member of the replica.
