--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -218,7 +218,7 @@
 			zap.Int("crashes", block.Crashes), zap.Duration("age", now.Sub(block.Since)), zap.Duration("next-trial", block.NextTrial.Sub(now)),
 			zap.Strings("evidence", control.evidence(block.Input)))
 	}
-	control.meter.Gauge("prompt_parts_blocked", float64(active))
+	control.meter.Gauge("inputs_blocked", float64(active))
 }
 
 // evidence lists the endpoints that crashed when they were about to answer a request
