--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -58,7 +58,7 @@
 	control.localDemand = server.Demand
 	control.lastAnswer = server.LastAnswer
 	control.localRequests = server.Requests
-	control.abortAttempts = server.AbortAttempts
+	control.reportLost = server.ReportLost
 	return server
 }
 
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -71,7 +71,7 @@
 }
 
 // handleProbeResult applies an endpoint's report, or marks the endpoint as
-// unresponsive and aborts the attempts at its replica.
+// unresponsive and reports its replica as lost.
 func (control *Control) handleProbeResult(result probeResult, now time.Time) {
 	endpoints := &control.endpoints
 	delete(endpoints.probing, result.id)
@@ -95,7 +95,7 @@
 		zap.Duration("asked", now.Sub(result.sentAt)))
 	control.snapshotStale = true
 	if firstHost := control.firstHostOf(endpoint.Membership.Replica); firstHost != "" {
-		control.abortAttempts([]string{firstHost})
+		control.reportLost([]string{firstHost})
 	}
 }
 
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -18,10 +18,6 @@
 // maxBufferedBytes limits the body of a response that is buffered completely.
 const maxBufferedBytes = 16 << 20
 
-// errAttemptTimeout cancels an attempt at an idempotent request after
-// IdempotentAttemptTimeout. Its text can reach the caller in the body of a 502.
-var errAttemptTimeout = errors.New("entry: the endpoint does not answer in time")
-
 // result is the outcome of one attempt: answered, unsent, notExecuted or
 // incomplete.
 type result interface {
@@ -55,17 +51,22 @@
 // later attempt gets a response.
 func (request *request) serveBuffered(ctx context.Context) {
 	var last *answered
+	handover := newHandover(ctx, request, request.receive)
 	failure := request.tryEndpoints(ctx, func() bool { return false }, func(candidate *reach.Candidate) result {
-		result := request.send(ctx, candidate)
-		answer, ok := result.(answered)
-		if !ok {
-			return result
-		}
-		last = &answer
-		if request.shouldRetry(answer) {
-			return incomplete{cause: errors.Newf("entry: status %d", answer.response.StatusCode)}
-		}
-		return result
+		return handover.run(candidate, func(attempt *attempt) result {
+			answer, ok := handover.await(attempt).(answered)
+			if !ok {
+				return attempt.result
+			}
+			last = &answer
+			if request.shouldRetry(answer) {
+				return incomplete{cause: errors.Newf("entry: status %d", answer.response.StatusCode)}
+			}
+			if !handover.advance("") {
+				return incomplete{cause: errTakenOver}
+			}
+			return answer
+		})
 	})
 	if last == nil {
 		request.giveUp(failure.reject, failure.cause)
@@ -82,26 +83,25 @@
 	return idempotent && answer.response.StatusCode >= http.StatusInternalServerError
 }
 
-// send makes one attempt at an endpoint and waits for its complete response.
-func (request *request) send(ctx context.Context, candidate *reach.Candidate) result {
-	sentAt := time.Now()
-	if _, idempotent := request.route.Kind.(site.Idempotent); idempotent && len(request.tried) < request.route.MaxAttempts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, request.server.policy.IdempotentAttemptTimeout, errAttemptTimeout)
-		defer cancel()
-	}
-	ctx, endAttempt := request.server.beginAttempt(ctx, candidate)
-	defer endAttempt()
-	exchange, err := request.server.pool.Send(ctx, candidate.Address, request.forwardedRequest(candidate, ""))
+// receive makes one attempt at an endpoint and waits for its complete response. It
+// reports whether that is one for the caller.
+func (request *request) receive(attempt *attempt) bool {
+	attempt.result = request.exchange(attempt)
+	answer, ok := attempt.result.(answered)
+	return ok && !request.shouldRetry(answer)
+}
+
+func (request *request) exchange(attempt *attempt) result {
+	exchange, err := request.server.pool.Send(attempt.ctx, attempt.candidate.Address, request.forwardedRequest(attempt.candidate, ""))
 	if err != nil {
-		return request.handleFailure(candidate, causeOf(ctx, err), sentAt)
+		return request.handleFailure(attempt, causeOf(attempt.ctx, err))
 	}
-	responseheader := request.readHeader(candidate, exchange)
+	responseheader := request.readHeader(attempt.candidate, exchange)
 	body, err := exchange.ReadBody(maxBufferedBytes)
 	if err != nil {
-		return request.handleFailure(candidate, causeOf(ctx, err), sentAt)
+		return request.handleFailure(attempt, causeOf(attempt.ctx, err))
 	}
-	return request.classify(candidate, exchange, responseheader, body, sentAt)
+	return request.classify(attempt, exchange, responseheader, body)
 }
 
 // readHeader decodes the headers of an answer, and applies what the endpoint says of
@@ -129,25 +129,26 @@
 // responses. A status such as 503 means "not run" only if another header of the
 // endpoint says so; without that header, a request that isn't retryable counts as
 // one that may have run. An encoding that was not requested counts as incomplete.
-func (request *request) classify(candidate *reach.Candidate, exchange *pool.Exchange, responseheader platform.ResponseHeader, body []byte, sentAt time.Time) result {
+func (request *request) classify(attempt *attempt, exchange *pool.Exchange, responseheader platform.ResponseHeader, body []byte) result {
+	candidate := attempt.candidate
 	status := exchange.Response.StatusCode
 	switch {
 	case request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID:
 		exchange.Close()
-		return request.handleFailure(candidate, errors.Mark(errors.New("entry: the answer is another request's"), pool.ErrIncompleteResponse), sentAt)
+		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the answer is another request's"), pool.ErrIncompleteResponse))
 	case responseheader.NotExecuted:
 		exchange.Release()
 		request.handleNotExecuted(candidate, responseheader, status)
 		return notExecuted{header: responseheader}
 	case responseheader.Encoded, status < http.StatusMultipleChoices && !responseheader.Receipt, claimsNotExecuted(status) && !site.Retryable(request.route.Kind):
 		exchange.Close()
-		return request.handleFailure(candidate, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrIncompleteResponse), sentAt)
+		return request.handleFailure(attempt, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrIncompleteResponse))
 	}
 	exchange.Release()
 	if status < http.StatusMultipleChoices {
 		request.recordSound()
 	}
-	candidate.Load.RecordResult(time.Now(), status >= http.StatusInternalServerError, time.Since(sentAt))
+	candidate.Load.RecordResult(time.Now(), status >= http.StatusInternalServerError, time.Since(attempt.sentAt))
 	return answered{response: exchange.Response, body: body, header: responseheader}
 }
 
@@ -175,21 +176,23 @@
 }
 
 // handleFailure records that an attempt failed and returns its result. An attempt
-// that ended because the caller disconnected doesn't count against the endpoint.
-func (request *request) handleFailure(candidate *reach.Candidate, err error, sentAt time.Time) result {
-	if request.r.Context().Err() == nil {
-		candidate.Load.RecordResult(time.Now(), true, time.Since(sentAt))
+// that ended because the caller disconnected, or because it was not needed any more,
+// doesn't count against the endpoint.
+func (request *request) handleFailure(attempt *attempt, err error) result {
+	candidate, now := attempt.candidate, time.Now()
+	if request.r.Context().Err() == nil && !errors.Is(err, errNotNeeded) {
+		candidate.Load.RecordResult(now, true, now.Sub(attempt.sentAt))
 		request.server.suspect(candidate.ID)
 	}
 	if connectionEnded(err) {
-		request.handleBroken(candidate, err)
+		request.handleBroken(attempt, err)
 	}
-	if errors.IsAny(err, errStalled, errMemberLost, errAttemptTimeout) {
+	if errors.IsAny(err, errTakenOver, errGone) {
 		event.Log(request.server.log, event.AttemptSilent, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
-			zap.Int("events", request.attemptEvents), zap.Duration("took", time.Since(sentAt)), zap.Error(err))
+			zap.Int("events", attempt.eventCount), zap.Duration("took", now.Sub(attempt.sentAt)), zap.Error(err))
 	}
 	if errors.Is(err, pool.ErrUnsent) {
-		candidate.Load.Avoid(time.Now().Add(request.server.policy.UnreachableBackoff))
+		candidate.Load.Avoid(now.Add(request.server.policy.UnreachableBackoff))
 		return unsent{cause: err}
 	}
 	return incomplete{cause: err}
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -61,18 +61,19 @@
 // endTrial reports the end of the request if it is a trial.
 func (request *request) endTrial() {
 	if request.trial != nil {
-		request.server.trialEnded(request.trial.Part, request.broken)
+		request.server.trialEnded(request.trial.Part, request.broken.Load())
 	}
 }
 
 // handleBroken handles an attempt whose connection the endpoint's side has ended. The
 // parts of the prompt are suspected if the endpoint turns out to have crashed, unless
 // it had answered for long enough to show that they are sound.
-func (request *request) handleBroken(candidate *reach.Candidate, err error) {
-	request.broken = true
+func (request *request) handleBroken(attempt *attempt, err error) {
+	request.broken.Store(true)
+	candidate := attempt.candidate
 	event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
-		zap.Strings("parts", request.header.SharedParts), zap.Int("events", request.attemptEvents), zap.Error(err))
-	if len(request.parts) > 0 && request.attemptEvents < request.server.soundEvents {
+		zap.Strings("parts", request.header.SharedParts), zap.Int("events", attempt.eventCount), zap.Error(err))
+	if len(request.parts) > 0 && attempt.eventCount < request.server.soundEvents {
 		request.server.attemptBroken(AttemptBroken{Endpoint: candidate.ID, StartedAt: candidate.StartedAt, Parts: request.parts, At: time.Now()})
 	}
 }
--- /dev/null
+++ b/io/entry/handover.go
@@ -0,0 +1,242 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"hickorybend/core/reach"
+	"hickorybend/core/site"
+	"hickorybend/io/event"
+)
+
+// The causes for which a node ends an attempt. The text of errGone can reach the caller
+// in the body of a 502.
+var (
+	errTakenOver = errors.New("entry: another endpoint has answered meanwhile")
+	errNotNeeded = errors.New("entry: the endpoint that was silent has gone on")
+	errGone      = errors.New("entry: the replica lost a member")
+)
+
+// handover lets another endpoint take over a request whose endpoint is silent.
+//
+// Silence does not show that an endpoint is gone: a sound one may pause for a second
+// or two and then go on. So a silent attempt is not ended; another one is begun beside
+// it, if one is allowed and an endpoint has room. The first of the two that brings
+// news, the next event of a stream or a complete answer, goes on, and the other one is
+// ended.
+//
+// For example, the stream from endpoint a is silent after event 7, and endpoint b is
+// asked for the events after 7. If event 8 comes from a first, the attempt at b is
+// ended. If it comes from b, the one at a is. If b rejects the request, the node goes on
+// waiting for a, and looks for another endpoint every HandoverInterval.
+type handover struct {
+	request *request
+	ctx     context.Context
+	attend  func(*attempt) (news bool) // makes an attempt until it has brought news or has ended; sets its result
+
+	mutex       sync.Mutex
+	current     *attempt // the one whose news the caller gets; nil between two runs
+	second      *attempt // beside it; nil if there is none
+	takenOver   bool     // by second, which has brought news
+	lastEventID string   // of a stream: the id of the last event that is for the caller
+}
+
+func newHandover(ctx context.Context, request *request, attend func(*attempt) bool) *handover {
+	return &handover{request: request, ctx: ctx, attend: attend, lastEventID: request.header.LastEventID}
+}
+
+// run makes an attempt at an endpoint, and those that take over from it. The function
+// follow is called for each of them, until one has answered or the last has ended.
+func (handover *handover) run(candidate *reach.Candidate, follow func(*attempt) result) result {
+	handover.mutex.Lock()
+	current := handover.begin(candidate)
+	handover.current = current
+	handover.mutex.Unlock()
+	for {
+		outcome := follow(current)
+		next := handover.finish(outcome)
+		if next == nil {
+			return outcome
+		}
+		current = next
+	}
+}
+
+// await makes the attempt, or waits for one that was begun beside another one, until it
+// has brought news or ended. It returns its result, which is nil for a stream that goes
+// on.
+func (handover *handover) await(attempt *attempt) result {
+	if attempt.done == nil {
+		handover.attend(attempt)
+	} else {
+		<-attempt.done
+	}
+	return attempt.result
+}
+
+// begin begins an attempt. The mutex must be held.
+func (handover *handover) begin(candidate *reach.Candidate) *attempt {
+	request := handover.request
+	policy := request.server.policy
+	request.tried = append(request.tried, candidate.ID)
+	attempt := &attempt{candidate: candidate, sentAt: time.Now(), pendingTokens: request.header.PromptTokens, resumeAfter: handover.lastEventID}
+	attempt.ctx, attempt.cancel = context.WithCancelCause(handover.ctx)
+	patience := policy.AnswerPatience
+	if _, stream := request.route.Kind.(site.Stream); stream {
+		patience = policy.StallAfter
+		attempt.probe = time.AfterFunc(policy.ProbeAfter+request.route.LatencyObjective, func() { request.server.suspect(candidate.ID) })
+	}
+	attempt.silence = time.AfterFunc(patience, func() { handover.handleSilence(attempt) })
+	request.server.register(attempt)
+	return attempt
+}
+
+// handleSilence begins another attempt beside a silent one if possible, and otherwise
+// comes back later. It ends an attempt whose endpoint is gone.
+func (handover *handover) handleSilence(attempt *attempt) {
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	if attempt.ctx.Err() != nil {
+		return
+	}
+	if attempt != handover.current && attempt.reportedLost() || attempt.gone(time.Now()) && !handover.request.serves(attempt.candidate) {
+		attempt.cancel(errGone)
+		return
+	}
+	if !site.Retryable(handover.request.route.Kind) && !attempt.reportedLost() {
+		return // nothing can take the request over; ReportLost comes back to it
+	}
+	if attempt == handover.current && handover.second == nil {
+		handover.beginSecond()
+	}
+	attempt.silence.Reset(handover.request.server.policy.HandoverInterval)
+}
+
+// beginSecond begins an attempt beside the current one, if one is allowed and an
+// endpoint has room. The mutex must be held.
+func (handover *handover) beginSecond() {
+	request := handover.request
+	candidate := request.chooseSecond()
+	if candidate == nil {
+		return
+	}
+	silent := handover.current
+	second := handover.begin(candidate)
+	second.done = make(chan struct{})
+	handover.second = second
+	event.Log(request.server.log, event.AttemptHandover, zap.String("request", request.header.RequestID), zap.String("endpoint", silent.candidate.ID), zap.String("other", candidate.ID),
+		zap.Int("events", silent.eventCount), zap.Bool("lost", silent.reportedLost()), zap.Duration("age", time.Since(silent.sentAt)))
+	go func() {
+		defer close(second.done)
+		handover.settle(second, handover.attend(second))
+	}()
+}
+
+// settle records the outcome of an attempt that was begun beside another one.
+func (handover *handover) settle(second *attempt, news bool) {
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	switch {
+	case second == handover.current: // the other one has ended meanwhile; run looks at the outcome
+	case news && second.ctx.Err() == nil:
+		handover.takenOver = true
+		handover.current.cancel(errTakenOver)
+	default:
+		handover.drop(second)
+	}
+}
+
+// drop ends the second attempt. The mutex must be held.
+func (handover *handover) drop(second *attempt) {
+	handover.request.mayHaveRun = handover.request.mayHaveRun || mayHaveRun(second.result)
+	if second.exchange != nil {
+		second.exchange.Close()
+	}
+	handover.request.server.endAttempt(second)
+	handover.second, handover.takenOver = nil, false
+}
+
+// mayHaveRun reports whether the endpoint may have run a request, by the result of the
+// attempt.
+func mayHaveRun(outcome result) bool {
+	switch outcome.(type) {
+	case unsent, notExecuted:
+		return false
+	default:
+		return true
+	}
+}
+
+// advance reports whether the current attempt may go on with its news: an event with the
+// given id, the end of a stream or a complete answer. It may not if another attempt has
+// taken over. One that has not yet is ended.
+func (handover *handover) advance(id string) bool {
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	if handover.takenOver {
+		return false
+	}
+	if handover.second != nil {
+		handover.second.cancel(errNotNeeded)
+	}
+	if id != "" {
+		handover.lastEventID = id
+	}
+	return true
+}
+
+// finish ends the current attempt, and returns the one that goes on in its place: nil
+// if the request has been answered or no other attempt is left.
+func (handover *handover) finish(outcome result) *attempt {
+	_, answered := outcome.(answered)
+	over := answered || handover.ctx.Err() != nil
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	request := handover.request
+	request.mayHaveRun = request.mayHaveRun || mayHaveRun(outcome)
+	handover.current.cancel(nil) // so that no further attempt begins beside it
+	if second := handover.second; over && second != nil {
+		second.cancel(errNotNeeded)
+		handover.mutex.Unlock()
+		<-second.done
+		handover.mutex.Lock()
+		if handover.second == second {
+			handover.drop(second) // it had taken over when the request's time ran out
+		}
+	}
+	request.server.endAttempt(handover.current)
+	handover.current, handover.second, handover.takenOver = handover.second, nil, false
+	return handover.current
+}
+
+// chooseSecond chooses an endpoint for an attempt beside the present one, or returns nil
+// if none is allowed or no endpoint has room. Of requests that stall together, each takes
+// its room before the next one looks for some.
+func (request *request) chooseSecond() *reach.Candidate {
+	server, now := request.server, time.Now()
+	snapshot := server.snapshot.Load()
+	switch {
+	case !site.Retryable(request.route.Kind), len(request.tried) >= min(request.route.MaxAttempts, server.policy.MaxEndpoints),
+		snapshot.Blocks(request.parts), request.deadline.Sub(now) < server.policy.MinTimeLeft, !server.allowsRetry(request.service, now, snapshot.Nodes):
+		return nil
+	}
+	wanted := request.routingRequest(true)
+	if !reach.HasRoom(server.routing, snapshot.Services[request.service], wanted) {
+		return nil
+	}
+	send, chosen := reach.Choose(server.routing, snapshot.Services[request.service], wanted).(reach.Send)
+	if !chosen || !server.withdrawRetry(request.service, now, snapshot.Nodes) {
+		return nil
+	}
+	return send.Candidate
+}
+
+// serves reports whether an endpoint still takes requests of this kind, by what control
+// knows now.
+func (request *request) serves(candidate *reach.Candidate) bool {
+	return request.server.snapshot.Load().Services[request.service].Serves(request.header.Model, candidate)
+}
--- /dev/null
+++ b/io/entry/handover_test.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"hickorybend/core/reach"
+	"hickorybend/core/retry"
+	"hickorybend/core/site"
+	"hickorybend/io/pool"
+)
+
+const testPatience = 10 * time.Millisecond
+
+// endpointScript says what an endpoint does with an attempt: after a delay, or never if it
+// is 0, it gives the result. Canceling the attempt ends it sooner.
+type endpointScript struct {
+	delay  time.Duration
+	result result
+}
+
+// scriptedHandover is a request that is sent to scripted endpoints. Each takes one request
+// at a time, and they are chosen in the order of the scripts.
+type scriptedHandover struct {
+	t          *testing.T
+	server     *Server
+	request    *request
+	handover   *handover
+	scripts    map[string]endpointScript
+	candidates []*reach.Candidate
+}
+
+func newScriptedHandover(t *testing.T, maxAttempts int, scripts ...endpointScript) *scriptedHandover {
+	scripted := &scriptedHandover{t: t, scripts: map[string]endpointScript{}}
+	for i, script := range scripts {
+		id := fmt.Sprint("e", i)
+		scripted.scripts[id] = script
+		scripted.candidates = append(scripted.candidates, &reach.Candidate{ID: id, Slots: 1, SameZone: true, TieBreak: float64(i) / 10, Load: &reach.Load{}})
+	}
+	snapshot := &atomic.Pointer[reach.Snapshot]{}
+	snapshot.Store(&reach.Snapshot{Nodes: 1, Services: map[string]*reach.ServicePool{"app": {Service: "app", Plain: scripted.candidates}}})
+	policy := DefaultPolicy()
+	policy.AnswerPatience, policy.HandoverInterval, policy.GoneAfter, policy.MaxEndpoints = testPatience, testPatience, 4*testPatience, maxAttempts
+	scripted.server = New(pool.New(), snapshot, WithPolicy(policy), WithRetryBudget(retry.Policy{Extra: 100, Window: time.Second, UsableShare: 1}))
+	scripted.request = &request{
+		server: scripted.server, snapshot: snapshot.Load(), service: "app", receivedAt: time.Now(), deadline: time.Now().Add(time.Minute),
+		route: &site.Route{Kind: site.Idempotent{}, MaxAttempts: maxAttempts, LatencyObjective: time.Minute},
+	}
+	scripted.handover = newHandover(t.Context(), scripted.request, scripted.attend)
+	return scripted
+}
+
+// attend follows the script of the attempt's endpoint.
+func (scriptedhandover *scriptedHandover) attend(attempt *attempt) bool {
+	script := scriptedhandover.scripts[attempt.candidate.ID]
+	var due <-chan time.Time
+	if script.delay > 0 {
+		due = time.After(script.delay)
+	}
+	select {
+	case <-due:
+		attempt.result = script.result
+	case <-attempt.ctx.Done():
+		attempt.result = incomplete{cause: context.Cause(attempt.ctx)}
+	}
+	_, news := attempt.result.(answered)
+	return news
+}
+
+// run sends the request to the first endpoint, and returns the endpoint whose answer came,
+// or the cause of the failure.
+func (scriptedhandover *scriptedHandover) run() string { return scriptedhandover.runSlowly(0, 0) }
+
+// runSlowly does the same with an answer that is passed on some time after it has come,
+// and takes some time to be passed on.
+func (scriptedhandover *scriptedHandover) runSlowly(before, meanwhile time.Duration) string {
+	handover := scriptedhandover.handover
+	answeredBy := ""
+	outcome := handover.run(scriptedhandover.candidates[0], func(attempt *attempt) result {
+		result := handover.await(attempt)
+		if _, ok := result.(answered); !ok {
+			return result
+		}
+		time.Sleep(before)
+		if !handover.advance("") {
+			return incomplete{cause: errTakenOver}
+		}
+		time.Sleep(meanwhile)
+		if attempt.ctx.Err() != nil {
+			return incomplete{cause: context.Cause(attempt.ctx)}
+		}
+		answeredBy = attempt.candidate.ID
+		return result
+	})
+	switch outcome := outcome.(type) {
+	case answered:
+		return answeredBy
+	case incomplete:
+		return outcome.cause.Error()
+	default:
+		return fmt.Sprintf("%T", outcome)
+	}
+}
+
+// expectNothingLeft checks that all attempts have ended and no timer runs on.
+func (scriptedhandover *scriptedHandover) expectNothingLeft() {
+	scriptedhandover.t.Helper()
+	assert.Check(scriptedhandover.t, len(scriptedhandover.server.attempts) == 0, "%v", scriptedhandover.server.attempts)
+	for _, candidate := range scriptedhandover.candidates {
+		assert.Check(scriptedhandover.t, candidate.Load.OwnInFlight() == 0, "%s has requests in flight", candidate.ID)
+	}
+}
+
+// runInBubble runs a test on a clock that moves only while everything waits.
+func runInBubble(t *testing.T, name string, test func(*testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
+// TestSilentAttemptIsTakenOver checks whose answer a caller gets when the first endpoint is
+// silent, and that nobody waits in vain.
+func TestSilentAttemptIsTakenOver(t *testing.T) {
+	broken := incomplete{cause: errors.New("broken")}
+	never := endpointScript{}
+	for _, test := range []struct {
+		name        string
+		maxAttempts int
+		scripts     []endpointScript
+		want        string
+		tried       int
+		mayHaveRun  bool
+	}{
+		{"the first answers in time", 3, []endpointScript{{testPatience / 5, answered{}}, {testPatience / 5, answered{}}}, "e0", 1, true},
+		{"the other one answers first", 3, []endpointScript{never, {testPatience, answered{}}}, "e1", 2, true},
+		{"the silent one goes on first", 3, []endpointScript{{4 * testPatience, answered{}}, never}, "e0", 2, true},
+		{"the other one rejects, the silent one goes on", 2, []endpointScript{{6 * testPatience, answered{}}, {testPatience, notExecuted{}}}, "e0", 2, true},
+		{"the other one breaks off, a third answers", 3, []endpointScript{never, {testPatience, broken}, {testPatience, answered{}}}, "e2", 3, true},
+		{"the silent one breaks off, the other one answers", 2, []endpointScript{{3 * testPatience, broken}, {6 * testPatience, answered{}}}, "e1", 2, true},
+		{"the silent one breaks off, the other one is silent, a third answers", 3, []endpointScript{{3 * testPatience, broken}, never, {testPatience, answered{}}}, "e2", 3, true},
+		{"both break off", 2, []endpointScript{{3 * testPatience, broken}, {4 * testPatience, broken}}, "broken", 2, true},
+		{"both reject", 2, []endpointScript{{3 * testPatience, notExecuted{}}, {4 * testPatience, notExecuted{}}}, "entry.notExecuted", 2, false},
+		{"the other one breaks off, the silent one rejects", 2, []endpointScript{{6 * testPatience, notExecuted{}}, {testPatience, broken}}, "entry.notExecuted", 2, true},
+		{"no other attempt is allowed", 1, []endpointScript{{5 * testPatience, answered{}}, {testPatience, answered{}}}, "e0", 1, true},
+	} {
+		runInBubble(t, test.name, func(t *testing.T) {
+			scripted := newScriptedHandover(t, test.maxAttempts, test.scripts...)
+			assert.Equal(t, scripted.run(), test.want)
+			assert.Equal(t, len(scripted.request.tried), test.tried)
+			assert.Equal(t, scripted.request.mayHaveRun, test.mayHaveRun)
+			scripted.expectNothingLeft()
+		})
+	}
+}
+
+// TestAnswerComesFromOneAttempt guards against answers of two attempts that are joined: an
+// attempt may not go on when another one has taken over, nor the other way round.
+func TestAnswerComesFromOneAttempt(t *testing.T) {
+	for _, test := range []struct {
+		name              string
+		before, meanwhile time.Duration
+		want              string
+	}{
+		{"the other one takes over before the answer is passed on", 10 * testPatience, 0, "e1"},
+		{"the other one would answer while the answer is passed on", 0, 10 * testPatience, "e0"},
+	} {
+		runInBubble(t, test.name, func(t *testing.T) {
+			scripted := newScriptedHandover(t, 2, endpointScript{3 * testPatience, answered{}}, endpointScript{4 * testPatience, answered{}})
+			assert.Equal(t, scripted.runSlowly(test.before, test.meanwhile), test.want)
+			scripted.expectNothingLeft()
+		})
+	}
+}
+
+// TestLostEndpointIsGivenUp guards against a request that waits until its deadline for an
+// endpoint that has been reported as lost, and against one that gives up an endpoint that
+// answers probes again.
+func TestLostEndpointIsGivenUp(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		recovered bool
+		want      string
+	}{{"it stays lost", false, errGone.Error()}, {"it is back", true, "e0"}} {
+		runInBubble(t, test.name, func(t *testing.T) {
+			scripted := newScriptedHandover(t, 1, endpointScript{12 * testPatience, answered{}})
+			if !test.recovered {
+				scripted.server.snapshot.Store(&reach.Snapshot{Nodes: 1})
+			}
+			time.AfterFunc(testPatience/2, func() { scripted.server.ReportLost([]string{"e0"}) })
+			assert.Equal(t, scripted.run(), test.want)
+			scripted.expectNothingLeft()
+		})
+	}
+}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,30 +22,29 @@
 
 // request is the state of a caller's request while it is served.
 type request struct {
-	server        *Server
-	w             http.ResponseWriter
-	r             *http.Request
-	snapshot      *reach.Snapshot
-	receivedAt    time.Time
-	deadline      time.Time
-	header        platform.RequestHeader
-	route         *site.Route
-	team          string
-	priority      int
-	service       string
-	body          []byte
-	parts         []crash.Part  // of the prompt, those that other requests may share
-	trial         *crash.Trial  // that this request has claimed, or nil
-	tried         []string      // IDs of the endpoints that it was sent to
-	snapshotAge   time.Duration // how old the snapshot was when it was last used
-	mayHaveRun    bool          // an endpoint may have run it
-	broken        bool          // an endpoint has broken off an attempt
-	status        int
-	outcome       string
-	firstEventAt  time.Time     // when the response headers of a stream were written
-	lastEventAt   time.Time     // when the last event was written
-	longestGap    time.Duration // longest time between two events
-	attemptEvents int           // complete events that the present attempt has brought
+	server       *Server
+	w            http.ResponseWriter
+	r            *http.Request
+	snapshot     *reach.Snapshot
+	receivedAt   time.Time
+	deadline     time.Time
+	header       platform.RequestHeader
+	route        *site.Route
+	team         string
+	priority     int
+	service      string
+	body         []byte
+	parts        []crash.Part  // of the prompt, those that other requests may share
+	trial        *crash.Trial  // that this request has claimed, or nil
+	tried        []string      // IDs of the endpoints that it was sent to
+	snapshotAge  time.Duration // how old the snapshot was when it was last used
+	mayHaveRun   bool          // an endpoint may have run it
+	broken       atomic.Bool   // an endpoint has broken off an attempt
+	status       int
+	outcome      string
+	firstEventAt time.Time     // when the response headers of a stream were written
+	lastEventAt  time.Time     // when the last event was written
+	longestGap   time.Duration // longest time between two events
 }
 
 // admit checks the request and reads its body, before it is sent anywhere. If the
@@ -186,10 +186,7 @@
 		if reject, rejected := decision.(reach.Reject); rejected {
 			return &failure{cause: "turned away: " + string(reject.Reason), reject: reject}
 		}
-		candidate := decision.(reach.Send).Candidate
-		request.tried = append(request.tried, candidate.ID)
-		request.attemptEvents = 0
-		switch result := send(candidate).(type) {
+		switch result := send(decision.(reach.Send).Candidate).(type) {
 		case answered:
 			return nil
 		case notExecuted:
@@ -197,7 +194,6 @@
 		case unsent:
 			cause = "the endpoints cannot be reached"
 		case incomplete:
-			request.mayHaveRun = true
 			cause = "the answer broke off: " + result.cause.Error()
 		}
 		if request.r.Context().Err() != nil {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"hickorybend/core/crash"
@@ -19,9 +18,6 @@
 	"hickorybend/io/pool"
 )
 
-// errMemberLost cancels the attempts at a replica that lost a member.
-var errMemberLost = errors.New("entry: the replica lost a member")
-
 // Server forwards callers' requests to endpoints.
 type Server struct {
 	policy        Policy
@@ -48,15 +44,10 @@
 	inFlight    atomic.Int64
 	hadRequests atomic.Bool
 	mutex       sync.Mutex
-	budgets     map[string]*retry.Budget     // by service
-	attempts    map[string]map[*attempt]bool // in progress, by endpoint
-	demand      map[string]time.Duration     // by model; see Demand
-	requests    map[string]int64             // by service; see Requests
-}
-
-// attempt is one sending of a request to an endpoint.
-type attempt struct {
-	cancel context.CancelCauseFunc
+	budgets     map[string]*retry.Budget // by service
+	attempts    map[string]attempts      // in progress, by endpoint
+	demand      map[string]time.Duration // by model; see Demand
+	requests    map[string]int64         // by service; see Requests
 }
 
 // Option configures a server before it is used.
@@ -104,7 +95,7 @@
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
 		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
 		limitStated: func(StatedLimit) {}, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(crash.Part, bool) {}, soundTimes: crash.NewSoundTimes(), soundEvents: crash.DefaultPolicy().SoundEvents,
-		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]map[*attempt]bool{},
+		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]attempts{},
 		demand: map[string]time.Duration{},
 	}
 	for _, option := range options {
@@ -135,44 +126,6 @@
 // HadRequests reports whether any request has arrived since the start.
 func (server *Server) HadRequests() bool { return server.hadRequests.Load() }
 
-// AbortAttempts cancels the attempts at the given endpoints, the first hosts of
-// replicas that can no longer serve, so that retryable requests move to other
-// replicas. The first host is the member that takes a replica's requests.
-func (server *Server) AbortAttempts(endpoints []string) {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	for _, endpoint := range endpoints {
-		for attempt := range server.attempts[endpoint] {
-			attempt.cancel(errMemberLost)
-		}
-	}
-}
-
-// beginAttempt registers an attempt at an endpoint and counts it as in flight
-// until the returned function is called. The returned context is canceled by
-// AbortAttempts.
-func (server *Server) beginAttempt(ctx context.Context, candidate *reach.Candidate) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	started := &attempt{cancel: cancel}
-	candidate.Load.Begin()
-	server.mutex.Lock()
-	if server.attempts[candidate.ID] == nil {
-		server.attempts[candidate.ID] = map[*attempt]bool{}
-	}
-	server.attempts[candidate.ID][started] = true
-	server.mutex.Unlock()
-	return ctx, func() {
-		server.mutex.Lock()
-		delete(server.attempts[candidate.ID], started)
-		if len(server.attempts[candidate.ID]) == 0 {
-			delete(server.attempts, candidate.ID)
-		}
-		server.mutex.Unlock()
-		candidate.Load.End()
-		cancel(nil)
-	}
-}
-
 // Demand returns the estimated host time of all requests for each model since
 // the start.
 func (server *Server) Demand() map[string]time.Duration {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -1,13 +1,10 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,32 +12,22 @@
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
 	"hickorybend/io/pool"
-	"hickorybend/platform"
 )
 
-// errStalled cancels an attempt at a stream that had no event for StallAfter. Its
-// text and the next one's can reach the caller in the body of a 502.
-var errStalled = errors.New("entry: the stream stands still")
-
-// errSequence means that a stream's event ids are not consecutive.
+// errSequence means that a stream's event ids are not consecutive. Its text can reach
+// the caller in the body of a 502.
 var errSequence = errors.New("entry: an event is missing or comes twice")
 
-// errEventTooLong means that an event does not end within maxEventBytes.
-var errEventTooLong = errors.Newf("entry: an event has more than %d bytes", maxEventBytes)
-
 // errCallerConnection marks failures of the caller's connection.
 var errCallerConnection = errors.New("entry: the caller's connection failed")
 
-// maxEventBytes limits one event.
-const maxEventBytes = 1 << 20
-
 // serveStream serves a request that is answered by a stream of events. Events that
 // the caller has received stay valid if their endpoint fails: another endpoint
 // resumes after the last of them. The response headers are the first endpoint's.
 func (request *request) serveStream(ctx context.Context) {
-	relay := &relay{request: request, lastEventID: request.header.LastEventID}
+	relay := &relay{request: request, handover: newHandover(ctx, request, request.openStream)}
 	failure := request.tryEndpoints(ctx, func() bool { return relay.headerWritten }, func(candidate *reach.Candidate) result {
-		return relay.streamFrom(ctx, candidate)
+		return relay.handover.run(candidate, relay.follow)
 	})
 	if failure != nil {
 		relay.giveUp(failure.reject, failure.cause)
@@ -50,9 +37,8 @@
 // relay forwards a stream's events to the caller.
 type relay struct {
 	request       *request
-	lastEventID   string       // id of the last event that the caller has received
-	headerWritten bool         // the caller has received the headers
-	event         bytes.Buffer // the event being forwarded
+	handover      *handover
+	headerWritten bool // the caller has received the headers
 }
 
 // giveUp ends a stream that can't continue. If it has started, the connection is
@@ -66,118 +52,106 @@
 	panic(http.ErrAbortHandler)
 }
 
-// streamFrom makes one attempt: it forwards the stream, or the rest of it, from an
-// endpoint.
-func (relay *relay) streamFrom(ctx context.Context, candidate *reach.Candidate) result {
-	request := relay.request
-	policy := request.server.policy
-	sentAt := time.Now()
-	ctx, endAttempt := request.server.beginAttempt(ctx, candidate)
-	defer endAttempt()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	probe := time.AfterFunc(policy.ProbeAfter+request.route.LatencyObjective, func() { request.server.suspect(candidate.ID) })
-	defer probe.Stop()
-	stall := request.watchForStall(ctx, cancel)
-	defer stall.Stop()
-	candidate.Load.AddPendingTokens(request.header.PromptTokens)
-	removePendingTokens := sync.OnceFunc(func() { candidate.Load.AddPendingTokens(-request.header.PromptTokens) })
-	defer removePendingTokens()
-	exchange, err := request.server.pool.Send(ctx, candidate.Address, request.forwardedRequest(candidate, relay.lastEventID))
+// openStream makes one attempt at a stream until its first event or its end has come. It
+// reports whether the stream goes on from there.
+func (request *request) openStream(attempt *attempt) bool {
+	attempt.result = request.open(attempt)
+	return attempt.result == nil
+}
+
+// open sends the request and reads the head of the response and the first event. It
+// returns nil if the endpoint answers with a stream.
+func (request *request) open(attempt *attempt) result {
+	exchange, err := request.server.pool.Send(attempt.ctx, attempt.candidate.Address, request.forwardedRequest(attempt.candidate, attempt.resumeAfter))
 	if err != nil {
-		return request.handleFailure(candidate, causeOf(ctx, err), sentAt)
+		return request.handleFailure(attempt, causeOf(attempt.ctx, err))
 	}
-	responseheader := request.readHeader(candidate, exchange)
+	responseheader := request.readHeader(attempt.candidate, exchange)
 	if exchange.Response.StatusCode != http.StatusOK {
-		return relay.handleNonStream(candidate, exchange, responseheader, sentAt)
+		body, err := exchange.ReadBody(maxBufferedBytes)
+		if err != nil {
+			return request.handleFailure(attempt, causeOf(attempt.ctx, err))
+		}
+		return request.classify(attempt, exchange, responseheader, body)
 	}
 	if request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID || !responseheader.Receipt || responseheader.Encoded {
 		exchange.Close()
-		return request.handleFailure(candidate, errors.Mark(errors.New("entry: the stream is another request's or bears no receipt"), pool.ErrIncompleteResponse), sentAt)
+		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the stream is another request's or bears no receipt"), pool.ErrIncompleteResponse))
 	}
-	err = relay.forwardEvents(exchange, func() {
-		request.attemptEvents++
-		if request.attemptEvents == request.server.soundEvents {
-			request.recordSound()
-		}
-		removePendingTokens()
-		probe.Reset(policy.ProbeAfter)
-		stall.Reset(policy.StallAfter)
-	})
-	if err != nil {
-		exchange.Close()
-		return request.handleFailure(candidate, errors.Mark(causeOf(ctx, err), pool.ErrIncompleteResponse), sentAt)
+	attempt.exchange, attempt.reader = exchange, newEventReader(exchange.Response.Body)
+	if request.readEvent(attempt); attempt.readErr != nil && !errors.Is(attempt.readErr, io.EOF) {
+		return request.handleStreamFailure(attempt, attempt.readErr)
 	}
-	if !exchange.EndsWithConnection() {
-		request.recordSound()
+	return nil
+}
+
+// readEvent reads the next event of an attempt. At the end of the stream, readErr is
+// io.EOF. If nothing but the end of the connection marks that, and there was no event
+// at all, then the endpoint has ended rather than the stream.
+func (request *request) readEvent(attempt *attempt) {
+	attempt.readErr = attempt.reader.next()
+	if errors.Is(attempt.readErr, io.EOF) && attempt.eventCount == 0 && attempt.exchange.EndsWithConnection() {
+		attempt.readErr = io.ErrUnexpectedEOF
 	}
-	exchange.Release()
-	candidate.Load.RecordResult(time.Now(), false, time.Since(sentAt))
-	request.outcome = "answered"
-	if len(request.tried) > 1 {
-		request.outcome = "answered after a move"
+	if attempt.readErr != nil {
+		return
+	}
+	attempt.recordEvent(request.server.policy)
+	if attempt.eventCount == request.server.soundEvents {
+		request.recordSound()
 	}
-	relay.writeHeader(exchange.Response) // for a stream without events
-	return answered{response: exchange.Response, header: responseheader}
 }
 
-// watchForStall returns a timer that cancels the context of an attempt after StallAfter
-// if another endpoint may then take the request over. Otherwise it waits on, until the
-// attempt has ended: the rest of the answer may still come.
-func (request *request) watchForStall(ctx context.Context, cancel context.CancelCauseFunc) *time.Timer {
-	alternative := request.alternative()
-	var stall *time.Timer
-	assigned := make(chan struct{}) // closed once the function may use stall
-	stall = time.AfterFunc(request.server.policy.StallAfter, func() {
-		<-assigned
-		switch {
-		case ctx.Err() != nil:
-		case alternative():
-			cancel(errStalled)
-		default:
-			stall.Reset(request.server.policy.StallAfter)
-		}
-	})
-	close(assigned)
-	return stall
+// handleStreamFailure records that an attempt at a stream failed after its head had
+// come.
+func (request *request) handleStreamFailure(attempt *attempt, err error) result {
+	attempt.exchange.Close()
+	return request.handleFailure(attempt, errors.Mark(causeOf(attempt.ctx, err), pool.ErrIncompleteResponse))
 }
 
-// alternative returns a function that reports whether another attempt at the request
-// would be made if the present one ended now. Other goroutines may call it while the
-// attempt is running.
-func (request *request) alternative() func() bool {
-	server, service, deadline, parts := request.server, request.service, request.deadline, request.parts
-	mayRepeat := site.Retryable(request.route.Kind) && len(request.tried) < min(request.route.MaxAttempts, server.policy.MaxEndpoints)
-	resumed := request.routingRequest(true)
-	return func() bool {
-		now, snapshot := time.Now(), server.snapshot.Load()
-		if !mayRepeat || snapshot.Blocks(parts) || deadline.Sub(now) < server.policy.MinTimeLeft || !server.allowsRetry(service, now, snapshot.Nodes) {
-			return false
-		}
-		next := resumed
-		next.Now = now
-		return reach.HasRoom(server.routing, snapshot.Services[service], next)
+// follow forwards the stream of an attempt, or the rest of it, to the caller.
+func (relay *relay) follow(attempt *attempt) result {
+	switch outcome := relay.handover.await(attempt).(type) {
+	case nil:
+		return relay.forward(attempt)
+	case answered:
+		return relay.forwardNonStream(outcome)
+	default:
+		return outcome
 	}
 }
 
-// handleNonStream handles a response whose status is not 200.
-func (relay *relay) handleNonStream(candidate *reach.Candidate, exchange *pool.Exchange, responseheader platform.ResponseHeader, sentAt time.Time) result {
+// forward forwards the events of an attempt until its stream ends or breaks off.
+func (relay *relay) forward(attempt *attempt) result {
 	request := relay.request
-	body, err := exchange.ReadBody(maxBufferedBytes)
-	if err != nil {
-		return request.handleFailure(candidate, err, sentAt)
+	if err := relay.forwardEvents(attempt); err != nil {
+		return request.handleStreamFailure(attempt, err)
 	}
-	result := request.classify(candidate, exchange, responseheader, body, sentAt)
-	answer, ok := result.(answered)
-	if !ok {
-		return result
+	if !attempt.exchange.EndsWithConnection() {
+		request.recordSound()
 	}
+	attempt.exchange.Release()
+	attempt.candidate.Load.RecordResult(time.Now(), false, time.Since(attempt.sentAt))
+	request.outcome = "answered"
+	if len(request.tried) > 1 {
+		request.outcome = "answered after a move"
+	}
+	relay.writeHeader(attempt.exchange.Response) // for a stream without events
+	return answered{response: attempt.exchange.Response}
+}
+
+// forwardNonStream handles a response whose status is not 200.
+func (relay *relay) forwardNonStream(answer answered) result {
+	request := relay.request
 	if relay.headerWritten || request.shouldRetryStream(answer.response.StatusCode) {
 		return incomplete{cause: errors.Newf("entry: status %d", answer.response.StatusCode)}
 	}
+	if !relay.handover.advance("") {
+		return incomplete{cause: errTakenOver}
+	}
 	request.outcome = "answered"
-	request.writeResponse(answer.response, body, answer.response.Header)
-	return result
+	request.writeResponse(answer.response, answer.body, answer.response.Header)
+	return answer
 }
 
 // shouldRetryStream reports whether a response in place of a stream is a server
@@ -186,87 +160,39 @@
 	return status >= http.StatusInternalServerError && site.Retryable(request.route.Kind) && len(request.tried) < request.route.MaxAttempts
 }
 
-// forwardEvents forwards complete events until the endpoint's response ends. It
-// returns an error if the response breaks off or the event ids have a gap.
-func (relay *relay) forwardEvents(exchange *pool.Exchange, onEvent func()) error {
-	reader := bufio.NewReaderSize(exchange.Response.Body, 4<<10)
-	for {
-		id, err := relay.readEvent(reader)
-		if errors.Is(err, io.EOF) && relay.event.Len() == 0 {
-			return relay.checkEnd(exchange)
+// forwardEvents forwards complete events, the first of which has been read, until the
+// endpoint's response ends. It returns an error if the response breaks off, the event
+// ids have a gap, or another endpoint has taken over.
+func (relay *relay) forwardEvents(attempt *attempt) error {
+	for ; ; relay.request.readEvent(attempt) {
+		ended := errors.Is(attempt.readErr, io.EOF)
+		if attempt.readErr != nil && !ended {
+			return attempt.readErr
 		}
-		if err != nil {
-			return err
-		}
-		onEvent()
-		if err := relay.checkSequence(id); err != nil {
+		id := attempt.reader.id
+		if err := checkSequence(relay.handover.lastEventID, id); err != nil {
 			return err
 		}
-		relay.writeHeader(exchange.Response)
-		if err := relay.writeEvent(); err != nil {
-			return err
+		if !relay.handover.advance(id) {
+			return errTakenOver
 		}
-		if id != "" {
-			relay.lastEventID = id
+		if ended {
+			return nil
 		}
-	}
-}
-
-// checkEnd checks a stream that has ended between two events. If nothing but the end of
-// the connection marks its end, and it has no event at all, then the endpoint has ended
-// rather than the stream.
-func (relay *relay) checkEnd(exchange *pool.Exchange) error {
-	if relay.request.attemptEvents == 0 && exchange.EndsWithConnection() {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
-// readEvent reads one event into relay.event, up to and including the empty line
-// that ends it, and returns its id.
-func (relay *relay) readEvent(reader *bufio.Reader) (string, error) {
-	relay.event.Reset()
-	id, continued := "", false
-	for {
-		line, err := reader.ReadSlice('\n')
-		relay.event.Write(line)
-		if relay.event.Len() > maxEventBytes {
-			return "", errEventTooLong
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			id, continued = idOf(line, continued, id), true
-			continue
-		}
-		if errors.Is(err, io.EOF) && relay.event.Len() > 0 {
-			return "", io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return "", err
-		}
-		if !continued && len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return id, nil
+		relay.writeHeader(attempt.exchange.Response)
+		if err := relay.writeEvent(attempt.reader.event.Bytes()); err != nil {
+			return err
 		}
-		id, continued = idOf(line, continued, id), false
-	}
-}
-
-// idOf returns the id that a line states, or the known one. A line that does not fit
-// into the reader's buffer comes in parts; only the first one can state an id.
-func idOf(line []byte, continued bool, known string) string {
-	value, found := bytes.CutPrefix(line, []byte("id:"))
-	if !found || continued {
-		return known
 	}
-	return string(bytes.TrimSpace(value))
 }
 
 // checkSequence checks that an event's id follows the last one's. Ids that are not
 // numbers are not checked.
-func (relay *relay) checkSequence(id string) error {
-	if id == "" || relay.lastEventID == "" {
+func checkSequence(lastEventID, id string) error {
+	if id == "" || lastEventID == "" {
 		return nil
 	}
-	previous, errPrevious := strconv.ParseInt(relay.lastEventID, 10, 64)
+	previous, errPrevious := strconv.ParseInt(lastEventID, 10, 64)
 	current, errCurrent := strconv.ParseInt(id, 10, 64)
 	if errPrevious != nil || errCurrent != nil || current == previous+1 {
 		return nil
@@ -287,14 +213,14 @@
 	request.w.WriteHeader(response.StatusCode)
 }
 
-// writeEvent writes the event to the caller and updates the longest gap.
-func (relay *relay) writeEvent() error {
+// writeEvent writes an event to the caller and updates the longest gap.
+func (relay *relay) writeEvent(event []byte) error {
 	now := time.Now()
 	if request := relay.request; !request.lastEventAt.IsZero() {
 		request.longestGap = max(request.longestGap, now.Sub(request.lastEventAt))
 	}
 	relay.request.lastEventAt = now
-	if _, err := relay.request.w.Write(relay.event.Bytes()); err != nil {
+	if _, err := relay.request.w.Write(event); err != nil {
 		return errors.Mark(errors.Wrap(err, "entry: writing to the caller"), errCallerConnection)
 	}
 	err := http.NewResponseController(relay.request.w).Flush()
--- a/io/entry/stream_test.go
+++ b/io/entry/stream_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
 	"strings"
 	"sync/atomic"
@@ -36,10 +35,10 @@
 // end, and lines without an empty one between them.
 func TestEndlessEvent(t *testing.T) {
 	for _, text := range []string{"x", "data: x\n", "id: 1\n", ":\r\n"} {
-		relay := &relay{}
-		_, err := relay.readEvent(bufio.NewReaderSize(&endless{text: text}, 4<<10))
+		eventreader := newEventReader(&endless{text: text})
+		err := eventreader.next()
 		assert.Assert(t, errors.Is(err, errEventTooLong), "%v", err)
-		assert.Assert(t, relay.event.Cap() < 4*maxEventBytes, "%d bytes", relay.event.Cap())
+		assert.Assert(t, eventreader.event.Cap() < 4*maxEventBytes, "%d bytes", eventreader.event.Cap())
 	}
 }
 
@@ -47,17 +46,17 @@
 // between them.
 func expectEvents(t *testing.T, stream string, wantIDs ...string) {
 	t.Helper()
-	reader := bufio.NewReaderSize(strings.NewReader(stream), 16)
+	eventreader := &eventReader{reader: bufio.NewReaderSize(strings.NewReader(stream), 16)}
 	var ids []string
 	var read bytes.Buffer
-	for relay := (&relay{}); ; {
-		id, err := relay.readEvent(reader)
-		if errors.Is(err, io.EOF) && relay.event.Len() == 0 {
+	for {
+		err := eventreader.next()
+		if errors.Is(err, io.EOF) && eventreader.event.Len() == 0 {
 			break
 		}
 		assert.NilError(t, err)
-		ids = append(ids, id)
-		read.Write(relay.event.Bytes())
+		ids = append(ids, eventreader.id)
+		read.Write(eventreader.event.Bytes())
 	}
 	assert.DeepEqual(t, ids, wantIDs)
 	assert.Equal(t, read.String(), stream)
@@ -72,35 +71,39 @@
 	expectEvents(t, strings.Repeat("x", 32)+"\nid: 3\n\n", "3")
 }
 
-// FuzzEvent checks that all bytes of complete events are read, in order.
-// TestStallTimerEndsWithItsAttempt guards against a timer that is armed again for ever,
+// TestSilenceTimerEndsWithItsAttempt guards against a timer that is armed again for ever,
 // because it ran out in the moment in which its attempt ended.
-func TestStallTimerEndsWithItsAttempt(t *testing.T) {
+func TestSilenceTimerEndsWithItsAttempt(t *testing.T) {
 	snapshot := &atomic.Pointer[reach.Snapshot]{}
 	snapshot.Store(&reach.Snapshot{})
-	server := New(pool.New(), snapshot, WithPolicy(Policy{StallAfter: time.Millisecond}))
-	request := &request{server: server, route: &site.Route{Kind: site.AtMostOnce{}}, snapshot: snapshot.Load()}
-	ctx, cancel := context.WithCancelCause(t.Context())
-	stall := request.watchForStall(ctx, cancel)
-	time.Sleep(20 * time.Millisecond)
-	assert.NilError(t, ctx.Err(), "no other endpoint could take the request over")
-	cancel(nil)
+	server := New(pool.New(), snapshot, WithPolicy(Policy{AnswerPatience: time.Millisecond, HandoverInterval: time.Millisecond}))
+	request := &request{server: server, route: &site.Route{Kind: site.Idempotent{}, MaxAttempts: 2}, snapshot: snapshot.Load()}
+	attended := make(chan *attempt, 1)
+	handover := newHandover(t.Context(), request, func(attempt *attempt) bool {
+		time.Sleep(20 * time.Millisecond)
+		assert.Check(t, attempt.ctx.Err() == nil, "no other endpoint could take the request over")
+		attended <- attempt
+		return false
+	})
+	handover.run(&reach.Candidate{ID: "a", Load: &reach.Load{}}, func(attempt *attempt) result {
+		handover.await(attempt)
+		return incomplete{cause: io.EOF}
+	})
 	time.Sleep(20 * time.Millisecond)
-	assert.Assert(t, !stall.Stop(), "the timer is still armed")
+	assert.Assert(t, !(<-attended).silence.Stop(), "the timer is still armed")
 }
 
+// FuzzEvent checks that all bytes of complete events are read, in order.
 func FuzzEvent(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n", 16)
 	f.Add("data: "+strings.Repeat("x", 30)+"\r\n\r\n", 17)
 	f.Fuzz(func(t *testing.T, stream string, size int) {
-		reader := bufio.NewReaderSize(strings.NewReader(stream), max(16, size%64))
-		relay, read := &relay{}, 0
+		eventreader, read := &eventReader{reader: bufio.NewReaderSize(strings.NewReader(stream), max(16, size%64))}, 0
 		for {
-			_, err := relay.readEvent(reader)
-			if err != nil {
+			if err := eventreader.next(); err != nil {
 				return
 			}
-			event := relay.event.String()
+			event := eventreader.event.String()
 			assert.Equal(t, stream[read:read+len(event)], event)
 			read += len(event)
 			lines := strings.SplitAfter(event, "\n")
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -75,6 +75,7 @@
 	AttemptBroken         = Event{608, "endpoint broke off an attempt", zap.WarnLevel}
 	LimitUnusable         = Event{609, "unusable Server-Limit of an endpoint", zap.WarnLevel}
 	AttemptSilent         = Event{610, "attempt ended because its endpoint is silent", zap.InfoLevel}
+	AttemptHandover       = Event{611, "request sent to another endpoint beside a silent one", zap.InfoLevel}
 )
 
 // All returns every event in the order of the numbers.
@@ -87,7 +88,7 @@
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial, EndpointLimited, EndpointUnlimited,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover,
 	}
 }
 
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -106,6 +106,15 @@
 break_one "a small limit that all nodes use at once" core/limit/limit.go 'len(users) > most' 'false && most > 0' ./core/limit TestNodesStayWithinTheLimit
 break_one "a request that takes no turn" core/reach/choose.go 'best.Load.TakeTurn(request.Now)' 'true' ./core/reach TestEndpointsWithLimits
 break_one "a limit that ends with a late report" io/edge/limits.go '!observation.NewerThan(control.limits.known[id])' 'false' ./io/edge TestEndOfALimit
+break_one "a silent attempt that ends before another endpoint has answered" io/entry/handover.go 'handover.beginSecond()
+	}' 'handover.beginSecond()
+		attempt.cancel(errGone)
+	}' ./io/entry TestSilentAttemptIsTakenOver
+break_one "an event of an attempt that another one has taken over from" io/entry/handover.go 'if handover.takenOver {' 'if false {' ./io/entry TestAnswerComesFromOneAttempt
+break_one "a second attempt that goes on beside the first" io/entry/handover.go 'handover.second.cancel(errNotNeeded)' '' ./io/entry TestAnswerComesFromOneAttempt
+break_one "a request that has run at a second endpoint only, reported as not run" io/entry/handover.go 'handover.request.mayHaveRun = handover.request.mayHaveRun || mayHaveRun(second.result)' '' ./io/entry TestSilentAttemptIsTakenOver
+break_one "an endpoint reported as lost that is given up at once" io/entry/policy.go 'GoneAfter: 2500 * time.Millisecond' 'GoneAfter: 0' ./platform/fakes TestStreamCutWhileEndpointPauses
+break_one "an endpoint reported as lost that is never given up" io/entry/handover.go 'attempt.gone(time.Now())' 'false' ./io/entry TestLostEndpointIsGivenUp
 
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
