A replica does not end because a member pauses

Callers saw: streams that end without an answer while their endpoint is silent for a second or two (LOST).

The planner ended a serving replica 50 ms after two unanswered probes: it told its members to leave. On the platform the streams of such a replica do not go on, whatever the nodes wait for. The test of pauses did not see it, because the stand-in's streams go on.

Ruled out: waiting for every unresponsive member.

Change: a probe's last attempt opens a new connection. An endpoint that accepts it and does not answer may be pausing, and keeps its replica for 1.5 s more; the node that places probes it every 0.45 s meanwhile. One whose host does not accept connections loses it at once, as before. Routing does not change.

TestReplicaEndedWhileMemberPauses fails before (m-0 and m-1 in another replica after the pause) and passes after, twice.

--- a/core/fleet/adopt.go
+++ b/core/fleet/adopt.go
@@ -127,7 +127,7 @@
 	draining := false
 	for _, id := range replica.members {
 		endpoint, known := pass.known[id]
-		if !known || pass.Unresponsive[id] {
+		if !known || pass.Unresponsive[id] && !(pass.Pausing[id] && replica.state == stateServing) {
 			return faultUnresponsive
 		}
 		if !endpoint.StartedAt.Equal(replica.startedAt[id]) {
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -16,6 +16,7 @@
 	Engine        *site.Engine
 	Endpoints     []Endpoint         // of the planner's service
 	Unresponsive  map[string]bool    // endpoints that do not respond
+	Pausing       map[string]bool    // those of them whose processes may only be pausing, for a short time
 	InFlight      map[string]int     // requests in flight from all nodes, by first host
 	Demand        map[string]float64 // recent demand of each model in host-seconds, as Demand.Recent returns it
 	NoRequestsYet bool               // the system has just started and no caller has sent a request; until one does, weight loads are fast and not limited
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -33,6 +33,7 @@
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
 	leaving          map[string]time.Time      // endpoints that have said in an answer that they leave, and the starts of those incarnations
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
+	pausingUntil     map[string]time.Time      // those of them that accept connections, and until when they may only be pausing
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
 	updatedAt        map[string]time.Time      // when a row was last applied, or the endpoint left its replica
 	probedAt         map[string]time.Time      // when the last probe was sent
@@ -44,7 +45,7 @@
 	return endpoints{
 		removals: map[string]rows.Version{}, removed: map[string]fleet.Endpoint{},
 		byID: map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
-		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
+		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, pausingUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
 
@@ -245,7 +246,7 @@
 	delete(endpoints.byID, id)
 	delete(endpoints.missingUntil, id)
 	delete(endpoints.leaving, id)
-	delete(endpoints.unresponsive, id)
+	endpoints.forgetUnresponsive(id)
 	delete(endpoints.updatedAt, id)
 	delete(endpoints.reportedAt, id)
 	control.snapshotStale = true
@@ -262,7 +263,7 @@
 	}
 	for id, nextProbeAt := range endpoints.unresponsive {
 		if now.After(nextProbeAt) {
-			endpoints.unresponsive[id] = now.Add(control.reprobeDelay())
+			endpoints.unresponsive[id] = now.Add(control.reprobeDelay(id, now))
 			control.probe(id, now)
 		}
 	}
--- a/io/edge/message.go
+++ b/io/edge/message.go
@@ -58,10 +58,11 @@
 
 // probeResult is the outcome of a probe.
 type probeResult struct {
-	id     string
-	alive  bool // the endpoint answered
-	report fleet.Endpoint
-	sentAt time.Time
+	id        string
+	alive     bool // the endpoint answered
+	connected bool // it did not, but accepted a connection
+	report    fleet.Endpoint
+	sentAt    time.Time
 }
 
 // commandResult is the outcome of a command.
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -272,12 +272,13 @@
 	}
 	input := fleet.Input{
 		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.endpoints.ofService(name),
-		Unresponsive: map[string]bool{}, InFlight: map[string]int{}, NoRequestsYet: control.noRequestsYet(now),
+		Unresponsive: map[string]bool{}, Pausing: map[string]bool{}, InFlight: map[string]int{}, NoRequestsYet: control.noRequestsYet(now),
 		Demand: control.demand.recent.Recent(), HolderReport: placement.holderReport,
 	}
 	control.ensureCommandCounts(input.Endpoints, input.NoRequestsYet, now)
 	for id := range control.endpoints.unresponsive {
 		input.Unresponsive[id] = true
+		input.Pausing[id] = now.Before(control.endpoints.pausingUntil[id])
 	}
 	for id, load := range control.endpoints.loads {
 		input.InFlight[id] = load.InFlight()
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -1,22 +1,27 @@
 package edge
 
 import (
+	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"hickorybend/core/fleet"
 	"hickorybend/io/event"
+	"hickorybend/io/pool"
 )
 
 const (
 	probeTimeout             = 200 * time.Millisecond // for an endpoint's report, which takes up no request slot
 	probeAttempts            = 2
-	probeInterval            = 350 * time.Millisecond // minimum time between two probes of one endpoint
-	reprobeInterval          = time.Second            // between two probes of an unresponsive endpoint
-	nonLeaderReprobeInterval = 5 * time.Second        // the same on a node whose leader reports that the endpoint answers again
-	hintProbeInterval        = 700 * time.Millisecond // after a probe, before another node's digest can trigger the next
-	reportLag                = 500 * time.Millisecond // how old the contents of a report may be
+	probeInterval            = 350 * time.Millisecond  // minimum time between two probes of one endpoint
+	reprobeInterval          = time.Second             // between two probes of an unresponsive endpoint
+	pauseTolerance           = 1500 * time.Millisecond // after the first unanswered probe; sound endpoints pause for a second or two
+	pauseProbeInterval       = 450 * time.Millisecond  // between two probes of an endpoint that may only be pausing
+	nonLeaderReprobeInterval = 5 * time.Second         // the same on a node whose leader reports that the endpoint answers again
+	hintProbeInterval        = 700 * time.Millisecond  // after a probe, before another node's digest can trigger the next
+	reportLag                = 500 * time.Millisecond  // how old the contents of a report may be
 )
 
 // probeReplica probes an endpoint and all members of its replica.
@@ -56,18 +61,23 @@
 	}()
 }
 
-// requestReport asks an endpoint for its report, up to probeAttempts times.
+// requestReport asks an endpoint for its report, up to probeAttempts times, the last
+// time over a new connection. A process that stands still accepts one; a host that is
+// down or cut off does not.
 func (control *Control) requestReport(endpoint fleet.Endpoint, now time.Time) probeResult {
-	for range probeAttempts {
-		report, err := control.engineClient.Report(control.ctx, endpoint, probeTimeout)
+	result := probeResult{id: endpoint.ID, sentAt: now}
+	for i := range probeAttempts {
+		report, err := control.engineClient.Report(control.ctx, endpoint, probeTimeout, i == probeAttempts-1)
 		if err == nil {
-			return probeResult{id: endpoint.ID, alive: true, report: report, sentAt: now}
+			result.alive, result.report = true, report
+			return result
 		}
+		result.connected = errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, pool.ErrUnsent)
 		if control.ctx.Err() != nil {
 			break
 		}
 	}
-	return probeResult{id: endpoint.ID, sentAt: now}
+	return result
 }
 
 // handleProbeResult applies an endpoint's report, or marks the endpoint as
@@ -82,12 +92,18 @@
 	wasUnresponsive := endpoints.isUnresponsive(result.id)
 	if result.alive {
 		control.crashes.answeredAt[result.id] = result.sentAt
-		delete(endpoints.unresponsive, result.id)
+		endpoints.forgetUnresponsive(result.id)
 		control.handleReport(result)
 		control.snapshotStale = control.snapshotStale || wasUnresponsive
 		return
 	}
-	endpoints.unresponsive[result.id] = now.Add(control.reprobeDelay())
+	switch {
+	case !result.connected:
+		delete(endpoints.pausingUntil, result.id)
+	case !wasUnresponsive:
+		endpoints.pausingUntil[result.id] = now.Add(pauseTolerance)
+	}
+	endpoints.unresponsive[result.id] = now.Add(control.reprobeDelay(result.id, now))
 	if wasUnresponsive {
 		return
 	}
@@ -99,10 +115,20 @@
 	}
 }
 
-// reprobeDelay returns the time between two probes of an unresponsive endpoint.
-// It is longer for a node whose leader reports recoveries: if 75 nodes each
-// probed 30 such endpoints every second, these would be most of all probes.
-func (control *Control) reprobeDelay() time.Duration {
+// forgetUnresponsive forgets that an endpoint did not answer probes.
+func (endpoints *endpoints) forgetUnresponsive(id string) {
+	delete(endpoints.unresponsive, id)
+	delete(endpoints.pausingUntil, id)
+}
+
+// reprobeDelay returns the time between two probes of an unresponsive endpoint. The
+// node that places asks more often while the endpoint may only be pausing. The time is longer for a
+// node whose leader reports recoveries: if 75 nodes each probed 30 such endpoints
+// every second, these would be most of all probes.
+func (control *Control) reprobeDelay(id string, now time.Time) time.Duration {
+	if control.placement.active && now.Before(control.endpoints.pausingUntil[id]) {
+		return pauseProbeInterval
+	}
 	if control.servedByLeader.Load() {
 		return nonLeaderReprobeInterval
 	}
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -115,6 +115,7 @@
 break_one "a request that has run at a second endpoint only, reported as not run" io/entry/handover.go 'handover.request.mayHaveRun = handover.request.mayHaveRun || mayHaveRun(second.result)' '' ./io/entry TestSilentAttemptIsTakenOver
 break_one "an endpoint reported as lost that is given up at once" io/entry/policy.go 'GoneAfter: 2500 * time.Millisecond' 'GoneAfter: 0' ./platform/fakes TestStreamCutWhileEndpointPauses
 break_one "an endpoint reported as lost that is never given up" io/entry/handover.go 'attempt.gone(time.Now())' 'false' ./io/entry TestLostEndpointIsGivenUp
+break_one "a replica ended because a member pauses" io/edge/probe.go 'endpoints.pausingUntil[result.id] = now.Add(pauseTolerance)' '' ./platform/fakes TestReplicaEndedWhileMemberPauses
 
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
