An endpoint that answers again no longer counts as lost

A request whose endpoint had been reported as lost, and had been found since, could still be ended: at the next short loss at once, or when the endpoint had meanwhile been taken out of routing for another reason.

Cause: the time at which an endpoint counts as gone was only cleared by an event of a stream, and whether it was back was guessed from the list of endpoints that take requests.

Change: control reports a replica as found once all members answer probes. TestLostEndpointIsGivenUp has the case of two short losses, which fails without ReportFound ("the replica lost a member"), and checks that nothing is given up before its time.

--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -40,14 +40,6 @@
 	Plain   []*Candidate            // endpoints of a plain service
 }
 
-// Serves reports whether the candidate's incarnation of its endpoint is in the pool,
-// for a model or for the plain service.
-func (servicepool *ServicePool) Serves(model string, candidate *Candidate) bool {
-	return servicepool != nil && slices.ContainsFunc(servicepool.candidates(model), func(other *Candidate) bool {
-		return other.ID == candidate.ID && other.StartedAt.Equal(candidate.StartedAt)
-	})
-}
-
 // Candidate is an endpoint that takes requests: one of a plain service, or the
 // first host of a replica, which is its member of rank 0.
 type Candidate struct {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -37,6 +37,7 @@
 	lastAnswer       func(part crash.Part) time.Time // when a prompt with a part was last answered through this node; zero if not known
 	localRequests    func() map[string]int64         // requests for each service that this node has received since the start
 	reportLost       func(firstHosts []string)       // reports replicas that may not serve any more, named by their first hosts
+	reportFound      func(firstHosts []string)       // reports those of them whose members all answer again
 	messages         chan message
 	snapshot         atomic.Pointer[reach.Snapshot]
 	digest           atomic.Pointer[gossip.Digest]            // this node's own
@@ -67,11 +68,11 @@
 }
 
 // NewControl creates a node's control. hadRequests, localDemand,
-// lastAnswer, localRequests and reportLost do nothing until newServer sets them.
+// lastAnswer, localRequests, reportLost and reportFound do nothing until newServer sets them.
 func NewControl(settings Settings, store *platform.Store, engineclient *platform.EngineClient, log *zap.Logger, meter *meter.Meter) *Control {
 	control := &Control{
 		settings: settings, store: store, engineClient: engineclient, log: log, meter: meter,
-		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, reportLost: func([]string) {}, lastAnswer: func(crash.Part) time.Time { return time.Time{} },
+		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, reportLost: func([]string) {}, reportFound: func([]string) {}, lastAnswer: func(crash.Part) time.Time { return time.Time{} },
 		localRequests: func() map[string]int64 { return nil },
 		messages:      make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -58,7 +58,7 @@
 	control.localDemand = server.Demand
 	control.lastAnswer = server.LastAnswer
 	control.localRequests = server.Requests
-	control.reportLost = server.ReportLost
+	control.reportLost, control.reportFound = server.ReportLost, server.ReportFound
 	return server
 }
 
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -95,6 +95,9 @@
 		endpoints.forgetUnresponsive(result.id)
 		control.handleReport(result)
 		control.snapshotStale = control.snapshotStale || wasUnresponsive
+		if wasUnresponsive && control.allRespond(endpoint.Membership.Replica) {
+			control.reportFound([]string{control.firstHostOf(endpoint.Membership.Replica)})
+		}
 		return
 	}
 	switch {
@@ -115,6 +118,16 @@
 	}
 }
 
+// allRespond reports whether no member of a replica is known as unresponsive.
+func (control *Control) allRespond(replica string) bool {
+	for id := range control.endpoints.unresponsive {
+		if control.endpoints.byID[id].Membership.Replica == replica {
+			return false
+		}
+	}
+	return true
+}
+
 // forgetUnresponsive forgets that an endpoint did not answer probes.
 func (endpoints *endpoints) forgetUnresponsive(id string) {
 	delete(endpoints.unresponsive, id)
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -81,6 +81,17 @@
 	}
 }
 
+// ReportFound reports the first hosts of replicas whose members all answer again.
+func (server *Server) ReportFound(firstHosts []string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for _, firstHost := range firstHosts {
+		for attempt := range server.attempts[firstHost] {
+			attempt.goneAt.Store(0)
+		}
+	}
+}
+
 // answerBegins records that the prompt's prefill is no longer pending.
 func (attempt *attempt) answerBegins() {
 	attempt.candidate.Load.AddPendingTokens(-attempt.pendingTokens)
@@ -96,8 +107,8 @@
 	attempt.silence.Reset(policy.StallAfter)
 }
 
-// reportedLost reports whether the endpoint has been reported as lost since its last
-// event.
+// reportedLost reports whether the endpoint has been reported as lost and neither found
+// nor heard since.
 func (attempt *attempt) reportedLost() bool { return attempt.goneAt.Load() != 0 }
 
 // gone reports whether the endpoint counts as gone: it has been reported as lost, and
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -103,7 +103,7 @@
 	if attempt.ctx.Err() != nil {
 		return
 	}
-	if attempt != handover.current && attempt.reportedLost() || attempt.gone(time.Now()) && !handover.request.serves(attempt.candidate) {
+	if attempt != handover.current && attempt.reportedLost() || attempt.gone(time.Now()) {
 		attempt.cancel(errGone)
 		return
 	}
@@ -234,9 +234,3 @@
 	}
 	return send.Candidate
 }
-
-// serves reports whether an endpoint still takes requests of this kind, by what control
-// knows now.
-func (request *request) serves(candidate *reach.Candidate) bool {
-	return request.server.snapshot.Load().Services[request.service].Serves(request.header.Model, candidate)
-}
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -179,20 +179,27 @@
 
 // TestLostEndpointIsGivenUp guards against a request that waits until its deadline for an
 // endpoint that has been reported as lost, and against one that gives up an endpoint that
-// answers probes again.
+// answers probes again, or that has been lost for a short time twice.
 func TestLostEndpointIsGivenUp(t *testing.T) {
+	lost, found := (*Server).ReportLost, (*Server).ReportFound
 	for _, test := range []struct {
-		name      string
-		recovered bool
-		want      string
-	}{{"it stays lost", false, errGone.Error()}, {"it is back", true, "e0"}} {
+		name    string
+		reports []func(*Server, []string) // one each 3 * testPatience; an endpoint counts as gone after 4
+		want    string
+	}{
+		{"it stays lost", []func(*Server, []string){lost}, errGone.Error()},
+		{"another member is lost, too", []func(*Server, []string){lost, lost}, errGone.Error()},
+		{"it is found", []func(*Server, []string){lost, found}, "e0"},
+		{"it pauses twice", []func(*Server, []string){lost, found, lost, found}, "e0"},
+	} {
 		runInBubble(t, test.name, func(t *testing.T) {
-			scripted := newScriptedHandover(t, 1, endpointScript{12 * testPatience, answered{}})
-			if !test.recovered {
-				scripted.server.snapshot.Store(&reach.Snapshot{Nodes: 1})
+			scripted := newScriptedHandover(t, 1, endpointScript{20 * testPatience, answered{}})
+			for i, report := range test.reports {
+				time.AfterFunc(time.Duration(3*i+1)*testPatience, func() { report(scripted.server, []string{"e0"}) })
 			}
-			time.AfterFunc(testPatience/2, func() { scripted.server.ReportLost([]string{"e0"}) })
+			startedAt := time.Now()
 			assert.Equal(t, scripted.run(), test.want)
+			assert.Check(t, test.want == "e0" || time.Since(startedAt) >= 5*testPatience, "given up after %s", time.Since(startedAt))
 			scripted.expectNothingLeft()
 		})
 	}
