An ended second attempt does not go on, and none begins beside a concluded one

An event could have been delivered twice where event ids are not numbers: the silent endpoint went on, which ended the second attempt, and broke off before that end had been noticed; the second one then went on. Beside the last news of an attempt the silence timer could begin another one, which raced with reads of the list of endpoints.

Change: finish waits for a second attempt that has been ended, and drops it; a handover whose current attempt has concluded begins no other. TestEndedAttemptIsNotContinued fails without the first ("attempts 2, not 1").

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -62,7 +62,7 @@
 			if request.shouldRetry(answer) {
 				return incomplete{cause: errors.Newf("entry: status %d", answer.response.StatusCode)}
 			}
-			if !handover.advance("") {
+			if !handover.conclude() {
 				return incomplete{cause: errTakenOver}
 			}
 			return answer
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -42,6 +42,7 @@
 	current     *attempt // the one whose news the caller gets; nil between two runs
 	second      *attempt // beside it; nil if there is none
 	takenOver   bool     // by second, which has brought news
+	settled     bool     // the current attempt has ended or has brought its last news, so no other one begins
 	lastEventID string   // of a stream: the id of the last event that is for the caller
 }
 
@@ -54,7 +55,7 @@
 func (handover *handover) run(candidate *reach.Candidate, follow func(*attempt) result) result {
 	handover.mutex.Lock()
 	current := handover.begin(candidate)
-	handover.current = current
+	handover.current, handover.settled = current, false
 	handover.mutex.Unlock()
 	for {
 		outcome := follow(current)
@@ -75,6 +76,9 @@
 	} else {
 		<-attempt.done
 	}
+	if attempt.result != nil {
+		handover.settle()
+	}
 	return attempt.result
 }
 
@@ -100,7 +104,7 @@
 func (handover *handover) handleSilence(attempt *attempt) {
 	handover.mutex.Lock()
 	defer handover.mutex.Unlock()
-	if attempt.ctx.Err() != nil {
+	if attempt.ctx.Err() != nil || handover.settled {
 		return
 	}
 	if attempt != handover.current && attempt.reportedLost() || attempt.gone(time.Now()) {
@@ -132,12 +136,12 @@
 		zap.Int("events", silent.eventCount), zap.Bool("lost", silent.reportedLost()), zap.Duration("age", time.Since(silent.sentAt)))
 	go func() {
 		defer close(second.done)
-		handover.settle(second, handover.attend(second))
+		handover.handleOutcome(second, handover.attend(second))
 	}()
 }
 
-// settle records the outcome of an attempt that was begun beside another one.
-func (handover *handover) settle(second *attempt, news bool) {
+// handleOutcome handles the outcome of an attempt that was begun beside another one.
+func (handover *handover) handleOutcome(second *attempt, news bool) {
 	handover.mutex.Lock()
 	defer handover.mutex.Unlock()
 	switch {
@@ -171,9 +175,8 @@
 	}
 }
 
-// advance reports whether the current attempt may go on with its news: an event with the
-// given id, the end of a stream or a complete answer. It may not if another attempt has
-// taken over. One that has not yet is ended.
+// advance reports whether the current attempt may go on with an event that has the given
+// id. It may not if another attempt has taken over. One that has not yet is ended.
 func (handover *handover) advance(id string) bool {
 	handover.mutex.Lock()
 	defer handover.mutex.Unlock()
@@ -189,6 +192,24 @@
 	return true
 }
 
+// conclude does the same for the last news of the request: the end of a stream or a
+// complete answer.
+func (handover *handover) conclude() bool {
+	if !handover.advance("") {
+		return false
+	}
+	handover.settle()
+	return true
+}
+
+// settle keeps other attempts from being begun. From then on the attempts do not change
+// but for the second one.
+func (handover *handover) settle() {
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	handover.settled = true
+}
+
 // finish ends the current attempt, and returns the one that goes on in its place: nil
 // if the request has been answered or no other attempt is left.
 func (handover *handover) finish(outcome result) *attempt {
@@ -198,8 +219,8 @@
 	defer handover.mutex.Unlock()
 	request := handover.request
 	request.mayHaveRun = request.mayHaveRun || mayHaveRun(outcome)
-	handover.current.cancel(nil) // so that no further attempt begins beside it
-	if second := handover.second; over && second != nil {
+	handover.settled = true
+	if second := handover.second; second != nil && (over || second.ctx.Err() != nil) {
 		second.cancel(errNotNeeded)
 		handover.mutex.Unlock()
 		<-second.done
@@ -210,6 +231,7 @@
 	}
 	request.server.endAttempt(handover.current)
 	handover.current, handover.second, handover.takenOver = handover.second, nil, false
+	handover.settled = handover.current == nil
 	return handover.current
 }
 
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -89,7 +89,7 @@
 			return result
 		}
 		time.Sleep(before)
-		if !handover.advance("") {
+		if !handover.advance("x") {
 			return incomplete{cause: errTakenOver}
 		}
 		time.Sleep(meanwhile)
@@ -177,6 +177,25 @@
 	}
 }
 
+// TestEndedAttemptIsNotContinued guards against a second attempt that goes on although it
+// has been ended, because the first one had gone on and then broke off: it would bring an
+// event again.
+func TestEndedAttemptIsNotContinued(t *testing.T) {
+	runInBubble(t, "", func(t *testing.T) {
+		scripted := newScriptedHandover(t, 2, endpointScript{3 * testPatience, answered{}}, endpointScript{4 * testPatience, answered{}})
+		handover, attempts := scripted.handover, 0
+		outcome := handover.run(scripted.candidates[0], func(attempt *attempt) result {
+			attempts++
+			handover.await(attempt)
+			assert.Check(t, handover.advance("8"))
+			return incomplete{cause: errors.New("broken")}
+		})
+		assert.Equal(t, outcome.(incomplete).cause.Error(), "broken")
+		assert.Equal(t, attempts, 1)
+		scripted.expectNothingLeft()
+	})
+}
+
 // TestLostEndpointIsGivenUp guards against a request that waits until its deadline for an
 // endpoint that has been reported as lost, and against one that gives up an endpoint that
 // answers probes again, or that has been lost for a short time twice.
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -146,7 +146,7 @@
 	if relay.headerWritten || request.shouldRetryStream(answer.response.StatusCode) {
 		return incomplete{cause: errors.Newf("entry: status %d", answer.response.StatusCode)}
 	}
-	if !relay.handover.advance("") {
+	if !relay.handover.conclude() {
 		return incomplete{cause: errTakenOver}
 	}
 	request.outcome = "answered"
@@ -173,12 +173,12 @@
 		if err := checkSequence(relay.handover.lastEventID, id); err != nil {
 			return err
 		}
+		if ended {
+			return relay.conclude()
+		}
 		if !relay.handover.advance(id) {
 			return errTakenOver
 		}
-		if ended {
-			return nil
-		}
 		relay.writeHeader(attempt.exchange.Response)
 		if err := relay.writeEvent(attempt.reader.event.Bytes()); err != nil {
 			return err
@@ -186,6 +186,15 @@
 	}
 }
 
+// conclude returns an error if another endpoint has taken over before the end of the
+// stream.
+func (relay *relay) conclude() error {
+	if !relay.handover.conclude() {
+		return errTakenOver
+	}
+	return nil
+}
+
 // checkSequence checks that an event's id follows the last one's. Ids that are not
 // numbers are not checked.
 func checkSequence(lastEventID, id string) error {
--- a/io/entry/stream_test.go
+++ b/io/entry/stream_test.go
@@ -78,19 +78,16 @@
 	snapshot.Store(&reach.Snapshot{})
 	server := New(pool.New(), snapshot, WithPolicy(Policy{AnswerPatience: time.Millisecond, HandoverInterval: time.Millisecond}))
 	request := &request{server: server, route: &site.Route{Kind: site.Idempotent{}, MaxAttempts: 2}, snapshot: snapshot.Load()}
-	attended := make(chan *attempt, 1)
-	handover := newHandover(t.Context(), request, func(attempt *attempt) bool {
+	handover := newHandover(t.Context(), request, func(*attempt) bool { return false })
+	var ended *attempt
+	handover.run(&reach.Candidate{ID: "a", Load: &reach.Load{}}, func(attempt *attempt) result {
 		time.Sleep(20 * time.Millisecond)
 		assert.Check(t, attempt.ctx.Err() == nil, "no other endpoint could take the request over")
-		attended <- attempt
-		return false
-	})
-	handover.run(&reach.Candidate{ID: "a", Load: &reach.Load{}}, func(attempt *attempt) result {
-		handover.await(attempt)
+		ended = attempt
 		return incomplete{cause: io.EOF}
 	})
-	time.Sleep(20 * time.Millisecond)
-	assert.Assert(t, !(<-attended).silence.Stop(), "the timer is still armed")
+	handover.handleSilence(ended) // the timer had run out just before
+	assert.Assert(t, !ended.silence.Stop(), "the timer is still armed")
 }
 
 // FuzzEvent checks that all bytes of complete events are read, in order.
