Attempts that did not run a request do not use up its attempts

With two attempts allowed, a second one that was rejected at once kept the request with the silent endpoint, though a third one had room. With three allowed, a second silent endpoint did the same; before the handover the third was tried after 1.4 s.

Cause: the route's maximum counts endpoints that may have run the request, and the code counted all that it was sent to. Nothing looked at the silence of a second attempt.

Change: attempts that were not sent or not executed count against MaxEndpoints only. A second attempt that is silent, too, is ended if there is another endpoint; the first one stays. The cases "two are silent, a third answers" and "the other one rejects at once, a third answers" of TestSilentAttemptIsTakenOver failed before: the first endpoint answered, after 100 times its patience.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -187,7 +187,7 @@
 	if connectionEnded(err) {
 		request.handleBroken(attempt, err)
 	}
-	if errors.IsAny(err, errTakenOver, errGone) {
+	if errors.IsAny(err, errTakenOver, errGone, errSilent) {
 		event.Log(request.server.log, event.AttemptSilent, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
 			zap.Int("events", attempt.eventCount), zap.Duration("took", now.Sub(attempt.sentAt)), zap.Error(err))
 	}
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -13,12 +13,13 @@
 	"hickorybend/io/event"
 )
 
-// The causes for which a node ends an attempt. The text of errGone can reach the caller
-// in the body of a 502.
+// The causes for which a node ends an attempt. The texts of the last two can reach the
+// caller in the body of a 502.
 var (
 	errTakenOver = errors.New("entry: another endpoint has answered meanwhile")
 	errNotNeeded = errors.New("entry: the endpoint that was silent has gone on")
 	errGone      = errors.New("entry: the replica lost a member")
+	errSilent    = errors.New("entry: the endpoint does not answer, and there are others")
 )
 
 // handover lets another endpoint take over a request whose endpoint is silent.
@@ -107,9 +108,14 @@
 	if attempt.ctx.Err() != nil || handover.settled {
 		return
 	}
-	if attempt != handover.current && attempt.reportedLost() || attempt.gone(time.Now()) {
+	second := attempt == handover.second && !handover.takenOver
+	switch {
+	case attempt.gone(time.Now()), second && attempt.reportedLost():
 		attempt.cancel(errGone)
 		return
+	case second && handover.request.hasAlternative():
+		attempt.cancel(errSilent) // the first one goes on
+		return
 	}
 	if !site.Retryable(handover.request.route.Kind) && !attempt.reportedLost() {
 		return // nothing can take the request over; ReportLost comes back to it
@@ -151,12 +157,15 @@
 		handover.current.cancel(errTakenOver)
 	default:
 		handover.drop(second)
+		if errors.Is(context.Cause(second.ctx), errSilent) && !handover.settled {
+			handover.beginSecond()
+		}
 	}
 }
 
 // drop ends the second attempt. The mutex must be held.
 func (handover *handover) drop(second *attempt) {
-	handover.request.mayHaveRun = handover.request.mayHaveRun || mayHaveRun(second.result)
+	handover.request.recordOutcome(second.result)
 	if second.exchange != nil {
 		second.exchange.Close()
 	}
@@ -164,14 +173,14 @@
 	handover.second, handover.takenOver = nil, false
 }
 
-// mayHaveRun reports whether the endpoint may have run a request, by the result of the
-// attempt.
-func mayHaveRun(outcome result) bool {
+// recordOutcome records whether an attempt may have run the request. A nil result is that
+// of a stream that was not read to its end.
+func (request *request) recordOutcome(outcome result) {
 	switch outcome.(type) {
 	case unsent, notExecuted:
-		return false
+		request.notRun++
 	default:
-		return true
+		request.mayHaveRun = true
 	}
 }
 
@@ -218,7 +227,7 @@
 	handover.mutex.Lock()
 	defer handover.mutex.Unlock()
 	request := handover.request
-	request.mayHaveRun = request.mayHaveRun || mayHaveRun(outcome)
+	request.recordOutcome(outcome)
 	handover.settled = true
 	if second := handover.second; second != nil && (over || second.ctx.Err() != nil) {
 		second.cancel(errNotNeeded)
@@ -236,23 +245,25 @@
 }
 
 // chooseSecond chooses an endpoint for an attempt beside the present one, or returns nil
-// if none is allowed or no endpoint has room. Of requests that stall together, each takes
-// its room before the next one looks for some.
+// if none is allowed or no endpoint has room.
 func (request *request) chooseSecond() *reach.Candidate {
-	server, now := request.server, time.Now()
-	snapshot := server.snapshot.Load()
-	switch {
-	case !site.Retryable(request.route.Kind), len(request.tried) >= min(request.route.MaxAttempts, server.policy.MaxEndpoints),
-		snapshot.Blocks(request.parts), request.deadline.Sub(now) < server.policy.MinTimeLeft, !server.allowsRetry(request.service, now, snapshot.Nodes):
+	if !request.hasAlternative() {
 		return nil
 	}
-	wanted := request.routingRequest(true)
-	if !reach.HasRoom(server.routing, snapshot.Services[request.service], wanted) {
-		return nil
-	}
-	send, chosen := reach.Choose(server.routing, snapshot.Services[request.service], wanted).(reach.Send)
+	server, now := request.server, time.Now()
+	snapshot := server.snapshot.Load()
+	send, chosen := reach.Choose(server.routing, snapshot.Services[request.service], request.routingRequest(true)).(reach.Send)
 	if !chosen || !server.withdrawRetry(request.service, now, snapshot.Nodes) {
 		return nil
 	}
 	return send.Candidate
 }
+
+// hasAlternative reports whether another attempt beside the present ones is allowed and an
+// endpoint has room for it.
+func (request *request) hasAlternative() bool {
+	server, now := request.server, time.Now()
+	snapshot := server.snapshot.Load()
+	return site.Retryable(request.route.Kind) && request.attemptsLeft(now) && !snapshot.Blocks(request.parts) &&
+		server.allowsRetry(request.service, now, snapshot.Nodes) && reach.HasRoom(server.routing, snapshot.Services[request.service], request.routingRequest(true))
+}
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -47,7 +47,7 @@
 	snapshot := &atomic.Pointer[reach.Snapshot]{}
 	snapshot.Store(&reach.Snapshot{Nodes: 1, Services: map[string]*reach.ServicePool{"app": {Service: "app", Plain: scripted.candidates}}})
 	policy := DefaultPolicy()
-	policy.AnswerPatience, policy.HandoverInterval, policy.GoneAfter, policy.MaxEndpoints = testPatience, testPatience, 4*testPatience, maxAttempts
+	policy.AnswerPatience, policy.HandoverInterval, policy.GoneAfter, policy.MaxEndpoints = testPatience, testPatience, 4*testPatience, 4
 	scripted.server = New(pool.New(), snapshot, WithPolicy(policy), WithRetryBudget(retry.Policy{Extra: 100, Window: time.Second, UsableShare: 1}))
 	scripted.request = &request{
 		server: scripted.server, snapshot: snapshot.Load(), service: "app", receivedAt: time.Now(), deadline: time.Now().Add(time.Minute),
@@ -143,6 +143,8 @@
 		{"the other one breaks off, a third answers", 3, []endpointScript{never, {testPatience, broken}, {testPatience, answered{}}}, "e2", 3, true},
 		{"the silent one breaks off, the other one answers", 2, []endpointScript{{3 * testPatience, broken}, {6 * testPatience, answered{}}}, "e1", 2, true},
 		{"the silent one breaks off, the other one is silent, a third answers", 3, []endpointScript{{3 * testPatience, broken}, never, {testPatience, answered{}}}, "e2", 3, true},
+		{"two are silent, a third answers", 3, []endpointScript{{100 * testPatience, answered{}}, never, {testPatience / 2, answered{}}}, "e2", 3, true},
+		{"the other one rejects at once, a third answers", 2, []endpointScript{{100 * testPatience, answered{}}, {testPatience / 5, notExecuted{}}, {testPatience / 2, answered{}}}, "e2", 3, true},
 		{"both break off", 2, []endpointScript{{3 * testPatience, broken}, {4 * testPatience, broken}}, "broken", 2, true},
 		{"both reject", 2, []endpointScript{{3 * testPatience, notExecuted{}}, {4 * testPatience, notExecuted{}}}, "entry.notExecuted", 2, false},
 		{"the other one breaks off, the silent one rejects", 2, []endpointScript{{6 * testPatience, notExecuted{}}, {testPatience, broken}}, "entry.notExecuted", 2, true},
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -37,6 +37,7 @@
 	parts        []crash.Part  // of the prompt, those that other requests may share
 	trial        *crash.Trial  // that this request has claimed, or nil
 	tried        []string      // IDs of the endpoints that it was sent to
+	notRun       int           // attempts at them that did not run it
 	snapshotAge  time.Duration // how old the snapshot was when it was last used
 	mayHaveRun   bool          // an endpoint may have run it
 	broken       atomic.Bool   // an endpoint has broken off an attempt
@@ -269,14 +270,18 @@
 		return true
 	}
 	now := time.Now()
-	switch {
-	case request.mayHaveRun && (len(request.tried) >= request.route.MaxAttempts || !site.Retryable(request.route.Kind)):
-		return false
-	case len(request.tried) >= request.server.policy.MaxEndpoints, request.deadline.Sub(now) < request.server.policy.MinTimeLeft:
+	if request.mayHaveRun && !site.Retryable(request.route.Kind) || !request.attemptsLeft(now) {
 		return false
-	default:
-		return request.server.withdrawRetry(request.service, now, request.snapshot.Nodes)
 	}
+	return request.server.withdrawRetry(request.service, now, request.snapshot.Nodes)
+}
+
+// attemptsLeft reports whether another attempt is allowed by the number of those that
+// were made and the time that is left. Attempts that did not run the request don't count
+// against the route's maximum.
+func (request *request) attemptsLeft(now time.Time) bool {
+	policy := request.server.policy
+	return len(request.tried)-request.notRun < max(1, request.route.MaxAttempts) && len(request.tried) < policy.MaxEndpoints && request.deadline.Sub(now) >= policy.MinTimeLeft
 }
 
 // abortDisconnected ends a request whose caller has disconnected. It aborts the
