A slow caller is no silence of the endpoint, and an unneeded attempt no failure

While a caller did not read, the timer ran on: after 1.5 s a sound endpoint was taken for silent, replaced, blamed and probed, and the stream's spare attempt was used up. An attempt that was ended while its connection was being opened counted against its endpoint, which got no requests for a second.

Change: the timer does not count the time in which an event is written to the caller. Whether an attempt was needed is read from the cause of its context, since an error of dialing does not carry it. TestSlowCallerIsNoSilence and TestUnneededAttemptIsNoFailure fail without the two lines.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -20,9 +20,10 @@
 	goneAt    atomic.Int64 // Unix nanoseconds from which the endpoint counts as gone if it stays silent; 0 if it has not been reported as lost
 
 	// Of a stream.
-	resumeAfter   string // id of the last event that the caller has received
-	pendingTokens int    // of the prompt, until the answer begins
-	eventCount    int    // complete events that the endpoint has sent
+	resumeAfter   string      // id of the last event that the caller has received
+	pendingTokens int         // of the prompt, until the answer begins
+	eventCount    int         // complete events that the endpoint has sent
+	forwarding    atomic.Bool // an event is being written to the caller, so the endpoint is not asked for more
 	exchange      *pool.Exchange
 	reader        *eventReader
 	readErr       error // of the last read of an event
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -180,7 +180,8 @@
 // doesn't count against the endpoint.
 func (request *request) handleFailure(attempt *attempt, err error) result {
 	candidate, now := attempt.candidate, time.Now()
-	if request.r.Context().Err() == nil && !errors.Is(err, errNotNeeded) {
+	unneeded := errors.Is(context.Cause(attempt.ctx), errNotNeeded)
+	if request.r.Context().Err() == nil && !unneeded {
 		candidate.Load.RecordResult(now, true, now.Sub(attempt.sentAt))
 		request.server.suspect(candidate.ID)
 	}
@@ -192,7 +193,9 @@
 			zap.Int("events", attempt.eventCount), zap.Duration("took", now.Sub(attempt.sentAt)), zap.Error(err))
 	}
 	if errors.Is(err, pool.ErrUnsent) {
-		candidate.Load.Avoid(now.Add(request.server.policy.UnreachableBackoff))
+		if !unneeded {
+			candidate.Load.Avoid(now.Add(request.server.policy.UnreachableBackoff))
+		}
 		return unsent{cause: err}
 	}
 	return incomplete{cause: err}
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -108,6 +108,10 @@
 	if attempt.ctx.Err() != nil || handover.settled {
 		return
 	}
+	if attempt.forwarding.Load() {
+		attempt.silence.Reset(handover.request.server.policy.StallAfter)
+		return
+	}
 	second := attempt == handover.second && !handover.takenOver
 	switch {
 	case attempt.gone(time.Now()), second && attempt.reportedLost():
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -198,6 +200,38 @@
 	})
 }
 
+// TestSlowCallerIsNoSilence guards against an endpoint that is taken for silent because the
+// caller does not read its events.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	runInBubble(t, "", func(t *testing.T) {
+		scripted := newScriptedHandover(t, 2, endpointScript{}, endpointScript{testPatience, answered{}})
+		scripted.handover.run(scripted.candidates[0], func(attempt *attempt) result {
+			attempt.forwarding.Store(true)
+			time.Sleep(10 * testPatience)
+			return answered{}
+		})
+		assert.Equal(t, len(scripted.request.tried), 1)
+		scripted.expectNothingLeft()
+	})
+}
+
+// TestUnneededAttemptIsNoFailure guards against an endpoint that is blamed, probed and
+// avoided because the node has ended an attempt there that was no longer needed.
+func TestUnneededAttemptIsNoFailure(t *testing.T) {
+	scripted := newScriptedHandover(t, 2, endpointScript{})
+	scripted.request.r = httptest.NewRequest(http.MethodGet, "/", nil)
+	scripted.server.suspect = func(endpoint string) { t.Errorf("%s is probed", endpoint) }
+	attempt := &attempt{candidate: scripted.candidates[0], sentAt: time.Now()}
+	attempt.ctx, attempt.cancel = context.WithCancelCause(t.Context())
+	attempt.cancel(errNotNeeded)
+	for _, err := range []error{errors.Mark(errors.New("dialing"), pool.ErrUnsent), errors.Mark(errors.New("reading"), pool.ErrIncompleteResponse)} {
+		scripted.request.handleFailure(attempt, err)
+		load := scripted.candidates[0].Load
+		assert.Equal(t, load.FailureRate(time.Now()), 0.0)
+		assert.Assert(t, !load.Avoided(time.Now()))
+	}
+}
+
 // TestLostEndpointIsGivenUp guards against a request that waits until its deadline for an
 // endpoint that has been reported as lost, and against one that gives up an endpoint that
 // answers probes again, or that has been lost for a short time twice.
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -180,7 +180,7 @@
 			return errTakenOver
 		}
 		relay.writeHeader(attempt.exchange.Response)
-		if err := relay.writeEvent(attempt.reader.event.Bytes()); err != nil {
+		if err := relay.writeEvent(attempt); err != nil {
 			return err
 		}
 	}
@@ -222,14 +222,17 @@
 	request.w.WriteHeader(response.StatusCode)
 }
 
-// writeEvent writes an event to the caller and updates the longest gap.
-func (relay *relay) writeEvent(event []byte) error {
+// writeEvent writes the event that an attempt has brought to the caller and updates the
+// longest gap. A caller that does not read holds it up; that is no silence of the endpoint.
+func (relay *relay) writeEvent(attempt *attempt) error {
+	attempt.forwarding.Store(true)
+	defer attempt.forwarding.Store(false)
 	now := time.Now()
 	if request := relay.request; !request.lastEventAt.IsZero() {
 		request.longestGap = max(request.longestGap, now.Sub(request.lastEventAt))
 	}
 	relay.request.lastEventAt = now
-	if _, err := relay.request.w.Write(event); err != nil {
+	if _, err := relay.request.w.Write(attempt.reader.event.Bytes()); err != nil {
 		return errors.Mark(errors.Wrap(err, "entry: writing to the caller"), errCallerConnection)
 	}
 	err := http.NewResponseController(relay.request.w).Flush()
