Requests that are silent together do not all choose the same room

When a replica is reported as lost, all its requests look for another endpoint in one moment. Each saw the room before the others had taken it; the surplus was rejected there, and its retry budget was spent.

Change: one request chooses after the other.

--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -131,9 +131,12 @@
 }
 
 // beginSecond begins an attempt beside the current one, if one is allowed and an
-// endpoint has room. The mutex must be held.
+// endpoint has room. Many requests can be silent together, so one chooses after the other:
+// each sees the room that those before it have taken. The mutex must be held.
 func (handover *handover) beginSecond() {
 	request := handover.request
+	request.server.seconds.Lock()
+	defer request.server.seconds.Unlock()
 	candidate := request.chooseSecond()
 	if candidate == nil {
 		return
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -232,6 +233,30 @@
 	}
 }
 
+// TestSecondAttemptsFindRoom guards against requests that are silent together and all choose
+// the same last room.
+func TestSecondAttemptsFindRoom(t *testing.T) {
+	const requests = 24
+	runInBubble(t, "", func(t *testing.T) {
+		first := newScriptedHandover(t, 2, endpointScript{30 * testPatience, answered{}}, endpointScript{30 * testPatience, answered{}})
+		first.candidates[0].Slots, first.candidates[1].Slots = requests, 4
+		var waitgroup sync.WaitGroup
+		for range requests {
+			scripted := *first
+			request := &request{
+				server: first.server, snapshot: first.request.snapshot, service: "app", receivedAt: time.Now(), deadline: time.Now().Add(time.Minute), route: first.request.route,
+			}
+			scripted.request, scripted.handover = request, newHandover(t.Context(), request, scripted.attend)
+			waitgroup.Go(func() { scripted.run() })
+		}
+		time.Sleep(20 * testPatience)
+		allowed := int(4 * (1 + first.server.routing.PlainQueueAllowance))
+		assert.Check(t, first.candidates[1].Load.OwnInFlight() <= allowed, "%d requests at an endpoint that is chosen for %d", first.candidates[1].Load.OwnInFlight(), allowed)
+		waitgroup.Wait()
+		first.expectNothingLeft()
+	})
+}
+
 // TestLostEndpointIsGivenUp guards against a request that waits until its deadline for an
 // endpoint that has been reported as lost, and against one that gives up an endpoint that
 // answers probes again, or that has been lost for a short time twice.
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -43,6 +43,7 @@
 	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
 	inFlight    atomic.Int64
 	hadRequests atomic.Bool
+	seconds     sync.Mutex // held while an endpoint for a second attempt is chosen
 	mutex       sync.Mutex
 	budgets     map[string]*retry.Budget // by service
 	attempts    map[string]attempts      // in progress, by endpoint
