The fault soak pauses runners, has them busy, limited and crashing

drawSilences adds pauses of one to two seconds by SIGSTOP (one runner, half of them, in series), often beside a storm of changes of routes, timeouts, weights and teams; runners that reject everything with Retry-After, or state a limit; and streams with a part of the prompt on which runners crash. It draws from a random stream of its own: TestSeedsKeepTheirFaults compares the faults of 500 seeds with those before this change.

Beside a planned restart of the node the tolerance of three a run applies as before. A replica that breaks and a runner that starts again count as faults of the runner. - more than two requests from a node to a runner between half a second after it rejected one with Retry-After and the end of that time. - more than three requests that crash runners, later than 3 s after the fifth crash.

Answers that are cut off are judged at the end of a run: the heartbeat that shows the broken replica, and an execution that a paused runner begins late, come after the cut. A cut request that a runner begins later was not looked at before.

The runners tell the soak of their rejections, and are told over HTTP how to behave. A crashed runner sends no heartbeats; before, its replica looked complete.

Each check was taken out once: TestCheckerPauses (four times), TestCheckerBusyRunners (twice) and TestCrashedRunnerSendsNoHeartbeats fail then. Not checked: requests beyond a limit. Not played: cut links between nodes, whose addresses nodes tell each other.

--- a/cmd/standin/runner.go
+++ b/cmd/standin/runner.go
@@ -27,6 +27,8 @@
 	eventInterval := flags.DurationLong("pause", 30*time.Millisecond, "the time between two events")
 	loadTime := flags.DurationLong("load", time.Second, "how long loading a model onto the host takes")
 	stallTimeout := flags.DurationLong("stall", 6*time.Second, "how long a replica's first host (rank 0) waits for a missing member before the replica breaks")
+	crashPart := flags.StringLong("crash-part", "", "the part of a prompt on which the runner crashes; empty for none")
+	crashDowntime := flags.DurationLong("crash-downtime", time.Second, "how long the runner is down after such a crash")
 	return &ff.Command{
 		Name:      "runner",
 		Usage:     "standin runner [FLAGS]",
@@ -35,6 +37,7 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			delays := fakes.Delays{Rejoin: *loadTime / 10, Warm: *loadTime * 2 / 3, Load: *loadTime, Open: *loadTime / 10, MemberTimeout: *stallTimeout}
 			runner := fakes.NewRunner(nil, *service, *id, *domain, fakes.WithFabric(fakes.DialFabric(*fabric)), fakes.WithDelays(delays), fakes.WithEvents(*eventCount, *eventInterval))
+			runner.SetCrashPart(*crashPart, *crashDowntime)
 			<-ctx.Done()
 			drain(runner)
 			return nil
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -20,21 +20,24 @@
 
 // The invariants, by the names that findings show.
 const (
-	InvariantIntactAnswers     = "whole answers"         // each caller gets the complete, unchanged answer to its own request
-	InvariantAtMostOnce        = "at most once"          // a request that is not idempotent runs at most once
-	InvariantNotRun            = "not run means not run" // a request answered as not run never runs
-	InvariantUnchangedRequest  = "requests as they came" // endpoints get what callers sent, with the team and without the key
-	InvariantReplicaReady      = "whole replicas"        // a request begins only in a replica whose members were all ready
-	InvariantOneReplicaPerHost = "one replica a host"    // a host joins a replica only when the first host of its previous one cannot serve
-	InvariantAccess            = "nobody denied"         // no 401 or 404 for an allowed request, and Retry-After with each rejection
-	InvariantConfigPropagation = "changes everywhere"    // nodes apply a change within configBound and do not revert
-	InvariantDrain             = "drains respected"      // no new requests for a draining endpoint after drainBound
-	InvariantLeaving           = "leaving endpoints"     // no request to an endpoint leavingBound after the node has passed on that it leaves
-	InvariantRetryBudget       = "retry budget"          // retries within the budget, and attempts within maxAttempts
-	InvariantCancellation      = "callers that left"     // no request begins cancellationTimeout after its caller disconnected
-	InvariantNoLostAnswers     = "answers not lost"      // no answer is cut off without a fault
-	InvariantProcessAlive      = "processes live"        // programs start, nodes exit only when stopped, and then in time
-	InvariantRecovery          = "recovery"              // requests are served at the start and after the last fault
+	InvariantIntactAnswers     = "whole answers"          // each caller gets the complete, unchanged answer to its own request
+	InvariantAtMostOnce        = "at most once"           // a request that is not idempotent runs at most once
+	InvariantNotRun            = "not run means not run"  // a request answered as not run never runs
+	InvariantUnchangedRequest  = "requests as they came"  // endpoints get what callers sent, with the team and without the key
+	InvariantReplicaReady      = "whole replicas"         // a request begins only in a replica whose members were all ready
+	InvariantOneReplicaPerHost = "one replica a host"     // a host joins a replica only when the first host of its previous one cannot serve
+	InvariantAccess            = "nobody denied"          // no 401 or 404 for an allowed request, and Retry-After with each rejection
+	InvariantConfigPropagation = "changes everywhere"     // nodes apply a change within configBound and do not revert
+	InvariantDrain             = "drains respected"       // no new requests for a draining endpoint after drainBound
+	InvariantLeaving           = "leaving endpoints"      // no request to an endpoint leavingBound after the node has passed on that it leaves
+	InvariantRetryBudget       = "retry budget"           // retries within the budget, and attempts within maxAttempts
+	InvariantCancellation      = "callers that left"      // no request begins cancellationTimeout after its caller disconnected
+	InvariantNoLostAnswers     = "answers not lost"       // no answer is cut off without a fault
+	InvariantPauses            = "pauses cut nothing off" // no answer is cut off, or replaced by 502, because runners pause
+	InvariantRetryAfter        = "busy endpoints"         // an endpoint that asks for no requests for a time gets hardly any then
+	InvariantCrashingPart      = "crashing prompt parts"  // requests that crash endpoints are blocked
+	InvariantProcessAlive      = "processes live"         // programs start, nodes exit only when stopped, and then in time
+	InvariantRecovery          = "recovery"               // requests are served at the start and after the last fault
 )
 
 const (
@@ -85,12 +88,14 @@
 	disconnectedAt time.Time // when the caller closed its connection before the answer was complete
 	notRun         bool      // the answer's status means that the request has not run
 	executions     []executionRecord
+	rejected       bool // an endpoint has rejected it with Retry-After
 }
 
 // executionRecord is an execution that a runner began.
 type executionRecord struct {
 	fakes.Execution
 	beganAt time.Time
+	members []string // of the runner's replica
 }
 
 // runner is the state of a runner by its last heartbeat.
@@ -99,6 +104,7 @@
 	heartbeatAt    time.Time
 	lastMembership fakes.Heartbeat // the last one of this incarnation that names a replica
 	exited         bool            // the process has exited
+	crashedAt      time.Time       // when it began a request on which it crashes
 }
 
 // checker checks the invariants on what callers and runners observe.
@@ -114,8 +120,11 @@
 	leavingNotices map[leavingNotice]time.Time
 	revokedKeys    map[string]bool
 	services       map[string]*traffic
-	lostAnswers    int
-	lateStarts     int // requests that began more than cancellationTimeout after their caller disconnected
+	failures       []failure
+	busyTimes      map[busyRunner][]*busyTime
+	crashes        []time.Time // of runners
+	lateCrashes    int         // that should have been blocked
+	lateStarts     int         // requests that began more than cancellationTimeout after their caller disconnected
 	findings       []Finding
 }
 
@@ -136,6 +145,7 @@
 	return &checker{
 		timeline: timeline, now: time.Now, events: events, requests: map[string]*record{}, runners: map[string]*runner{},
 		readyMembers: map[string]bool{}, drainingSince: map[string]time.Time{}, leavingNotices: map[leavingNotice]time.Time{}, revokedKeys: map[string]bool{}, services: map[string]*traffic{},
+		busyTimes: map[busyRunner][]*busyTime{},
 	}
 }
 
@@ -161,6 +171,9 @@
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
 	known := checker.runners[heartbeat.ID]
+	if known != nil && (known.StartedAt != heartbeat.StartedAt || heartbeat.Phase == "broken") {
+		checker.timeline.addFault(runnerComponent(heartbeat.ID), known.heartbeatAt, checker.now())
+	}
 	if known == nil || known.StartedAt != heartbeat.StartedAt {
 		known = &runner{}
 		checker.runners[heartbeat.ID] = known
@@ -180,10 +193,11 @@
 }
 
 // recordUnresponsive records a fault of a runner whose last heartbeat is older than
-// heartbeatTimeout: the first host of its replica pauses its requests for that
-// time.
+// heartbeatTimeout, apart from pauses: the first host of its replica pauses its requests
+// for that time.
 func (checker *checker) recordUnresponsive(id string, heartbeatAt time.Time) {
-	if now := checker.now(); !heartbeatAt.IsZero() && now.Sub(heartbeatAt) > heartbeatTimeout {
+	now := checker.now()
+	if !heartbeatAt.IsZero() && now.Sub(heartbeatAt)-checker.timeline.duration(pauseComponent(id), heartbeatAt, now) > heartbeatTimeout {
 		checker.timeline.addFault(runnerComponent(id), heartbeatAt, now)
 	}
 }
@@ -196,7 +210,7 @@
 		return
 	}
 	firstHost := checker.runners[previous.Members[0]]
-	if firstHost == nil || firstHost.exited || checker.now().Sub(firstHost.heartbeatAt) > stallTimeout {
+	if firstHost == nil || firstHost.exited || !firstHost.crashedAt.IsZero() || checker.now().Sub(firstHost.heartbeatAt) > stallTimeout {
 		return
 	}
 	if firstHost.Replica == previous.Replica && firstHost.Epoch == previous.Epoch && (firstHost.Phase == "open" || firstHost.Phase == "closing") {
@@ -254,11 +268,13 @@
 	checker.checkReplicaReady(execution)
 	checker.checkDrainAndCancellation(record, execution)
 	checker.checkLeaving(record, execution)
+	checker.checkBusy(record, execution.Runner)
+	checker.checkCrashingPart(record, execution)
 	if len(record.executions) > 0 {
 		traffic := checker.trafficOf(record.kind)
 		traffic.retries = append(traffic.retries, checker.now())
 	}
-	record.executions = append(record.executions, executionRecord{Execution: execution, beganAt: checker.now()})
+	record.executions = append(record.executions, executionRecord{Execution: execution, beganAt: checker.now(), members: checker.membersOf(execution.Runner)})
 	return true
 }
 
@@ -294,11 +310,11 @@
 func (checker *checker) checkDrainAndCancellation(record *record, execution fakes.Execution) {
 	now := checker.now()
 	if since := checker.drainingSince[execution.Runner]; !since.IsZero() && now.Sub(since) > drainBound &&
-		checker.timeline.faultFree(since, now, storeComponent, nodeComponent(record.node), nodeRestartComponent(record.node), storeLinkComponent(record.node), runnerComponent(execution.Runner)) {
+		checker.timeline.faultFree(since, now, storeComponent, nodeComponent(record.node), nodeRestartComponent(record.node), storeLinkComponent(record.node), runnerComponent(execution.Runner), pauseComponent(execution.Runner)) {
 		checker.addFinding(InvariantDrain, "%s runs %s, %s after the store listed it as draining", execution.Runner, execution.RequestID, now.Sub(since))
 	}
 	if !record.disconnectedAt.IsZero() && now.Sub(record.disconnectedAt) > cancellationTimeout &&
-		checker.timeline.faultFree(record.sentAt, now, nodeComponent(record.node), callerLinkComponent(record.node), runnerComponent(execution.Runner)) {
+		checker.timeline.faultFree(record.sentAt, now, nodeComponent(record.node), callerLinkComponent(record.node), runnerComponent(execution.Runner), pauseComponent(execution.Runner)) {
 		checker.lateStarts++
 		if checker.lateStarts > toleratedLateStarts {
 			checker.addFinding(InvariantCancellation, "%s runs %s, %s after its caller disconnected", execution.Runner, execution.RequestID, now.Sub(record.disconnectedAt))
@@ -358,7 +374,7 @@
 		checker.addFinding(InvariantIntactAnswers, "%s: bytes after the end of the answer", id)
 	}
 	if answer.Err != nil {
-		checker.checkLostAnswer(record, answer)
+		checker.recordFailure(record, answer)
 		return
 	}
 	checker.recordLeaving(record, answer)
@@ -373,7 +389,9 @@
 		if answer.RetryAfter <= 0 {
 			checker.addFinding(InvariantAccess, "%s: status %d without Retry-After", id, answer.Status)
 		}
-	case http.StatusBadGateway, http.StatusGatewayTimeout:
+	case http.StatusBadGateway:
+		checker.recordFailure(record, answer)
+	case http.StatusGatewayTimeout:
 	default:
 		if checker.mayDeny(record) {
 			return
@@ -412,39 +430,12 @@
 	}
 }
 
-// checkLostAnswer reports an answer that was cut off although the node, its
-// callers' link and the replica that ran the request had no fault. A planned
-// restart of the node is no fault here.
-func (checker *checker) checkLostAnswer(record *record, answer fakes.Answer) {
-	if !record.disconnectedAt.IsZero() || len(record.executions) == 0 {
-		return
-	}
-	components := []string{nodeComponent(record.node), callerLinkComponent(record.node)}
-	for _, execution := range record.executions {
-		components = append(components, runnerComponent(execution.Runner))
-		if firstHost := checker.runners[execution.Runner]; firstHost != nil {
-			for _, id := range firstHost.lastMembership.Members {
-				if member := checker.runners[id]; member != nil {
-					checker.recordUnresponsive(id, member.heartbeatAt)
-				}
-				components = append(components, runnerComponent(id))
-			}
-		}
-	}
-	if !checker.timeline.faultFree(record.sentAt, checker.now(), components...) {
-		return
-	}
-	checker.lostAnswers++
-	if checker.lostAnswers > toleratedViolations {
-		checker.addFinding(InvariantNoLostAnswers, "%s: answer cut off at node %d: %v", record.request.ID, record.node+1, answer.Err)
-	}
-}
-
 // finish runs the checks that need the records of the whole run, and returns all
 // findings.
 func (checker *checker) finish() []Finding {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
+	checker.checkFailures()
 	checker.checkAttempts()
 	for service, traffic := range checker.services {
 		checker.checkBudget(service, traffic)
@@ -459,7 +450,7 @@
 	for id, record := range checker.requests {
 		runners := map[string]bool{}
 		for _, execution := range record.executions {
-			if checker.timeline.faultFree(record.sentAt, execution.beganAt, runnerComponent(execution.Runner)) {
+			if checker.timeline.faultFree(record.sentAt, execution.beganAt, runnerComponent(execution.Runner), pauseComponent(execution.Runner)) {
 				runners[execution.Runner] = true
 			}
 		}
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -1,8 +1,12 @@
 package soak
 
 import (
+	"crypto/sha256"
 	"errors"
+	"fmt"
 	"net/http"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -304,6 +308,184 @@
 	}
 }
 
+// TestCheckerPauses guards against a checker that excuses an answer that is cut off by a
+// pause of its runner, or that reports one which another fault explains.
+func TestCheckerPauses(t *testing.T) {
+	cut := fakes.Answer{Err: errors.New("reset")}
+	badGateway := fakes.Answer{Status: http.StatusBadGateway}
+	beat := func(harness *harness) {
+		for _, id := range []string{"r", "m"} {
+			harness.heartbeat(id, "g", "open", 1, "r", "m")
+		}
+	}
+	// during has a request run at r, and answered after all runners in paused have paused.
+	during := func(answer fakes.Answer, fault string, paused ...string) func(harness *harness) {
+		return func(harness *harness) {
+			beat(harness)
+			if fault != "" {
+				harness.timeline.addFault(fault, harness.clock, harness.clock.Add(time.Second))
+			}
+			harness.send("a", kindStream)
+			harness.execute("a", "r")
+			for _, id := range paused {
+				harness.timeline.addFault(pauseComponent(id), harness.clock, harness.clock.Add(maxPause))
+			}
+			harness.advance(maxPause)
+			beat(harness)
+			harness.advance(time.Millisecond)
+			harness.answerReceived("a", answer)
+		}
+	}
+	for _, test := range []struct {
+		name       string
+		scenario   func(harness *harness)
+		invariants []string
+	}{
+		{"cut while its runner pauses", during(cut, "", "r", "m"), []string{InvariantPauses}},
+		{"502 while its runner pauses", during(badGateway, "", "r", "m"), []string{InvariantPauses}},
+		{"answered after the pause", during(completeAnswer("a", "r"), "", "r", "m"), []string{InvariantIntactAnswers}}, // no stream
+		{"504 at the timeout of the route", during(fakes.Answer{Status: http.StatusGatewayTimeout}, "", "r", "m"), nil},
+		{"cut beside a fault of the node", during(cut, nodeComponent(0), "r", "m"), nil},
+		{"cut while the other member does not respond", during(cut, "", "r"), nil},
+		{"502 beside a fault of another runner", func(harness *harness) {
+			harness.heartbeat("q", "", "", 0)
+			during(badGateway, runnerComponent("q"), "r", "m")(harness)
+		}, nil},
+		{"cut beside a planned restart of the node, once", during(cut, nodeRestartComponent(0), "r", "m"), nil},
+		{"cut beside a planned restart of the node, more often", func(harness *harness) {
+			for range toleratedViolations + 1 {
+				during(cut, nodeRestartComponent(0), "r", "m")(harness)
+			}
+		}, []string{InvariantNoLostAnswers}},
+		{"cut by a replica that breaks", func(harness *harness) {
+			during(cut, "", "r", "m")(harness)
+			harness.heartbeat("r", "g", "broken", 1, "r", "m")
+		}, nil},
+		{"cut by a runner that crashes", func(harness *harness) {
+			during(cut, "", "r", "m")(harness)
+			harness.Heartbeat(fakes.Heartbeat{ID: "r", StartedAt: 2})
+		}, nil},
+		{"cut before the paused runner begins the request", func(harness *harness) {
+			harness.send("a", kindStream)
+			harness.timeline.addFault(pauseComponent("r"), harness.clock, harness.clock.Add(maxPause))
+			harness.advance(time.Second)
+			harness.answerReceived("a", cut)
+			harness.advance(time.Second)
+			harness.execute("a", "r")
+		}, []string{InvariantPauses}},
+	} {
+		t.Run(test.name, func(t *testing.T) { expectFindings(t, test.scenario, test.invariants...) })
+	}
+}
+
+// TestCheckerBusyRunners guards against a checker that misses requests for a runner that
+// has asked for none, or on which runners crash.
+func TestCheckerBusyRunners(t *testing.T) {
+	reject := func(harness *harness, runner, retryAfter string) {
+		harness.send("a", kindIdempotent)
+		harness.RecordRejection(fakes.Rejection{RequestID: "a", Runner: runner, RetryAfter: retryAfter})
+	}
+	execute := func(harness *harness, runner string, count int) {
+		for range count {
+			harness.send("b", kindIdempotent)
+			harness.execute("b", runner)
+		}
+	}
+	crash := func(harness *harness, count int) {
+		for range count {
+			harness.Heartbeat(fakes.Heartbeat{ID: "r", StartedAt: harness.clock.UnixMilli()})
+			request := fakes.Request{Method: "POST", Path: "/p/x", ID: "c", Key: firstKey, Body: []byte("{}"), Parts: "shared:40," + crashPart + ":60"}
+			harness.requestSent(request, kindStream, 0)
+			harness.execute("c", "r")
+			harness.advance(crashDowntime)
+		}
+	}
+	for _, test := range []struct {
+		name       string
+		scenario   func(harness *harness)
+		invariants []string
+	}{
+		{"requests until the end of Retry-After", func(harness *harness) {
+			reject(harness, "r", "2")
+			harness.advance(time.Second)
+			execute(harness, "r", toleratedBusy+1)
+		}, []string{InvariantRetryAfter}},
+		{"rejected requests until then", func(harness *harness) {
+			reject(harness, "r", "9")
+			for range toleratedBusy + 1 {
+				harness.advance(time.Second)
+				reject(harness, "r", "1")
+			}
+		}, []string{InvariantRetryAfter}},
+		{"tolerated requests until then", func(harness *harness) {
+			reject(harness, "r", "2")
+			harness.advance(time.Second)
+			execute(harness, "r", toleratedBusy)
+		}, nil},
+		{"requests at once and afterwards", func(harness *harness) {
+			reject(harness, "r", "2")
+			harness.advance(busyNotice)
+			execute(harness, "r", 2*toleratedBusy)
+			harness.advance(2*time.Second - busyNotice)
+			execute(harness, "r", 2*toleratedBusy)
+		}, nil},
+		{"requests for another runner", func(harness *harness) {
+			reject(harness, "r", "2")
+			harness.advance(time.Second)
+			execute(harness, "q", 2*toleratedBusy)
+		}, nil},
+		{"requests from a node that was restarted", func(harness *harness) {
+			reject(harness, "r", "2")
+			harness.timeline.addFault(nodeComponent(0), harness.clock, harness.clock.Add(time.Second))
+			harness.advance(time.Second)
+			execute(harness, "r", 2*toleratedBusy)
+		}, nil},
+		{"unreadable Retry-After", func(harness *harness) { reject(harness, "r", "soon") }, []string{InvariantUnchangedRequest}},
+		{"requests that crash runners, not blocked", func(harness *harness) {
+			crash(harness, crashesToBlock)
+			harness.advance(crashNotice)
+			crash(harness, toleratedBlocks+1)
+		}, []string{InvariantCrashingPart}},
+		{"requests that crash runners, blocked", func(harness *harness) {
+			crash(harness, crashesToBlock)
+			harness.advance(crashNotice)
+			crash(harness, toleratedBlocks)
+		}, nil},
+		{"requests that crash runners, from a node without the store", func(harness *harness) {
+			crash(harness, crashesToBlock)
+			harness.advance(crashNotice)
+			harness.timeline.beginFault(storeLinkComponent(0), harness.clock)
+			crash(harness, 2*toleratedBlocks)
+		}, nil},
+		{"member of a crashed first host joins", func(harness *harness) {
+			for _, id := range []string{"h", "m"} {
+				harness.heartbeat(id, "g", "open", 1, "h", "m")
+			}
+			harness.requestSent(fakes.Request{Method: "POST", Path: "/p/x", ID: "c", Key: firstKey, Body: []byte("{}"), Parts: crashPart + ":60"}, kindStream, 0)
+			harness.execute("c", "h")
+			harness.heartbeat("m", "g2", "joining", 2, "m")
+		}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) { expectFindings(t, test.scenario, test.invariants...) })
+	}
+}
+
+// TestSeedsKeepTheirFaults guards against seeds that draw other faults than before: a
+// seed that once had a finding is a regression case. Faults of drawSilences were added
+// later.
+func TestSeedsKeepTheirFaults(t *testing.T) {
+	scale := Scale{Nodes: 3, ModelRunners: 12, PlainRunners: 3, Callers: 12, Duration: 15 * time.Second}
+	hash := sha256.New()
+	for seed := range uint64(500) {
+		silences := drawSilences(seed, scale)
+		earlier := slices.DeleteFunc(GenerateSchedule(seed, scale), func(injection Injection) bool {
+			return slices.ContainsFunc(silences, func(silence Injection) bool { return reflect.DeepEqual(silence, injection) })
+		})
+		fmt.Fprintf(hash, "%+v\n", earlier)
+	}
+	assert.Equal(t, fmt.Sprintf("%x", hash.Sum(nil)[:8]), "2d522dc85c98b093")
+}
+
 // TestScheduleIsDeterministic checks that a seed gives the same schedule each time,
 // and that 200 seeds draw faults of the store, the configuration and the runners.
 func TestScheduleIsDeterministic(t *testing.T) {
@@ -318,5 +500,7 @@
 			}
 		}
 	}
+	assert.Assert(t, kinds[RunnersPaused{First: 3, Count: 1}] && kinds[RunnersPaused{First: 3, Count: 6}] && kinds[CrashingRequests{}] && kinds[ConfigStorm{Count: 8}])
+	assert.Assert(t, kinds[RunnerBusy{Runner: 3, RetryAfter: time.Second}] && kinds[RunnerLimited{Runner: 3, PerSecond: 2}])
 	assert.Assert(t, kinds[StoreWentBack{Changes: 7}] && kinds[StoreOutage{}] && kinds[RouteDropped{}] && kinds[RunnerDrained{Runner: 0}])
 }
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -33,6 +33,8 @@
 	eventInterval = 30 * time.Millisecond   // between two events of a stream
 	shutdownGrace = 4 * time.Second         // for a node to exit after SIGTERM
 	rowTTL        = 3600 * time.Millisecond // after which the row of a runner without heartbeats is deleted
+	crashPart     = "bad7"                  // part of a prompt on which runners crash
+	crashDowntime = time.Second             // until they have started again
 	portCallers   = 7001
 	portReady     = 7002
 	portPeers     = 7003
@@ -156,7 +158,8 @@
 	}
 	started, err := startProcess(filepath.Join(cluster.config.Dir, slot.name+".log"), filepath.Join(cluster.config.Bin, "standin"), "runner",
 		"--id", slot.name, "--service", slot.service, "--domain", slot.domain, "--fabric", cluster.fabric.Listener.Addr().String(),
-		"--events", fmt.Sprint(streamEvents), "--pause", eventInterval.String(), "--stall", stallTimeout.String())
+		"--events", fmt.Sprint(streamEvents), "--pause", eventInterval.String(), "--stall", stallTimeout.String(),
+		"--crash-part", crashPart, "--crash-downtime", crashDowntime.String())
 	slot.process = started
 	return err
 }
@@ -246,6 +249,11 @@
 	return cluster.checker.BeginExecution(execution)
 }
 
+// RecordRejection implements fakes.Fabric.
+func (cluster *cluster) RecordRejection(rejection fakes.Rejection) {
+	cluster.checker.RecordRejection(rejection)
+}
+
 // Heartbeat implements fakes.Fabric. It writes the runner's row to the store if it
 // has changed, with the address of the runner's proxy.
 func (cluster *cluster) Heartbeat(heartbeat fakes.Heartbeat) bool {
--- a/io/soak/doc.go
+++ b/io/soak/doc.go
@@ -13,5 +13,6 @@
 // before it begins.
 //
 // The timeline records when each component had a fault. Bounds on time are
-// checked only where no component involved had one.
+// checked only where no component involved had one. Pauses by RunnersPaused are
+// components of their own: they excuse no answer that is cut off.
 package soak
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -89,6 +89,30 @@
 // removes the oldest one.
 type KeyRevoked struct{}
 
+// RunnersPaused pauses the processes of Count runners, from First on, with SIGSTOP.
+// Unlike a RunnerPaused it is no longer than maxPause, and excuses no answer that is cut
+// off.
+type RunnersPaused struct{ First, Count int }
+
+// RunnerBusy has a runner reject all requests with a Retry-After header.
+type RunnerBusy struct {
+	Runner     int
+	RetryAfter time.Duration // longer than the fault, or shorter
+}
+
+// RunnerLimited has a runner state how many requests a second it takes.
+type RunnerLimited struct {
+	Runner    int
+	PerSecond int
+}
+
+// CrashingRequests sends streams with a part of the prompt on which runners crash.
+type CrashingRequests struct{}
+
+// ConfigStorm changes the operators' configuration Count times in a row: routes,
+// timeouts, weights and teams.
+type ConfigStorm struct{ Count int }
+
 func (NodesKilled) fault()         {}
 func (NodePaused) fault()          {}
 func (NodeRestarted) fault()       {}
@@ -109,6 +133,11 @@
 func (RouteAdded) fault()          {}
 func (RouteDropped) fault()        {}
 func (KeyRevoked) fault()          {}
+func (RunnersPaused) fault()       {}
+func (RunnerBusy) fault()          {}
+func (RunnerLimited) fault()       {}
+func (CrashingRequests) fault()    {}
+func (ConfigStorm) fault()         {}
 
 // Injection is a fault with its time and duration.
 type Injection struct {
@@ -155,6 +184,7 @@
 		at += time.Duration(random.ExpFloat64() * float64(meanInterval))
 	}
 	schedule = append(schedule, drawLosses(seed, scale)...)
+	schedule = append(schedule, drawSilences(seed, scale)...)
 	slices.SortStableFunc(schedule, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	return schedule
 }
@@ -178,6 +208,54 @@
 	return losses
 }
 
+const (
+	meanSilenceInterval = 3 * time.Second // mean of the random time between two draws of drawSilences
+	minPause            = time.Second
+	maxPause            = 2 * time.Second
+	pauseSeries         = 3                      // pauses in a series
+	pauseInterval       = 700 * time.Millisecond // between two pauses of a series
+	maxStormChanges     = 8
+	maxBusySeconds      = 3
+	maxLimit            = 5 // requests a second
+)
+
+// drawSilences draws when runners pause, often beside changes of the configuration, when
+// they are busy or state limits, and when requests crash them. They are drawn apart from
+// the faults that each seed had before.
+func drawSilences(seed uint64, scale Scale) []Injection {
+	random := rand.New(rand.NewPCG(^seed, seed))
+	runners := scale.ModelRunners + scale.PlainRunners
+	var schedule []Injection
+	add := func(at, duration time.Duration, fault Fault) {
+		schedule = append(schedule, Injection{At: at, Duration: duration, Fault: fault})
+	}
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanSilenceInterval)) }
+	for at := next(); at < scale.Duration; at += next() {
+		first, pause := random.IntN(runners), minPause+time.Duration(random.Int64N(int64(maxPause-minPause)))
+		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		if random.IntN(2) == 0 {
+			add(at, 0, ConfigStorm{Count: 1 + random.IntN(maxStormChanges)})
+		}
+		switch random.IntN(7) {
+		case 0, 1:
+			add(at, pause, RunnersPaused{First: first, Count: 1})
+		case 2:
+			add(at, pause, RunnersPaused{First: first, Count: runners / 2})
+		case 3:
+			for i := range pauseSeries {
+				add(at+time.Duration(i)*pauseInterval, pause, RunnersPaused{First: first + i, Count: 1 + random.IntN(2)})
+			}
+		case 4:
+			add(at, duration, RunnerBusy{Runner: first, RetryAfter: time.Duration(1+random.IntN(maxBusySeconds)) * time.Second})
+		case 5:
+			add(at, duration, RunnerLimited{Runner: first, PerSecond: 1 + random.IntN(maxLimit)})
+		default:
+			add(at, duration, CrashingRequests{})
+		}
+	}
+	return schedule
+}
+
 const faultKinds = 24 // cases of drawFault; frequent faults have two
 
 var modes = []Mode{ModeSlow, ModeBlackhole, ModeBlockUpstream, ModeBlockDownstream, ModeReset}
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -52,6 +52,8 @@
 		go cluster.drainRunner(cluster.slots[fault.Runner])
 	case RunnerUnlisted:
 		cluster.unlist(cluster.slots[fault.Runner], injection.Duration)
+	case RunnersPaused, RunnerBusy, RunnerLimited, CrashingRequests, ConfigStorm:
+		cluster.injectSilence(injection)
 	default:
 		cluster.injectStoreFault(injection)
 	}
--- a/io/soak/proxy.go
+++ b/io/soak/proxy.go
@@ -55,6 +55,13 @@
 	proxy.target = target
 }
 
+// Target returns the server for new connections.
+func (proxy *Proxy) Target() string {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.target
+}
+
 // SetMode changes the mode; ModeReset resets all connections.
 func (proxy *Proxy) SetMode(mode Mode) {
 	proxy.mutex.Lock()
--- /dev/null
+++ b/io/soak/silence.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"hickorybend/platform/fakes"
+)
+
+// injectSilence begins a fault that drawSilences draws.
+func (cluster *cluster) injectSilence(injection Injection) {
+	switch fault := injection.Fault.(type) {
+	case RunnersPaused:
+		for i := range fault.Count {
+			name, process := cluster.slots[(fault.First+i)%len(cluster.slots)].current()
+			cluster.pauseProcess(process, pauseComponent(name), injection.Duration)
+		}
+	case RunnerBusy:
+		value, none := strconv.Itoa(int(fault.RetryAfter/time.Second)), ""
+		go cluster.behaveFor(cluster.slots[fault.Runner], injection.Duration, fakes.Behavior{RetryAfter: &value}, fakes.Behavior{RetryAfter: &none})
+	case RunnerLimited:
+		value, none := strconv.Itoa(fault.PerSecond), ""
+		go cluster.behaveFor(cluster.slots[fault.Runner], injection.Duration, fakes.Behavior{Limit: &value}, fakes.Behavior{Limit: &none})
+	case CrashingRequests:
+		go cluster.sendCrashingRequests(injection.Duration)
+	case ConfigStorm:
+		go cluster.changeOften(fault.Count)
+	}
+}
+
+const (
+	behaviorRetryInterval = 100 * time.Millisecond // a runner that is paused or gone can't be told
+	stormInterval         = 50 * time.Millisecond  // between two changes of a storm
+	crashingInterval      = 150 * time.Millisecond // between two requests that crash runners
+)
+
+// behaveFor has a slot's runner behave in a way for a duration.
+func (cluster *cluster) behaveFor(slot *slot, duration time.Duration, behavior, usual fakes.Behavior) {
+	if fakes.SetBehavior(slot.proxy.Target(), behavior) != nil {
+		return // another fault has ended the runner, or paused it
+	}
+	time.Sleep(duration)
+	for fakes.SetBehavior(slot.proxy.Target(), usual) != nil && !cluster.isClosed() {
+		time.Sleep(behaviorRetryInterval)
+	}
+}
+
+// sendCrashingRequests sends streams on which runners crash to all nodes in turn.
+func (cluster *cluster) sendCrashingRequests(duration time.Duration) {
+	began := time.Now()
+	for i := 0; time.Since(began) < duration && !cluster.isClosed(); i++ {
+		index := i % len(cluster.nodes)
+		request := fakes.Request{
+			Method: "POST", Path: fakes.PathStream + "now", ID: fmt.Sprintf("crashing-%d-%d", began.UnixNano(), i), Key: cluster.currentKey(),
+			Model: fakes.ModelSmall, Parts: "shared:40," + crashPart + ":60", Body: []byte("{}"),
+		}
+		go func() {
+			caller := &fakes.Caller{Address: cluster.nodes[index].callerProxy.Address()}
+			defer caller.Disconnect()
+			cluster.checker.requestSent(request, kindStream, index)
+			cluster.checker.answerReceived(request.ID, caller.Do(request, requestTimeout))
+		}()
+		time.Sleep(crashingInterval)
+	}
+}
+
+// changeOften changes the operators' configuration several times in a row.
+func (cluster *cluster) changeOften(count int) {
+	for i := range count {
+		switch i % 4 {
+		case 0:
+			go cluster.addRoute()
+		case 1:
+			cluster.changeConfig(func(deployment *fakes.Deployment) {
+				deployment.IdempotentTimeout = 1500*time.Millisecond + time.Duration(deployment.Version%5)*100*time.Millisecond
+			})
+		case 2:
+			cluster.changeConfig(func(deployment *fakes.Deployment) { deployment.IdempotentWeight = 2 + deployment.Version%7 })
+		default:
+			cluster.changeConfig(func(deployment *fakes.Deployment) { deployment.AddedTeams = deployment.Version % 3 })
+		}
+		time.Sleep(stormInterval)
+	}
+}
--- a/io/soak/timeline.go
+++ b/io/soak/timeline.go
@@ -49,6 +49,24 @@
 	return true
 }
 
+// duration returns for how long in a time the component had faults. Overlapping ones
+// count several times.
+func (timeline *timeline) duration(component string, from, to time.Time) (total time.Duration) {
+	timeline.mutex.Lock()
+	defer timeline.mutex.Unlock()
+	for _, interval := range timeline.faults[component] {
+		begin, end := interval.from, interval.to
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.IsZero() || end.After(to) {
+			end = to
+		}
+		total += max(0, end.Sub(begin))
+	}
+	return total
+}
+
 // addFault records a fault that is over.
 func (timeline *timeline) addFault(component string, from, to time.Time) {
 	timeline.beginFault(component, from)(to)
@@ -77,12 +95,14 @@
 }
 
 // Names of the components. A planned restart of a node is a component of its own:
-// some bounds, such as that no answer is lost, hold during one.
+// some bounds, such as that no answer is lost, hold during one. So is a pause of a
+// runner by RunnersPaused.
 func nodeComponent(node int) string        { return "node " + string(rune('1'+node)) }
 func nodeRestartComponent(node int) string { return nodeComponent(node) + " planned restart" }
 func callerLinkComponent(node int) string  { return "callers of " + nodeComponent(node) }
 func storeLinkComponent(node int) string   { return "store link of " + nodeComponent(node) }
 func runnerComponent(name string) string   { return "runner " + name }
+func pauseComponent(name string) string    { return runnerComponent(name) + " pause" }
 
 const (
 	storeComponent   = "store"
