A negative version of the store keeps its era

A node that reads a negative version took it for one of an era before the first: the sign covered the era, and the node compared all that it knew with it. The store sends none; a broken one may.

NewVersion takes values out of range for the nearest one in range, as it already did for those that are too high.

--- a/core/rows/version.go
+++ b/core/rows/version.go
@@ -12,12 +12,15 @@
 // numberBits is the size of the number. 12,000 changes a second reach it in 46 years.
 const numberBits = 44
 
-// maxEra is the highest era that a version holds.
-const maxEra = 1<<(63-numberBits) - 1
+const (
+	maxEra    = 1<<(63-numberBits) - 1 // highest era that a version holds
+	maxNumber = 1<<numberBits - 1
+)
 
-// NewVersion returns the version with a number in an era.
+// NewVersion returns the version with a number in an era. Values out of range count as
+// the nearest one in range, so that the version keeps its era.
 func NewVersion(era, number int64) Version {
-	return Version(min(era, maxEra)<<numberBits | min(number, 1<<numberBits-1))
+	return Version(min(max(era, 0), maxEra)<<numberBits | min(max(number, 0), maxNumber))
 }
 
 // Era returns how often the store had come back from an older copy.
@@ -25,4 +28,4 @@
 
 // Number returns the store's own number, which does not order versions of
 // different eras.
-func (version Version) Number() int64 { return int64(version) & (1<<numberBits - 1) }
+func (version Version) Number() int64 { return int64(version) & maxNumber }
--- a/core/rows/version_test.go
+++ b/core/rows/version_test.go
@@ -17,4 +17,6 @@
 		assert.Equal(t, rows.NewVersion(version.Era(), version.Number()), version)
 	}
 	assert.Assert(t, rows.NewVersion(1<<60, 1<<60) > 0, "values beyond the range stay valid versions")
+	assert.Equal(t, rows.NewVersion(2, -7), rows.NewVersion(2, 0), "a negative number keeps the era")
+	assert.Equal(t, rows.NewVersion(-1, 7), rows.NewVersion(0, 7))
 }
