A digest with more reports than a sum holds can be added to one

Adding to a digest that has more reports of crashes, or answers, than a leader's sum holds (256) panicked: the room left was negative. In nodes of this version it does not happen, since a sum begins with the node's own digest, which has 64 at most; it would as soon as a sum began with a digest from elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,9 @@
 	go test ./core/relay -run '^$$' -fuzz FuzzChunk -fuzztime 60s
 	go test ./core/jsonc -run '^$$' -fuzz FuzzDecode -fuzztime 60s
 	go test ./io/front -run '^$$' -fuzz FuzzDecode -fuzztime 60s
-	go test ./platform -run '^$$' -fuzz FuzzStoreAnswer -fuzztime 60s
+	go test ./platform -run '^$$' -fuzz FuzzStoreAnswer -fuzztime 60s -fuzzminimizetime 10x
+	go test ./io/gossip -run '^$$' -fuzz FuzzDigest -fuzztime 60s -fuzzminimizetime 10x
+	go test ./io/gossip -run '^$$' -fuzz FuzzReply -fuzztime 60s -fuzzminimizetime 10x
 
 # Breaks mechanisms in a copy of the tree and checks that a test detects each break.
 breaks:
--- a/io/gossip/crashes.go
+++ b/io/gossip/crashes.go
@@ -101,6 +101,6 @@
 // add adds what another node has seen. Blocks are not added: each node sends all that
 // it knows of.
 func (crashes *Crashes) add(other Crashes) {
-	crashes.Reports = append(crashes.Reports, other.Reports[:min(len(other.Reports), maxSummedReports-len(crashes.Reports))]...)
-	crashes.Answers = append(crashes.Answers, other.Answers[:min(len(other.Answers), maxSummedReports-len(crashes.Answers))]...)
+	crashes.Reports = append(crashes.Reports, other.Reports[:min(len(other.Reports), max(0, maxSummedReports-len(crashes.Reports)))]...)
+	crashes.Answers = append(crashes.Answers, other.Answers[:min(len(other.Answers), max(0, maxSummedReports-len(crashes.Answers)))]...)
 }
