--- a/cmd/hickorybend/edge.go
+++ b/cmd/hickorybend/edge.go
@@ -17,8 +17,9 @@
 // logFlushTimeout bounds the writing of buffered log lines at the end of the process.
 const logFlushTimeout = 200 * time.Millisecond
 
-// edgeCommand returns the command that runs a node on the users' platform.
-func edgeCommand(parent *ff.FlagSet) *ff.Command {
+// edgeCommand returns the command that runs a node on the users' platform. checkOnly is
+// a flag of the parent.
+func edgeCommand(parent *ff.FlagSet, checkOnly *bool) *ff.Command {
 	flags := ff.NewFlagSet("edge").SetParent(parent)
 	file := flags.StringLong("config", "/etc/hickorybend/settings.toml", "the node's settings file, JSON with comments")
 	return &ff.Command{
@@ -28,16 +29,20 @@
 		LongHelp:  "The platform's store holds the configuration and the list of endpoints.\nSIGTERM drains and stops the node; SIGHUP reads the settings again.",
 		Flags:     flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			return serveEdge(ctx, *file)
+			return serveEdge(ctx, *file, *checkOnly)
 		},
 	}
 }
 
-func serveEdge(ctx context.Context, file string) error {
+func serveEdge(ctx context.Context, file string, checkOnly bool) error {
 	settings, err := edge.ReadSettings(file)
 	if err != nil {
 		return shell.ExitError{Code: shell.CodeUsage, Message: err.Error()}
 	}
+	if checkOnly {
+		reportValid()
+		return nil
+	}
 	writer := logbuf.New(os.Stdout)
 	defer writer.Close(logFlushTimeout)
 	log := shell.NewLoggerTo(writer)
--- a/cmd/hickorybend/main.go
+++ b/cmd/hickorybend/main.go
@@ -14,21 +14,24 @@
 	"hickorybend/io/shell"
 )
 
-func main() {
+func main() { shell.Main(rootCommand(), "HICKORYBEND") }
+
+// rootCommand returns the command with its subcommands.
+func rootCommand() *ff.Command {
 	flags := ff.NewFlagSet("hickorybend")
 	settingsFile := flags.StringLong("settings", "/etc/hickorybend/node.jsonc", "the node's settings file, JSON with comments")
 	checkOnly := flags.BoolLong("check", "check the settings and exit")
-	shell.Main(&ff.Command{
+	return &ff.Command{
 		Name:        "hickorybend",
 		Usage:       "hickorybend --settings FILE [--check]\n  hickorybend edge --config FILE",
 		ShortHelp:   "serve models that span several hosts",
 		LongHelp:    "Each flag can also be set by an environment variable, such as HICKORYBEND_SETTINGS=FILE.\nSIGTERM drains and stops the node.",
 		Flags:       flags,
-		Subcommands: []*ff.Command{edgeCommand(flags)},
+		Subcommands: []*ff.Command{edgeCommand(flags, checkOnly)},
 		Exec: func(ctx context.Context, _ []string) error {
 			return serve(ctx, *settingsFile, *checkOnly)
 		},
-	}, "HICKORYBEND")
+	}
 }
 
 func serve(ctx context.Context, file string, checkOnly bool) error {
@@ -37,7 +40,7 @@
 		return shell.ExitError{Code: shell.CodeUsage, Message: err.Error()}
 	}
 	if checkOnly {
-		_, _ = os.Stdout.WriteString("settings are valid\n")
+		reportValid()
 		return nil
 	}
 	log, err := shell.NewLogger()
@@ -51,6 +54,8 @@
 	))
 }
 
+func reportValid() { _, _ = os.Stdout.WriteString("settings are valid\n") }
+
 // fxLogger makes fx log only warnings and errors.
 func fxLogger(log *zap.Logger) fxevent.Logger {
 	return &fxevent.ZapLogger{Logger: log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))}
