Placement statistics are logged for each service

The time now advances at the end of the pass.

TestPlacementStatsOfEachService failed before: one line for the first service, none for the second.

--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -48,7 +48,7 @@
 	acquireDelay    time.Duration
 	nextClaimAt     time.Time // earliest time of the next transaction on the lease
 	isLatestHolder  bool      // this node held the lease, and no later holder has been reported; false again after a suspension
-	nextStatsLogAt  time.Time
+	nextStatsLogAt  time.Time // of all services
 }
 
 func newPlacement(settings Settings) placement {
@@ -181,6 +181,9 @@
 			control.planService(service.Name, now)
 		}
 	}
+	if now.After(placement.nextStatsLogAt) {
+		placement.nextStatsLogAt = now.Add(statsLogInterval)
+	}
 }
 
 // mayPlaceWithoutLease reports whether this node continues placing although its
@@ -291,7 +294,6 @@
 		}
 	}
 	if now.After(placement.nextStatsLogAt) {
-		placement.nextStatsLogAt = now.Add(statsLogInterval)
 		stats := planner.Stats(input)
 		event.Log(control.log, event.PlacementStats, zap.String("service", name), zap.Int("endpoints", stats.Endpoints), zap.Any("wanted", stats.Wanted),
 			zap.Any("serving", stats.Serving), zap.Any("under-way", stats.InTransition), zap.Any("prepared", stats.Staged),
--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"hickorybend/core/fleet"
 	"hickorybend/core/rows"
+	"hickorybend/core/site"
+	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
 )
@@ -130,3 +133,27 @@
 	placement.updateHolderReport(gossip.Digest{Fence: 4, PlanCount: 1}, now.Add(time.Second))
 	assert.DeepEqual(t, placement.holderReport, fleet.HolderReport{Fence: 4, ReceivedAt: now.Add(time.Second), Quarantined: map[string]bool{}})
 }
+
+// TestPlacementStatsOfEachService guards against services whose statistics are never
+// logged, because those of another one were logged a moment before.
+func TestPlacementStatsOfEachService(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	control := NewControl(DefaultSettings(), nil, nil, zap.New(core), meter.New())
+	control.config.index = site.NewIndex(site.Config{Services: []site.Service{{Name: "first", Engine: &site.Engine{}}, {Name: "second", Engine: &site.Engine{}}}})
+	control.endpoints.loaded = true
+	control.placement.isLatestHolder, control.placement.fence = true, 3
+	control.settings.PlaceWithoutStore, control.peers.role.Mesh = true, true
+	expectLogged := func(now time.Time, want int) {
+		t.Helper()
+		control.runPlacement(now)
+		logged := map[any]int{}
+		for _, entry := range logs.FilterField(zap.Int("event", event.PlacementStats.Number)).All() {
+			logged[entry.ContextMap()["service"]]++
+		}
+		assert.DeepEqual(t, logged, map[any]int{"first": want, "second": want})
+	}
+	now := time.Now()
+	expectLogged(now, 1)
+	expectLogged(now.Add(statsLogInterval/2), 1)
+	expectLogged(now.Add(2*statsLogInterval), 2)
+}
