A renewal from before a suspension does not extend the lease

Invalidate now forgets the pending write as well. The node acquires the lease again after the usual wait, under the next fencing number.

TestRenewalSentBeforeSuspension failed before in both cases (held is true, by the reply and by a read).

--- a/core/lease/claim.go
+++ b/core/lease/claim.go
@@ -229,10 +229,12 @@
 	claim.pending = pending{}
 }
 
-// Invalidate stops holding the lease until it is acquired again, or a pending
-// renewal is found to have taken effect. The caller uses it when the clock that
-// measures the TTL was stopped, as it is while the host is suspended.
-func (claim *Claim) Invalidate() { claim.heldUntil, claim.priorUntil = time.Time{}, time.Time{} }
+// Invalidate stops holding the lease until it is acquired again. A pending renewal
+// does not extend it any more. The caller uses it when the clock that measures the TTL
+// was stopped, as it is while the host is suspended.
+func (claim *Claim) Invalidate() {
+	claim.heldUntil, claim.priorUntil, claim.pending = time.Time{}, time.Time{}, pending{}
+}
 
 // Release stops holding the lease at once, and returns the transaction that
 // frees it for another node and whether the lease was held.
