Chunks without tokens do not count as a first token

An initial chunk without tokens moved the start of the measurement for the replica, so that its first token looked fast.

Only chunks with tokens are measured now.

--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -107,7 +107,7 @@
 	reply         *reply
 	avoid         []string // replicas whose attempts failed
 	routingRecord RoutingRecord
-	lastChunkAt   time.Time // of the attempt; before its first chunk, when it was sent
+	lastTokenAt   time.Time // of the attempt; before its first token, when it was sent
 	latencies     meter.Latencies
 }
 
@@ -242,7 +242,7 @@
 		return watchdog.cause(err)
 	}
 	defer stream.Close()
-	generation.lastChunkAt = sentAt
+	generation.lastTokenAt = sentAt
 	for {
 		payload, err := stream.Next()
 		if err != nil {
@@ -283,20 +283,22 @@
 	}
 }
 
-// recordLatency records the time to the first token or the inter-token latency;
-// previousOffset is NextOffset before the chunk. For the replica, the time to the
-// first token starts with the attempt; for the caller, with the receipt of the
-// request.
+// recordLatency records the time to the first token or the inter-token latency, for a
+// chunk that has tokens; previousOffset is NextOffset before the chunk. For the replica,
+// the time to the first token starts with the attempt; for the caller, with the receipt
+// of the request.
 func (generation *generation) recordLatency(previousOffset int, replica *route.Replica, now time.Time) {
-	took := now.Sub(generation.lastChunkAt)
-	generation.lastChunkAt = now
-	switch {
-	case previousOffset > 0 && generation.checker.NextOffset > previousOffset:
+	if generation.checker.NextOffset == previousOffset {
+		return
+	}
+	took := now.Sub(generation.lastTokenAt)
+	generation.lastTokenAt = now
+	if previousOffset > 0 {
 		meter.Observe(generation.latencies.InterToken, took)
-	case generation.checker.NextOffset > 0:
-		replica.State.RecordFirstToken(took)
-		meter.Observe(generation.latencies.FirstToken, now.Sub(generation.request.receivedAt))
+		return
 	}
+	replica.State.RecordFirstToken(took)
+	meter.Observe(generation.latencies.FirstToken, now.Sub(generation.request.receivedAt))
 }
 
 // watchdog cancels an attempt whose replica loses a host, whose engine stalls or
