An outage of the object store is reported as unavailable

TestCodesOfErrors failed before: internal in place of unavailable when the object store answers 503 to a write.

--- a/io/admin/service.go
+++ b/io/admin/service.go
@@ -15,6 +15,7 @@
 	"hickorybend/core/intent"
 	"hickorybend/core/jsonc"
 	"hickorybend/core/rows"
+	"hickorybend/io/blobs"
 	"hickorybend/io/table"
 	"hickorybend/io/wire"
 )
@@ -146,7 +147,7 @@
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	case errors.Is(err, ErrMissingBase), errors.Is(err, config.ErrTooLarge), errors.Is(err, ErrUnknownVersion):
 		return connect.NewError(connect.CodeFailedPrecondition, err)
-	case errors.Is(err, rows.ErrOutage), errors.Is(err, ErrBusy):
+	case errors.Is(err, rows.ErrOutage), errors.Is(err, blobs.ErrOutage), errors.Is(err, ErrBusy):
 		return connect.NewError(connect.CodeUnavailable, err)
 	default:
 		return connect.NewError(connect.CodeInternal, err)
