Leaders try to reach a zone without a responsive node

Its digests, and with them load, leaving endpoints and blocked parts, then reach the zone's nodes through others at best. A zone with many nodes almost always has one that is tried.

A leader now tries all nodes of such a zone, as it already did for most.

TestZoneWithoutLiveNode failed before, with lost-14 as the first of 100 names that was not tried.

--- a/core/topo/assign.go
+++ b/core/topo/assign.go
@@ -69,7 +69,10 @@
 	case role.Mesh:
 		return self.Name < other.Name || other.Unresponsive
 	case role.IsLeader && other.Zone != self.Zone:
-		leader := leaders[other.Zone]
+		leader, found := leaders[other.Zone]
+		if !found {
+			return true // no node of that zone is responsive
+		}
 		return leader == other.Name && self.Name < other.Name || other.passedOver() && precedes(other, Node{Name: leader})
 	case role.IsLeader:
 		return other.passedOver() && precedes(other, self) // it should lead once it is back
--- a/core/topo/assign_test.go
+++ b/core/topo/assign_test.go
@@ -118,3 +118,21 @@
 	}
 	return ""
 }
+
+// TestZoneWithoutLiveNode guards against zones that stay cut off after a partition has
+// ended: all their nodes were unresponsive, and no leader tried to reach them again.
+func TestZoneWithoutLiveNode(t *testing.T) {
+	const names = 100 // the choice among a zone's nodes depends on their names
+	for i := range names {
+		all := nodes(2, topo.MaxMeshNodes)
+		lost := topo.Node{Name: fmt.Sprintf("lost-%d", i), Zone: "zone-lost", Unresponsive: true}
+		leaders := 0
+		for name, role := range rolesOf(append(all, lost)) {
+			if name != lost.Name && role.IsLeader {
+				leaders++
+				assert.Assert(t, slices.Contains(role.Peers, lost.Name), "%s does not try to reach %s", name, lost.Name)
+			}
+		}
+		assert.Equal(t, leaders, 2)
+	}
+}
