--- a/cmd/hbsoak/main.go
+++ b/cmd/hbsoak/main.go
@@ -67,7 +67,7 @@
 		if ranged {
 			high, errHigh = strconv.ParseUint(to, 10, 64)
 		}
-		if errLow != nil || errHigh != nil || high < low || high-low > maxRangeSize {
+		if errLow != nil || errHigh != nil || high < low || high-low >= maxRangeSize {
 			return nil, errors.Wrapf(errSeeds, "%q", item)
 		}
 		for seed := low; seed <= high; seed++ {
--- a/cmd/hbsoak/main_test.go
+++ b/cmd/hbsoak/main_test.go
@@ -23,6 +23,7 @@
 		{"5-3", nil},
 		{"one", nil},
 		{"1-9999999999", nil},
+		{"1-100001", nil}, // one more than maxRangeSize
 		{"", nil},
 	} {
 		got, err := parseSeeds(test.text)
@@ -33,4 +34,7 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, test.want)
 	}
+	got, err := parseSeeds("1-100000")
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), maxRangeSize)
 }
