A plain service need not state a drain-limit

It may be left out now; a value is still accepted within the same bounds, since specifications in force have it.

TestDrainLimitOfPlainService failed before ("expected a duration above "0s", found 0s"). TestInvalidSpecsAreRejected has three lines more: a model without a limit, and a plain service with one out of range, are rejected.

--- a/core/intent/check.go
+++ b/core/intent/check.go
@@ -85,9 +85,7 @@
 		checker.name(path+".name", service.Name)
 		checker.unique(seen, path+".name", service.Name)
 		checker.dependencies(path, service)
-		if service.DrainTimeout <= 0 || service.DrainTimeout > maxDrainTimeout {
-			checker.doc.AddFault(path+".drain-limit", `a duration above "0s" and up to "1h"`, service.DrainTimeout.String())
-		}
+		checker.drainTimeout(path+".drain-limit", service)
 		switch service.Kind {
 		case KindModel:
 			checker.unique(models, path+".model", service.Model)
@@ -101,6 +99,15 @@
 	}
 }
 
+// drainTimeout checks how long a service's replicas drain. A plain service has none and
+// need not state it.
+func (checker checker) drainTimeout(path string, service Service) {
+	limit := service.DrainTimeout
+	if limit < 0 || limit > maxDrainTimeout || limit == 0 && service.Kind != KindPlain {
+		checker.doc.AddFault(path, `a duration above "0s" and up to "1h"`, limit.String())
+	}
+}
+
 func (checker checker) dependencies(path string, service Service) {
 	for i, name := range service.DependsOn {
 		if _, known := checker.spec.ServiceNamed(name); !known {
--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -70,5 +70,18 @@
 	expectFault(`"priority": "live"`, `"priority": "first"`, "teams[0].priority")
 	expectFault(`"method": "POST"`, `"method": "post"`, "services[1].once-calls[0].method")
 	expectFault(`"drain-limit": "90s"`, `"drain-limit": "2h"`, "services[0].drain-limit")
+	expectFault(`, "drain-limit": "90s"`, ``, "services[0].drain-limit")
+	expectFault(`"path-prefix": "/booking"`, `"path-prefix": "/booking", "drain-limit": "2h"`, "services[1].drain-limit")
+	expectFault(`"path-prefix": "/booking"`, `"path-prefix": "/booking", "drain-limit": "-1s"`, "services[1].drain-limit")
 	expectFault(`"adapters"`, `"adaptors"`, "services[0].adaptors")
 }
+
+// TestDrainLimitOfPlainService guards against a specification that must state how long
+// replicas of a plain service drain, which has none, or may no longer do so.
+func TestDrainLimitOfPlainService(t *testing.T) {
+	text := example(t, "ravenala")
+	for _, limit := range []string{"", `, "drain-limit": "60s"`, `, "drain-limit": "0s"`} {
+		_, err := intent.Parse("f", []byte(strings.Replace(text, `"path-prefix": "/booking"`, `"path-prefix": "/booking"`+limit, 1)))
+		assert.NilError(t, err, limit)
+	}
+}
--- a/core/intent/setting.go
+++ b/core/intent/setting.go
@@ -34,7 +34,7 @@
 	KindPlain Kind = "plain"
 )
 
-// Service is a service of the deployment. The fields from Model to SpreadZones are
+// Service is a service of the deployment. The fields from Model to DrainTimeout are
 // for model services, PathPrefix and AtMostOnceCalls for plain services.
 type Service struct {
 	Name            string           `json:"name"`
