Settings without effect are refused

Operators who set them got no other behavior. A file that relied on them has to drop them before the update. No file in the repository has them.

Ruled out: using doubt-time for the time after which a node makes sure of a change in doubt. It is 10 s, and the setting's default of 2 s would have changed it.

--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -71,11 +71,9 @@
 // and its row up to date. PollInterval is the interval of its reads of the store. A
 // copy of the configuration may be used for ConfirmationTTL after it was last
 // confirmed. A node whose row has not changed for HeartbeatTimeout counts as
-// unresponsive. PrepareTime, which has to be above 0, and DoubtTime have no effect.
+// unresponsive.
 type ConfigTimes struct {
 	PollInterval     time.Duration `json:"poll-every"`
-	PrepareTime      time.Duration `json:"prepare-time"`
-	DoubtTime        time.Duration `json:"doubt-time"`
 	ConfirmationTTL  time.Duration `json:"confirm-term"`
 	HeartbeatTimeout time.Duration `json:"node-term"`
 }
@@ -98,8 +96,7 @@
 		Route: route.DefaultPolicy(), Place: place.DefaultPolicy(), Quota: quota.DefaultPolicy(),
 		Platform: Platform{Table: "hickorybend", Bucket: "hickorybend", Region: "local"},
 		Config: ConfigTimes{
-			PollInterval: time.Second, PrepareTime: time.Second, DoubtTime: 2 * time.Second,
-			ConfirmationTTL: 8 * time.Second, HeartbeatTimeout: 12 * time.Second,
+			PollInterval: time.Second, ConfirmationTTL: 8 * time.Second, HeartbeatTimeout: 12 * time.Second,
 		},
 		Drain: Drain{Notice: 3 * time.Second, Timeout: 60 * time.Second},
 	}
@@ -168,7 +165,6 @@
 		{"lease.renew-every", settings.Lease.RenewEvery, 0, "0s"},
 		{"lease.term", settings.Lease.TTL, 2 * settings.Lease.RenewEvery, "twice renew-every"},
 		{"config.poll-every", settings.Config.PollInterval, 0, "0s"},
-		{"config.prepare-time", settings.Config.PrepareTime, 0, "0s"},
 		{"config.confirm-term", settings.Config.ConfirmationTTL, settings.Config.PollInterval, "poll-every"},
 		{"config.node-term", settings.Config.HeartbeatTimeout, settings.Config.ConfirmationTTL, "confirm-term"},
 		{"drain.limit", settings.Drain.Timeout, settings.Drain.Notice, "notice"},
