The command count of a restarted endpoint is its own

A host that had just returned was placed one command and one report later than it could be.

The higher of the two counts is kept only within one incarnation, where the report may be older than the reply to a command.

TestCommandCountOfRestartedEndpoint failed before: count 5 where the report says 1. One line of io/edge/probe.go changes.

--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -157,3 +157,28 @@
 	expectLogged(now.Add(statsLogInterval/2), 1)
 	expectLogged(now.Add(2*statsLogInterval), 2)
 }
+
+// TestCommandCountOfRestartedEndpoint guards against commands that an endpoint rejects
+// after its restart, because they state the count of its earlier incarnation.
+func TestCommandCountOfRestartedEndpoint(t *testing.T) {
+	now := time.Now()
+	startedAt := now.Add(-time.Minute)
+	for _, test := range []struct {
+		name            string
+		startedAt       time.Time
+		reported, count int64
+	}{
+		{"restarted", now, 1, 1},
+		{"report older than the reply to a command", startedAt, 4, 5},
+		{"report newer", startedAt, 6, 6},
+	} {
+		control := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New())
+		known := fleet.Endpoint{ID: "e", StartedAt: startedAt, CommandCount: 5, CommandCountKnown: true}
+		control.endpoints.byID["e"] = known
+		report := known
+		report.StartedAt, report.CommandCount = test.startedAt, test.reported
+		control.handleReport(probeResult{id: "e", report: report, sentAt: now})
+		got := control.endpoints.byID["e"]
+		assert.Assert(t, got.CommandCountKnown && got.CommandCount == test.count, "%s: count %d", test.name, got.CommandCount)
+	}
+}
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -117,7 +117,7 @@
 	report := result.report
 	restarted := report.StartedAt.After(known.StartedAt)
 	newerThanRow := result.sentAt.After(control.endpoints.updatedAt[result.id].Add(reportLag))
-	if known.CommandCountKnown {
+	if known.CommandCountKnown && !restarted {
 		report.CommandCount = max(known.CommandCount, report.CommandCount) // a report may be older than the reply to a command
 	}
 	if !restarted && !newerThanRow {
