--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -16,7 +16,6 @@
 // store has not answered this node, for each table.
 type configState struct {
 	index            *site.Index           // nil while no configuration is known
-	row              platform.Entry        // the configuration as stored
 	unavailableSince [tableCount]time.Time // when the outage began; zero while the store answers
 }
 
@@ -36,7 +35,6 @@
 			continue
 		}
 		control.config.index = site.NewIndex(config)
-		control.config.row = entry
 		control.snapshotStale = true
 		control.publishedTables[tableConfig].Store(&gossip.Table{Version: rows.Version(config.Version), Entries: []gossip.Entry{{
 			Key: entry.Key, Value: entry.Value, Version: entry.Version,
