The stand-in checks fencing numbers service by service

The layout now names the services whose engines check. In io/node the tests' cluster names its one model service; its tests play the same as before.

TestLeaseHolderFailover and TestReplicaRecoversFromHostRestart of io/node pass.

--- a/io/fakes/layout.go
+++ b/io/fakes/layout.go
@@ -16,8 +16,7 @@
 // NewLayout returns a layout for the services of a spec. Each model service gets
 // hostsPerDomain hosts in each of domainsPerZone fabric domains of every zone. Each
 // plain service gets one host in each of the first three zones. The platform
-// listens on port and the endpoints on the ports above it. All engines check
-// fencing numbers if the last model service of the spec does.
+// listens on port and the endpoints on the ports above it.
 func NewLayout(file string, src []byte, ip string, port, domainsPerZone, hostsPerDomain int) (Layout, error) {
 	spec, err := intent.Parse(file, src)
 	if err != nil {
@@ -30,7 +29,9 @@
 	for _, service := range spec.Services {
 		firstPort := port + 1 + len(layout.Hosts)
 		if service.Kind == intent.KindModel {
-			layout.ChecksFencing = service.ChecksFencing
+			if service.ChecksFencing {
+				layout.FencingServices = append(layout.FencingServices, service.Name)
+			}
 			layout.Hosts = append(layout.Hosts, PlaceHosts(service.Name, zones, domainsPerZone, hostsPerDomain, ip, firstPort)...)
 			continue
 		}
--- a/io/fakes/platform.go
+++ b/io/fakes/platform.go
@@ -31,9 +31,10 @@
 	Hosts []HostSpec
 	// PlainServices names the plain services; all others are model services.
 	PlainServices []string
-	// ChecksFencing makes the engines reject commands with an old fencing number.
-	ChecksFencing bool
-	Speed         Speed
+	// FencingServices names the model services whose engines reject commands with an old
+	// fencing number.
+	FencingServices []string
+	Speed           Speed
 	// LoadSpacing is the minimum time between the starts of two weight loads.
 	LoadSpacing time.Duration
 	// HostListLag is the delay after which the host list shows a change.
@@ -90,7 +91,7 @@
 			return plaininstance
 		}
 	}
-	engine := NewEngine(hostspec.Host, platform.layout.Speed, platform.layout.ChecksFencing, weightstore, platform.Engine)
+	engine := NewEngine(hostspec.Host, platform.layout.Speed, slices.Contains(platform.layout.FencingServices, hostspec.Service), weightstore, platform.Engine)
 	platform.engines[hostspec.Host] = engine
 	return engine
 }
--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -127,9 +127,12 @@
 	speed.ReportEvery = 100 * time.Millisecond
 	speed.ProcessingTime = time.Millisecond
 	cluster.layout = fakes.Layout{
-		Address: addresses[len(hostSpecs)], Hosts: hostSpecs, PlainServices: []string{"ledger"}, ChecksFencing: checksFencing,
+		Address: addresses[len(hostSpecs)], Hosts: hostSpecs, PlainServices: []string{"ledger"},
 		Speed: speed, LoadSpacing: time.Millisecond, HostListLag: 100 * time.Millisecond,
 	}
+	if checksFencing {
+		cluster.layout.FencingServices = []string{"llm"}
+	}
 	nodeAddresses := addresses[len(hostSpecs)+1:]
 	for i := range nodes {
 		cluster.layout.Nodes = append(cluster.layout.Nodes, fakes.HostSpec{
