Busy runners of the soak ask for two to five seconds

With the one second that most draws had, half a second was left for the check of requests to busy runners: from half a second after the rejection to the end of the time that the runner asked for. TestScheduleIsDeterministic names a drawn value, which changes with it.

--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -501,6 +501,6 @@
 		}
 	}
 	assert.Assert(t, kinds[RunnersPaused{First: 3, Count: 1}] && kinds[RunnersPaused{First: 3, Count: 6}] && kinds[CrashingRequests{}] && kinds[ConfigStorm{Count: 8}])
-	assert.Assert(t, kinds[RunnerBusy{Runner: 3, RetryAfter: time.Second}] && kinds[RunnerLimited{Runner: 3, PerSecond: 2}])
+	assert.Assert(t, kinds[RunnerBusy{Runner: 3, RetryAfter: 3 * time.Second}] && kinds[RunnerLimited{Runner: 3, PerSecond: 2}])
 	assert.Assert(t, kinds[StoreWentBack{Changes: 7}] && kinds[StoreOutage{}] && kinds[RouteDropped{}] && kinds[RunnerDrained{Runner: 0}])
 }
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -215,7 +215,8 @@
 	pauseSeries         = 3                      // pauses in a series
 	pauseInterval       = 700 * time.Millisecond // between two pauses of a series
 	maxStormChanges     = 8
-	maxBusySeconds      = 3
+	minBusySeconds      = 2
+	maxBusySeconds      = 5
 	maxLimit            = 5 // requests a second
 )
 
@@ -246,7 +247,7 @@
 				add(at+time.Duration(i)*pauseInterval, pause, RunnersPaused{First: first + i, Count: 1 + random.IntN(2)})
 			}
 		case 4:
-			add(at, duration, RunnerBusy{Runner: first, RetryAfter: time.Duration(1+random.IntN(maxBusySeconds)) * time.Second})
+			add(at, duration, RunnerBusy{Runner: first, RetryAfter: time.Duration(minBusySeconds+random.IntN(1+maxBusySeconds-minBusySeconds)) * time.Second})
 		case 5:
 			add(at, duration, RunnerLimited{Runner: first, PerSecond: 1 + random.IntN(maxLimit)})
 		default:
