--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,31 +22,31 @@
 
 // request is the state of a caller's request while it is served.
 type request struct {
-	server        *Server
-	w             http.ResponseWriter
-	r             *http.Request
-	snapshot      *reach.Snapshot
-	receivedAt    time.Time
-	deadline      time.Time
-	header        platform.RequestHeader
-	route         *site.Route
-	team          string
-	priority      int
-	service       string
-	body          []byte
-	inputs        []crash.Input // that it is recognized by if it crashes endpoints, itself last
-	suspected     bool          // it was near at a crash before its latest attempt, and was not answered since
-	trial         *crash.Trial  // that this request has claimed, or nil
-	tried         []string      // IDs of the endpoints that it was sent to
-	snapshotAge   time.Duration // how old the snapshot was when it was last used
-	mayHaveRun    bool          // an endpoint may have run it
-	broken        bool          // an endpoint has broken off an attempt
-	status        int
-	outcome       string
-	firstEventAt  time.Time     // when the response headers of a stream were written
-	lastEventAt   time.Time     // when the last event was written
-	longestGap    time.Duration // longest time between two events
-	attemptEvents int           // complete events that the present attempt has brought
+	server       *Server
+	w            http.ResponseWriter
+	r            *http.Request
+	snapshot     *reach.Snapshot
+	receivedAt   time.Time
+	deadline     time.Time
+	header       platform.RequestHeader
+	route        *site.Route
+	team         string
+	priority     int
+	service      string
+	body         []byte
+	inputs       []crash.Input // that it is recognized by if it crashes endpoints, itself last
+	suspected    bool          // it was near at a crash before its latest attempt, and was not answered since
+	trial        *crash.Trial  // that this request has claimed, or nil
+	tried        []string      // IDs of the endpoints that it was sent to
+	notRun       int           // attempts at them that did not run it
+	snapshotAge  time.Duration // how old the snapshot was when it was last used
+	mayHaveRun   bool          // an endpoint may have run it
+	broken       atomic.Bool   // an endpoint has broken off an attempt
+	status       int
+	outcome      string
+	firstEventAt time.Time     // when the response headers of a stream were written
+	lastEventAt  time.Time     // when the last event was written
+	longestGap   time.Duration // longest time between two events
 }
 
 // admit checks the request and reads its body, before it is sent anywhere. If the
@@ -188,10 +189,7 @@
 		if reject, rejected := decision.(reach.Reject); rejected {
 			return &failure{cause: "turned away: " + string(reject.Reason), reject: reject}
 		}
-		candidate := decision.(reach.Send).Candidate
-		request.tried = append(request.tried, candidate.ID)
-		request.attemptEvents = 0
-		switch result := send(candidate).(type) {
+		switch result := send(decision.(reach.Send).Candidate).(type) {
 		case answered:
 			return nil
 		case notExecuted:
@@ -199,7 +197,6 @@
 		case unsent:
 			cause = "the endpoints cannot be reached"
 		case incomplete:
-			request.mayHaveRun = true
 			cause = "the answer broke off: " + result.cause.Error()
 		}
 		if request.r.Context().Err() != nil {
@@ -276,14 +273,18 @@
 		return true
 	}
 	now := time.Now()
-	switch {
-	case request.mayHaveRun && (request.suspected || len(request.tried) >= request.route.MaxAttempts || !site.Retryable(request.route.Kind)):
-		return false
-	case len(request.tried) >= request.server.policy.MaxEndpoints, request.deadline.Sub(now) < request.server.policy.MinTimeLeft:
+	if request.mayHaveRun && (request.suspected || !site.Retryable(request.route.Kind)) || !request.attemptsLeft(now) {
 		return false
-	default:
-		return request.server.withdrawRetry(request.service, now, request.snapshot.Nodes)
 	}
+	return request.server.withdrawRetry(request.service, now, request.snapshot.Nodes)
+}
+
+// attemptsLeft reports whether another attempt is allowed by the number of those that
+// were made and the time that is left. Attempts that did not run the request don't count
+// against the route's maximum.
+func (request *request) attemptsLeft(now time.Time) bool {
+	policy := request.server.policy
+	return len(request.tried)-request.notRun < max(1, request.route.MaxAttempts) && len(request.tried) < policy.MaxEndpoints && request.deadline.Sub(now) >= policy.MinTimeLeft
 }
 
 // abortDisconnected ends a request whose caller has disconnected. It aborts the
