--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -32,12 +32,12 @@
 	engineClient     *platform.EngineClient
 	log              *zap.Logger
 	meter            *meter.Meter
-	hadRequests      func() bool                     // whether a request has arrived at this node
-	localDemand      func() map[string]time.Duration // estimated host time requested of each model at this node since the start
-	lastAnswer       func(part crash.Part) time.Time // when a prompt with a part was last answered through this node; zero if not known
-	localRequests    func() map[string]int64         // requests for each service that this node has received since the start
-	reportLost       func(firstHosts []string)       // reports replicas that may not serve any more, named by their first hosts
-	reportFound      func(firstHosts []string)       // reports those of them whose members all answer again
+	hadRequests      func() bool                       // whether a request has arrived at this node
+	localDemand      func() map[string]time.Duration   // estimated host time requested of each model at this node since the start
+	lastAnswer       func(input crash.Input) time.Time // when a request with an input was last answered through this node; zero if not known
+	localRequests    func() map[string]int64           // requests for each service that this node has received since the start
+	reportLost       func(firstHosts []string)         // reports replicas that may not serve any more, named by their first hosts
+	reportFound      func(firstHosts []string)         // reports those of them whose members all answer again
 	messages         chan message
 	snapshot         atomic.Pointer[reach.Snapshot]
 	digest           atomic.Pointer[gossip.Digest]            // this node's own
@@ -72,7 +72,7 @@
 func NewControl(settings Settings, store *platform.Store, engineclient *platform.EngineClient, log *zap.Logger, meter *meter.Meter) *Control {
 	control := &Control{
 		settings: settings, store: store, engineClient: engineclient, log: log, meter: meter,
-		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, reportLost: func([]string) {}, reportFound: func([]string) {}, lastAnswer: func(crash.Part) time.Time { return time.Time{} },
+		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, reportLost: func([]string) {}, reportFound: func([]string) {}, lastAnswer: func(crash.Input) time.Time { return time.Time{} },
 		localRequests: func() map[string]int64 { return nil },
 		messages:      make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
 	}
@@ -177,12 +177,18 @@
 		control.handleLeaving(typed, fromAnswer, now)
 	case attemptBroken:
 		control.handleBroken(typed, now)
+	case healthChecked:
+		control.handleHealthChecked(typed)
 	case trialEnded:
 		control.handleTrialEnded(typed, now)
 	case limitStated:
 		control.handleLimitStated(typed, now)
 	case blocksRead:
 		control.handleBlocksRead(typed, now)
+	case blocksListed:
+		control.handleBlocksListed(typed, now)
+	case blockLifted:
+		control.handleBlockLifted(typed, now)
 	case blocksWritten:
 		control.handleBlocksWritten(typed, now)
 	case probeResult:
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -145,8 +145,11 @@
 		return request.handleFailure(attempt, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrIncompleteResponse))
 	}
 	exchange.Release()
-	if status < http.StatusMultipleChoices {
+	switch {
+	case status < http.StatusMultipleChoices:
 		request.recordSound()
+	case showsExecution(status, responseheader):
+		request.recordRequestSound(time.Now())
 	}
 	candidate.Load.RecordResult(time.Now(), status >= http.StatusInternalServerError, time.Since(attempt.sentAt))
 	return answered{response: exchange.Response, body: body, header: responseheader}
@@ -163,6 +166,12 @@
 	}
 }
 
+// showsExecution reports whether an answer without success shows that the endpoint has
+// run the request and goes on. A server error may come before that.
+func showsExecution(status int, responseheader platform.ResponseHeader) bool {
+	return status < http.StatusInternalServerError && !claimsNotExecuted(status) && responseheader.Receipt
+}
+
 // handleNotExecuted keeps new requests away from an endpoint that had no capacity.
 // It keeps them away longer, and has the endpoint probed, if another endpoint has
 // the address or the response names a faulty member of the replica.
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -271,6 +271,6 @@
 func (request *request) hasAlternative() bool {
 	server, now := request.server, time.Now()
 	snapshot := server.snapshot.Load()
-	return site.Retryable(request.route.Kind) && request.attemptsLeft(now) && !snapshot.Blocks(request.parts) &&
+	return site.Retryable(request.route.Kind) && !request.suspected && request.attemptsLeft(now) && !snapshot.Blocks(request.inputs) &&
 		server.allowsRetry(request.service, now, snapshot.Nodes) && reach.HasRoom(server.routing, snapshot.Services[request.service], request.routingRequest(true))
 }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -34,7 +34,8 @@
 	priority     int
 	service      string
 	body         []byte
-	parts        []crash.Part  // of the prompt, those that other requests may share
+	inputs       []crash.Input // that it is recognized by if it crashes endpoints, itself last
+	suspected    bool          // it was near at a crash before its latest attempt, and was not answered since
 	trial        *crash.Trial  // that this request has claimed, or nil
 	tried        []string      // IDs of the endpoints that it was sent to
 	notRun       int           // attempts at them that did not run it
@@ -144,8 +145,9 @@
 func (request *request) serve() {
 	request.service = request.route.Pick(rand.Float64())
 	for _, id := range request.header.SharedParts {
-		request.parts = append(request.parts, crash.Part{Service: request.service, ID: id})
+		request.inputs = append(request.inputs, crash.Input{Service: request.service, ID: id})
 	}
+	request.inputs = append(request.inputs, request.identity())
 	request.server.recordRequest(request.service, request.receivedAt)
 	request.recordDemand()
 	ctx, cancel := context.WithDeadline(request.r.Context(), request.deadline)
@@ -221,6 +223,7 @@
 	if blocked, found := request.findBlocked(); found {
 		return reach.Reject{Reason: reach.ReasonCrashes, RetryAt: blocked.RetryAt}
 	}
+	request.suspected = request.snapshot.Suspected[request.inputs[len(request.inputs)-1]]
 	return reach.Choose(request.server.routing, request.snapshot.Services[request.service], request.routingRequest(resumed))
 }
 
@@ -270,7 +273,7 @@
 		return true
 	}
 	now := time.Now()
-	if request.mayHaveRun && !site.Retryable(request.route.Kind) || !request.attemptsLeft(now) {
+	if request.mayHaveRun && (request.suspected || !site.Retryable(request.route.Kind)) || !request.attemptsLeft(now) {
 		return false
 	}
 	return request.server.withdrawRetry(request.service, now, request.snapshot.Nodes)
@@ -312,7 +315,7 @@
 	if request.route != nil {
 		fields = append(fields, zap.String("route", request.route.Name), zap.String("team", request.team),
 			zap.Strings("endpoints", request.tried), zap.Int64("config", request.snapshot.Index.Config.Version),
-			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.Duration("age", request.snapshotAge))
+			zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Duration("age", request.snapshotAge))
 	}
 	event.Log(request.server.log, event.RequestEnded, fields...)
 }
--- a/io/gossip/fuzz_test.go
+++ b/io/gossip/fuzz_test.go
@@ -44,6 +44,14 @@
 	return gossip.Table{Version: after, Entries: []gossip.Entry{{Key: "k", Version: rows.Version(table)}}}
 }
 
+func (summinglocal *summingLocal) BlockStatusList(context.Context) (gossip.BlockStatusList, error) {
+	return gossip.BlockStatusList{}, nil
+}
+
+func (summinglocal *summingLocal) Lift(_ context.Context, request gossip.LiftRequest) (gossip.LiftReply, error) {
+	return gossip.LiftReply{Lifted: request.Input != ""}, nil
+}
+
 // roundTripper answers a client's calls without a connection.
 type roundTripper func(*http.Request) *http.Response
 
@@ -60,11 +68,11 @@
 
 // digestSeeds returns digests as nodes send them, and as none should.
 func digestSeeds(f *testing.F) [][]byte {
-	large := gossip.Digest{Node: "n", Crashes: gossip.Crashes{Reports: make([]gossip.CrashReport, manyReports), Answers: make([]gossip.PartAnswer, manyReports)}}
+	large := gossip.Digest{Node: "n", Crashes: gossip.Crashes{Reports: make([]gossip.CrashReport, manyReports), Answers: make([]gossip.InputAnswer, manyReports)}}
 	usual := gossip.Digest{
 		Node: "n", Zone: "z", Versions: []rows.Version{1, 2, 3}, InFlight: map[string]int{"e": 2}, Demand: map[string]int64{"m": 5},
 		Leaving: []gossip.Leaving{{Endpoint: "e", StartedAt: 1}}, Ages: []int64{-1, 5}, Limits: []gossip.EndpointLimit{{Endpoint: "e", PerSecond: 2, Age: 3}},
-		Crashes: gossip.Crashes{Blocks: []gossip.PartBlock{{Service: "s", Part: "p", Age: -1 << 63}}},
+		Crashes: gossip.Crashes{Blocks: []gossip.InputBlock{{Service: "s", Input: "p", Age: -1 << 63}}},
 	}
 	return [][]byte{encode(f, usual), encode(f, large), encode(f, gossip.Digest{}), {0xa0}, {0xbf}, nil}
 }
@@ -77,7 +85,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		_, handler := gossip.Handler(&summingLocal{}, peerKey)
-		for _, path := range []string{"/hickorybend.gossip/tell", "/hickorybend.gossip/fetch"} {
+		for _, path := range []string{"/hickorybend.gossip/tell", "/hickorybend.gossip/fetch", "/hickorybend.gossip/blocks", "/hickorybend.gossip/lift"} {
 			request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(data))
 			request.Header.Set("Content-Type", "application/cbor")
 			request.Header.Set("Authorization", "Bearer "+peerKey)
