Shares of limits are computed once a second and on news

What callers saw: nothing on the sites of now. At 390 nodes the shares of 7 limited endpoints cost more than the 1.1% of a core that control may use.

Cause: shareLimits computed every share on each tick, ten times a second, and learnLimits once more for each digest with a newer time, although the rates that decide a share are sampled once a second.

Ruled out: a sample of this node's own rate between two samples. Shares of the others would not know of it, so the sum would pass the limit; shares followed rates once a second before as well.

Change: shares are computed when the rates are sampled, when the list of nodes changes (a fingerprint of their names, each tick), and for an endpoint whose observation says something else than the known one. What ends a limit without an answer (gone, restarted, nobody heard of it for long) is still looked at on each tick. An observation that is too old when it arrives is left out.

The test failed before on "nothing" and "the same limit again"; with the check of the nodes broken it fails on a new node and on one that is gone.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -24,6 +24,11 @@
 	return observation.At.After(other.At)
 }
 
+// SaysTheSame reports whether both observations state the same of the same incarnation.
+func (observation Observation) SaysTheSame(other Observation) bool {
+	return observation.StartedAt.Equal(other.StartedAt) && observation.Limited == other.Limited && observation.PerSecond == other.PerSecond
+}
+
 // Node is a node that sends requests to a service.
 type Node struct {
 	Name string
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"hickorybend/core/limit"
@@ -15,13 +16,14 @@
 	limitTTL           = 30 * time.Second // after the last answer that stated a limit, it no longer holds
 	limitTold          = 5 * time.Second  // for which the end of a limit is told to other nodes
 	rateSmoothing      = 0.3              // weight of a new sample in a node's request rate
-	rateSampleInterval = time.Second
+	rateSampleInterval = time.Second      // between two samples of the rates, with which all shares are computed
 )
 
 // limits is what this node knows of endpoints that limit the requests that they take
 // from all nodes together. The maps are by endpoint ID, or by node name.
 type limits struct {
 	known        map[string]limit.Observation  // the newest of all nodes
+	users        uint64                        // fingerprint of the nodes among which the shares were computed
 	own          map[string]limit.Observation  // the newest of this node, which it tells the others
 	shown        map[string]bool               // endpoints whose limit was logged
 	counts       map[string]map[string]int64   // requests by node and service at the last sample
@@ -79,54 +81,98 @@
 // endpoint's present incarnation.
 func (control *Control) applyLimit(id string, observation limit.Observation, now time.Time) {
 	endpoint, found := control.endpoints.byID[id]
-	if !found || !endpoint.StartedAt.Equal(observation.StartedAt) || !observation.NewerThan(control.limits.known[id]) {
+	if !found || !endpoint.StartedAt.Equal(observation.StartedAt) || !observation.NewerThan(control.limits.known[id]) || now.Sub(observation.At) > limitTTL {
 		return
 	}
+	previous := control.limits.known[id]
 	control.limits.known[id] = observation
-	control.setShare(id, now)
+	if !previous.SaysTheSame(observation) {
+		control.setShare(id, control.requestRates(endpoint.Service, now))
+	}
 }
 
-// shareLimits brings the shares of limited endpoints up to date, and forgets the limits
-// that no longer hold.
+// shareLimits forgets the limits that no longer hold, and brings the shares of the
+// others up to date: once a second, with the rates of requests, and when a node has
+// come or gone.
 func (control *Control) shareLimits(now time.Time) {
-	control.sampleRates(now)
-	for id := range control.limits.known {
-		control.setShare(id, now)
+	limits := &control.limits
+	due := control.sampleRates(now)
+	if len(limits.known) > 0 {
+		users := control.limitUsers(now)
+		due = due || users != limits.users
+		limits.users = users
+	}
+	nodes := map[string][]limit.Node{} // by service
+	for id, observation := range limits.known {
+		if control.endIfOver(id, now) || !due || !observation.Limited {
+			continue
+		}
+		service := control.endpoints.byID[id].Service
+		if nodes[service] == nil {
+			nodes[service] = control.requestRates(service, now)
+		}
+		control.setShare(id, nodes[service])
 	}
-	for id, observation := range control.limits.own {
+	for id, observation := range limits.own {
 		if !observation.Limited && now.Sub(observation.At) > limitTold || now.Sub(observation.At) > limitTTL {
-			delete(control.limits.own, id)
+			delete(limits.own, id)
 		}
 	}
 }
 
+// endIfOver ends the limit of an endpoint that is gone, has restarted, or of which no
+// node has heard for long. It reports whether it did.
+func (control *Control) endIfOver(id string, now time.Time) bool {
+	observation := control.limits.known[id]
+	endpoint, found := control.endpoints.byID[id]
+	if found && endpoint.StartedAt.Equal(observation.StartedAt) && now.Sub(observation.At) <= limitTTL {
+		return false
+	}
+	delete(control.limits.known, id)
+	control.endLimit(id, false)
+	return true
+}
+
+// endLimit lets this node send any number of requests to an endpoint. stated says
+// whether the endpoint has stated the end.
+func (control *Control) endLimit(id string, stated bool) {
+	control.endpoints.load(id).RemoveRate()
+	if control.limits.shown[id] {
+		delete(control.limits.shown, id)
+		event.Log(control.log, event.EndpointUnlimited, zap.String("endpoint", id), zap.Bool("stated", stated))
+	}
+}
+
 // setShare limits the requests of this node to an endpoint by its share of the limit,
 // or ends that.
-func (control *Control) setShare(id string, now time.Time) {
+func (control *Control) setShare(id string, nodes []limit.Node) {
 	limits := &control.limits
 	observation := limits.known[id]
-	endpoint, found := control.endpoints.byID[id]
-	load := control.endpoints.load(id)
-	if !found || !endpoint.StartedAt.Equal(observation.StartedAt) || now.Sub(observation.At) > limitTTL {
-		delete(limits.known, id)
-		observation.Limited = false
-	}
 	if !observation.Limited {
-		load.RemoveRate()
-		if limits.shown[id] {
-			delete(limits.shown, id)
-			event.Log(control.log, event.EndpointUnlimited, zap.String("endpoint", id), zap.Bool("stated", found && limits.known[id].At.Equal(observation.At)))
-		}
+		control.endLimit(id, true)
 		return
 	}
-	share := limit.Share(id, observation.PerSecond, control.requestRates(endpoint.Service, now))
-	load.SetRate(share)
+	share := limit.Share(id, observation.PerSecond, nodes)
+	control.endpoints.load(id).SetRate(share)
 	if !limits.shown[id] {
 		limits.shown[id] = true
 		event.Log(control.log, event.EndpointLimited, zap.String("endpoint", id), zap.Float64("limit", observation.PerSecond), zap.Float64("share", share))
 	}
 }
 
+// limitUsers returns a fingerprint of the nodes that requestRates returns, whatever
+// their order.
+func (control *Control) limitUsers(now time.Time) uint64 {
+	peers := control.peers
+	users := uint64(0)
+	for name, peer := range peers.nodes {
+		if !peers.role.Mesh || peer.fresh(now) {
+			users ^= xxhash.Sum64String(name)
+		}
+	}
+	return users
+}
+
 // requestRates returns the nodes that send requests to a service with the rates at
 // which they receive them, this node first. Where the nodes form no mesh, this node
 // knows the rates of few, and all count alike.
@@ -147,11 +193,12 @@
 	return nodes
 }
 
-// sampleRates brings the request rates of the nodes up to date.
-func (control *Control) sampleRates(now time.Time) {
+// sampleRates brings the request rates of the nodes up to date, once a second. It
+// reports whether it did.
+func (control *Control) sampleRates(now time.Time) bool {
 	limits := &control.limits
 	if now.Before(limits.nextSampleAt) {
-		return
+		return false
 	}
 	limits.nextSampleAt = now.Add(rateSampleInterval)
 	limits.sample(control.settings.Node, control.digest.Load().Requests)
@@ -164,6 +211,7 @@
 			delete(limits.counts, name)
 		}
 	}
+	return true
 }
 
 // sample updates a node's rates by its counts of requests. Counts that are lower than
--- a/io/edge/limits_test.go
+++ b/io/edge/limits_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"hickorybend/core/fleet"
+	"hickorybend/core/limit"
 	"hickorybend/io/entry"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
@@ -59,3 +61,92 @@
 		})
 	}
 }
+
+// newLimited returns the control of one of many nodes, whose endpoints have stated
+// limits.
+func newLimited(nodes, limited int, now time.Time) *Control {
+	control := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New())
+	for i := range nodes - 1 {
+		control.peers.nodes[fmt.Sprint("node-", i)] = &peer{digestReceivedAt: now}
+	}
+	for i := range limited {
+		id := fmt.Sprint("i-", i)
+		control.endpoints.byID[id] = fleet.Endpoint{ID: id, Service: "llm", StartedAt: now}
+	}
+	control.learnLimits(statedLimits(limited, now, now), now)
+	control.shareLimits(now)
+	return control
+}
+
+// statedLimits returns what another node tells of endpoints' limits.
+func statedLimits(limited int, startedAt, at time.Time) (listed []gossip.EndpointLimit) {
+	for i := range limited {
+		listed = append(listed, gossip.EndpointLimit{Endpoint: fmt.Sprint("i-", i), StartedAt: startedAt.UnixMilli(), Limited: true, PerSecond: 3.2, At: at})
+	}
+	return listed
+}
+
+// TestSharesAreComputedOnNews guards against shares that are computed again and again
+// from the same facts, and against those that miss a fact. The test sets a rate of its
+// own, which lasts until the share is computed.
+func TestSharesAreComputedOnNews(t *testing.T) {
+	now := time.UnixMilli(time.Now().UnixMilli())
+	for _, test := range []struct {
+		name    string
+		happens func(control *Control, at time.Time)
+		after   time.Duration
+		want    bool // the share is computed
+	}{
+		{"nothing", func(*Control, time.Time) {}, tickInterval, false},
+		{"a second", func(*Control, time.Time) {}, rateSampleInterval, true},
+		{"the same limit again", func(control *Control, at time.Time) { control.learnLimits(statedLimits(1, now, at), at) }, tickInterval, false},
+		{"another limit", func(control *Control, at time.Time) {
+			control.applyLimit("i-0", limit.Observation{StartedAt: now, Limited: true, PerSecond: 3, At: at}, at)
+		}, tickInterval, true},
+		{"the end of the limit", func(control *Control, at time.Time) {
+			control.applyLimit("i-0", limit.Observation{StartedAt: now, At: at}, at)
+		}, tickInterval, true},
+		{"a restart", func(control *Control, at time.Time) {
+			control.endpoints.byID["i-0"] = fleet.Endpoint{ID: "i-0", Service: "llm", StartedAt: at}
+		}, tickInterval, true},
+		{"a new node", func(control *Control, _ time.Time) { control.peers.nodes["new"] = &peer{} }, tickInterval, true},
+		{"a node that is gone", func(control *Control, _ time.Time) { delete(control.peers.nodes, "node-0") }, tickInterval, true},
+		{"a node out of touch, in a mesh", func(control *Control, at time.Time) {
+			control.peers.role.Mesh = true
+			control.shareLimits(at)
+			control.endpoints.load("i-0").SetRate(0)
+			control.peers.nodes["node-0"].digestReceivedAt = at.Add(-digestTTL)
+		}, tickInterval, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			control := newLimited(4, 1, now)
+			load, at := control.endpoints.load("i-0"), now.Add(test.after)
+			load.SetRate(0)
+			test.happens(control, at)
+			control.shareLimits(at)
+			assert.Equal(t, !load.Limited(at.Add(time.Hour)), test.want)
+		})
+	}
+}
+
+// BenchmarkShareLimits takes the time of a second: ten ticks, and five answers of the
+// zone's leader, which list all limits.
+func BenchmarkShareLimits(b *testing.B) {
+	for _, limited := range []int{7, 100} {
+		b.Run(fmt.Sprint(limited), func(b *testing.B) {
+			startedAt := time.UnixMilli(time.Now().UnixMilli())
+			now := startedAt
+			control := newLimited(390, limited, now)
+			b.ReportAllocs()
+			for b.Loop() {
+				for tick := range 10 {
+					now = now.Add(tickInterval)
+					if tick%2 == 0 {
+						control.learnLimits(statedLimits(limited, startedAt, now), now)
+					}
+					control.shareLimits(now)
+				}
+			}
+		})
+	}
+}
