One budget for all connections of a node to an endpoint

Endpoints had reset connections beyond max_connections, which holds for all of all nodes.

Cause: each node limited what was in flight to its share and kept up to 24 idle connections beside; unsafe requests, probes and commands opened theirs on top.

Shares by the requests that nodes receive: one that shrinks would have to be taken back from requests in progress.

Change: io/pool counts per address what is in use, being opened, idle and closing, and keeps it within the node's share (core/reach ShareConnections). The oldest idle connection makes room; its place is free 10 ms after the endpoint has closed its side, or after 110 ms, and that of a request that was given up after 100 ms. Without a place the request is not sent (ErrNoRoom, marked ErrUnsent); the attempt counts neither against the endpoint nor as a failure, and another endpoint is chosen. The choice compares requests in flight with the share as before. Probes and commands have a place of their own, so that no number of streams makes an endpoint look unresponsive. A reset within 100 ms of opening holds the node to what it had open, for 2 s. io/entry's buffered.go and request.go change by one case each.

The new tests of io/pool pass with -race too, and each break added to scripts/breaks.sh was tried by hand and noticed. The tests of io/pool from before have a data race in their stand-in endpoint (startEndpoint), on the code before as well; without -race they pass.

--- /dev/null
+++ b/core/reach/share.go
@@ -0,0 +1,29 @@
+package reach
+
+const (
+	minConnections   = 2 // of a node to an endpoint, also where that is more than its share
+	reservedFromHere = 4 // from this share on, a place of it is kept for the node's own requests
+)
+
+// Connections is how many connections a node may have in use to one endpoint.
+type Connections struct {
+	Requests int // for callers' requests
+	Own      int // for probes and commands
+}
+
+// ShareConnections divides among the nodes the connections that an endpoint accepts from
+// all of them. The shares are equal: one that followed the requests would have to be
+// taken back while its connections are in use, and the sum would pass what the endpoint
+// accepts until they are not. Endpoints that take commands need a place for them, so that
+// a probe finds one however many streams there are.
+func ShareConnections(accepted, nodes int, takesCommands bool) Connections {
+	share := max(minConnections, accepted/max(1, nodes))
+	switch {
+	case !takesCommands:
+		return Connections{Requests: share}
+	case share < reservedFromHere:
+		return Connections{Requests: share, Own: 1}
+	default:
+		return Connections{Requests: share - 1, Own: 1}
+	}
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -15,6 +15,7 @@
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
+	"hickorybend/io/pool"
 	"hickorybend/platform"
 )
 
@@ -37,6 +38,7 @@
 	lastAnswer       func(part crash.Part) time.Time // when a prompt with a part was last answered through this node; zero if not known
 	localRequests    func() map[string]int64         // requests for each service that this node has received since the start
 	abortAttempts    func(firstHosts []string)       // cancels the attempts at replicas that can no longer serve, named by their first hosts
+	setBudgets       func(map[string]pool.Budget)    // sets how many connections this node may have, by address
 	messages         chan message
 	snapshot         atomic.Pointer[reach.Snapshot]
 	digest           atomic.Pointer[gossip.Digest]            // this node's own
@@ -58,6 +60,7 @@
 	demand           demand
 	crashes          crashes
 	limits           limits
+	connections      connections
 	loggedServing    map[string]int // serving replicas of each model, as last logged
 	storeRepliedAt   time.Time      // when the store last answered
 	bootClockOffset  func(monotonic time.Duration) (time.Duration, error)
@@ -67,19 +70,21 @@
 }
 
 // NewControl creates a node's control. hadRequests, localDemand,
-// lastAnswer, localRequests and abortAttempts do nothing until newServer sets them.
+// lastAnswer, localRequests, abortAttempts and setBudgets do nothing until newServer sets
+// them.
 func NewControl(settings Settings, store *platform.Store, engineclient *platform.EngineClient, log *zap.Logger, meter *meter.Meter) *Control {
 	control := &Control{
 		settings: settings, store: store, engineClient: engineclient, log: log, meter: meter,
 		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, abortAttempts: func([]string) {}, lastAnswer: func(crash.Part) time.Time { return time.Time{} },
-		localRequests: func() map[string]int64 { return nil },
-		messages:      make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
+		localRequests: func() map[string]int64 { return nil }, setBudgets: func(map[string]pool.Budget) {},
+		messages: make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
 	}
 	control.copies = newCopies(settings)
 	control.endpoints = newEndpoints()
 	control.peers = newPeers(settings)
 	control.crashes = newCrashes()
 	control.limits = newLimits()
+	control.connections = connections{reduced: map[string]reduction{}}
 	control.placement = newPlacement(settings)
 	control.demand = demand{previous: map[string]map[string]int64{}, recent: fleet.NewDemand()}
 	if engineclient != nil {
@@ -180,6 +185,8 @@
 		control.handleTrialEnded(typed, now)
 	case limitStated:
 		control.handleLimitStated(typed, now)
+	case connectionReset:
+		control.handleConnectionReset(typed)
 	case blocksRead:
 		control.handleBlocksRead(typed, now)
 	case blocksWritten:
@@ -259,6 +266,7 @@
 	control.judgeCrashes(now)
 	control.exchangeDigests(now)
 	control.shareLimits(now)
+	control.endReductions(now)
 	control.refreshCopies(now)
 	control.reportAges(now)
 	control.updateDemand(now)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -59,6 +59,8 @@
 	control.lastAnswer = server.LastAnswer
 	control.localRequests = server.Requests
 	control.abortAttempts = server.AbortAttempts
+	control.setBudgets = pool.SetBudgets
+	pool.OnReset(control.ConnectionReset)
 	return server
 }
 
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -27,6 +27,7 @@
 			service := &snapshot.Index.Config.Services[i]
 			snapshot.Services[service.Name] = control.newServicePool(service, snapshot.Nodes)
 		}
+		control.updateBudgets(snapshot.Nodes)
 	}
 	control.snapshot.Store(snapshot)
 	control.logReplicas(snapshot)
@@ -79,13 +80,12 @@
 	return found
 }
 
-// newCandidate describes an endpoint for routing. This node may use an equal share
-// of the connections that the service allows to one endpoint, but at least 2. The
+// newCandidate describes an endpoint for routing. The
 // tie-break is the upper 53 bits of a hash as a number in [0,1).
 func (control *Control) newCandidate(service *site.Service, endpoint fleet.Endpoint, nodes int) *reach.Candidate {
 	return &reach.Candidate{
 		ID: endpoint.ID, Address: endpoint.Address, StartedAt: endpoint.StartedAt, SameZone: endpoint.Zone == control.settings.Zone,
-		Slots: endpoint.Slots, MaxInFlight: max(2, service.MaxConnections/max(1, nodes)), Load: control.endpoints.load(endpoint.ID),
+		Slots: endpoint.Slots, MaxInFlight: control.connectionsTo(service, endpoint, nodes).Requests, Load: control.endpoints.load(endpoint.ID),
 		TieBreak: float64(xxhash.Sum64String(control.settings.Node+"/"+endpoint.ID)>>11) / (1 << 53),
 	}
 }
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -177,6 +177,9 @@
 // handleFailure records that an attempt failed and returns its result. An attempt
 // that ended because the caller disconnected doesn't count against the endpoint.
 func (request *request) handleFailure(candidate *reach.Candidate, err error, sentAt time.Time) result {
+	if errors.Is(err, pool.ErrNoRoom) {
+		return noRoom{}
+	}
 	if request.r.Context().Err() == nil {
 		candidate.Load.RecordResult(time.Now(), true, time.Since(sentAt))
 		request.server.suspect(candidate.ID)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -192,7 +192,7 @@
 		switch result := send(candidate).(type) {
 		case answered:
 			return nil
-		case notExecuted:
+		case notExecuted, noRoom:
 			cause = "the endpoints have no room"
 		case unsent:
 			cause = "the endpoints cannot be reached"
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,16 +30,28 @@
 	defaultIdleTimeout = 700 * time.Millisecond // if the endpoint states none; it may then close the connection after less than a second
 	idleMargin         = 500 * time.Millisecond // subtracted from the timeout that the endpoint states
 	maxIdleTimeout     = 20 * time.Second
-	maxIdlePerAddress  = 24 // idle connections kept for each address
+	maxIdlePerAddress  = 24                     // idle connections kept for each address
+	resetWindow        = 100 * time.Millisecond // after opening, in which a reset means that the endpoint accepts no further connection
 	bufferBytes        = 4 << 10
 	maxHeadBytes       = 64 << 10 // of a response, with the interim responses before it
 )
 
-// Pool holds idle connections by address.
+// Pool holds the connections by address.
 type Pool struct {
-	mutex sync.Mutex
-	idle  map[string][]*connection // by address; the last used connection comes last
-	dials int64
+	mutex     sync.Mutex
+	endpoints map[string]*endpoint // by address
+	budgets   map[string]Budget    // by address; replaced as a whole
+	counts    map[string]*Counts   // by service
+	onReset   func(Reset)
+	dials     int64
+}
+
+// Reset says that an endpoint has reset a connection right after it was opened, as it
+// does with those beyond the number that it accepts.
+type Reset struct {
+	Address string
+	Open    int // connections that this node had open there, this one included
+	At      time.Time
 }
 
 // connection is a TCP connection to an endpoint with its buffers.
@@ -47,6 +60,7 @@
 	head      *headLimit
 	reader    *bufio.Reader // reads from head
 	writer    *bufio.Writer
+	openedAt  time.Time
 	expiresAt time.Time // when it may no longer be reused
 }
 
@@ -74,7 +88,13 @@
 }
 
 // New creates an empty pool.
-func New() *Pool { return &Pool{idle: map[string][]*connection{}} }
+func New() *Pool {
+	return &Pool{endpoints: map[string]*endpoint{}, counts: map[string]*Counts{}, onReset: func(Reset) {}}
+}
+
+// OnReset sets the function that is called for a reset right after opening. It must be
+// called before the pool is used.
+func (pool *Pool) OnReset(onReset func(Reset)) { pool.onReset = onReset }
 
 // Request is the request to send. Target, the path with its query, is sent byte for
 // byte.
@@ -85,6 +105,7 @@
 	Header        http.Header
 	Body          []byte
 	NewConnection bool // don't reuse an idle connection, which the endpoint may be closing
+	Own           bool // one of this node's own requests: a probe or a command
 }
 
 // Exchange is a request whose response body is still to be read.
@@ -94,6 +115,7 @@
 	pool          *Pool
 	address       string
 	connection    *connection
+	own           bool
 	stop          func() bool // detaches the connection from the context of Send
 	once          sync.Once
 }
@@ -114,21 +136,50 @@
 // Send sends a request and reads the headers of its response. Canceling the context
 // ends the exchange at any time until the exchange is released or closed.
 func (pool *Pool) Send(ctx context.Context, address string, request Request) (*Exchange, error) {
-	connection, isNew, err := pool.get(ctx, address, request.NewConnection)
+	connection, isNew, err := pool.get(ctx, address, request)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "pool: connecting to %s", address), ErrUnsent)
 	}
-	exchange := &Exchange{NewConnection: isNew, pool: pool, address: address, connection: connection}
+	exchange := &Exchange{NewConnection: isNew, pool: pool, address: address, connection: connection, own: request.Own}
 	exchange.stop = context.AfterFunc(ctx, func() { _ = connection.conn.SetDeadline(time.Unix(1, 0)) })
 	response, err := connection.roundTrip(request)
 	if err != nil {
-		exchange.Close()
+		exchange.fail(err)
 		return nil, errors.Mark(errors.Wrapf(err, "pool: at %s", address), ErrIncompleteResponse)
 	}
 	exchange.Response = response
 	return exchange, nil
 }
 
+// fail closes the connection of an exchange without a response. If the endpoint has
+// closed it, its place is free at once.
+func (exchange *Exchange) fail(err error) {
+	if !errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE) {
+		exchange.Close()
+		return
+	}
+	exchange.once.Do(func() {
+		exchange.stop()
+		_ = exchange.connection.conn.Close()
+		if exchange.NewConnection && isReset(err) && time.Since(exchange.connection.openedAt) < resetWindow {
+			exchange.pool.reportReset(exchange.address)
+		}
+		exchange.pool.release(exchange.address, exchange.own, true, nil)
+	})
+}
+
+func isReset(err error) bool { return errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE) }
+
+// reportReset counts a reset right after opening and calls the function of OnReset,
+// while the connection still counts as open.
+func (pool *Pool) reportReset(address string) {
+	pool.mutex.Lock()
+	pool.count(address).Resets++
+	reset := Reset{Address: address, Open: pool.endpoint(address).open, At: time.Now()}
+	pool.mutex.Unlock()
+	pool.onReset(reset)
+}
+
 // roundTrip writes the request and reads the response headers. It skips interim
 // responses with status 100.
 func (connection *connection) roundTrip(request Request) (*http.Response, error) {
@@ -178,11 +229,11 @@
 func (exchange *Exchange) Release() {
 	exchange.once.Do(func() {
 		_ = exchange.Response.Body.Close()
+		timeout := idleTimeout(exchange.Response.Header)
 		if !exchange.stop() || exchange.Response.Close || exchange.connection.reader.Buffered() > 0 || exchange.EndsWithConnection() {
-			_ = exchange.connection.conn.Close()
-			return
+			timeout = 0
 		}
-		exchange.pool.put(exchange.address, exchange.connection, idleTimeout(exchange.Response.Header))
+		exchange.pool.put(exchange, timeout)
 	})
 }
 
@@ -190,7 +241,9 @@
 func (exchange *Exchange) Close() {
 	exchange.once.Do(func() {
 		exchange.stop()
-		_ = exchange.connection.conn.Close()
+		exchange.pool.release(exchange.address, exchange.own, false, func(endpoint *endpoint) {
+			exchange.pool.abort(endpoint, exchange.connection)
+		})
 	})
 }
 
@@ -213,9 +266,12 @@
 }
 
 // get returns an idle connection or dials a new one, and whether it is new.
-func (pool *Pool) get(ctx context.Context, address string, newConnection bool) (*connection, bool, error) {
-	for !newConnection {
-		idle := pool.pop(address)
+func (pool *Pool) get(ctx context.Context, address string, request Request) (*connection, bool, error) {
+	for {
+		idle, err := pool.acquire(ctx, address, request)
+		if err != nil {
+			return nil, false, err
+		}
 		if idle == nil {
 			break
 		}
@@ -223,71 +279,69 @@
 			_ = idle.conn.SetDeadline(time.Time{})
 			return idle, false, nil
 		}
-		_ = idle.conn.Close()
+		pool.release(address, request.Own, false, func(endpoint *endpoint) { pool.retire(endpoint, idle) })
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, Control: TCPUserTimeout(unackedDataTimeout)}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		if isReset(err) {
+			pool.reportReset(address)
+		}
+		pool.release(address, request.Own, true, nil)
 		return nil, false, err
 	}
 	pool.mutex.Lock()
 	pool.dials++
+	pool.count(address).Opened++
 	pool.mutex.Unlock()
 	head := &headLimit{conn: conn}
-	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, bufferBytes), writer: bufio.NewWriterSize(conn, bufferBytes)}, true, nil
+	return &connection{
+		conn: conn, head: head, reader: bufio.NewReaderSize(head, bufferBytes), writer: bufio.NewWriterSize(conn, bufferBytes), openedAt: time.Now(),
+	}, true, nil
 }
 
-// pop removes and returns the idle connection that was used last, or nil.
-func (pool *Pool) pop(address string) *connection {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	idle := pool.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
-	last := idle[len(idle)-1]
-	pool.idle[address] = idle[:len(idle)-1]
-	return last
+// put keeps the connection of an exchange for reuse. If its address has too many, or
+// more than its budget, those that were idle for longest are closed.
+func (pool *Pool) put(exchange *Exchange, idleTimeout time.Duration) {
+	connection := exchange.connection
+	pool.release(exchange.address, exchange.own, false, func(endpoint *endpoint) {
+		if idleTimeout <= 0 {
+			pool.retire(endpoint, connection)
+			return
+		}
+		_ = connection.conn.SetDeadline(time.Time{})
+		connection.expiresAt = time.Now().Add(idleTimeout)
+		endpoint.idle = append(endpoint.idle, connection)
+		pool.trim(endpoint)
+	})
 }
 
-// put adds an idle connection. If its address has too many, the one that was idle
-// for longest is closed.
-func (pool *Pool) put(address string, connection *connection, idleTimeout time.Duration) {
-	if idleTimeout <= 0 {
-		_ = connection.conn.Close()
-		return
+// trim closes the idle connections that are too many. The mutex must be held.
+func (pool *Pool) trim(endpoint *endpoint) {
+	for len(endpoint.idle) > maxIdlePerAddress || len(endpoint.idle) > 0 && endpoint.hasBudget && endpoint.open-endpoint.closing > endpoint.budget.total() {
+		pool.closeOldest(endpoint)
 	}
-	_ = connection.conn.SetDeadline(time.Time{})
-	connection.expiresAt = time.Now().Add(idleTimeout)
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	idle := pool.idle[address]
-	if len(idle) >= maxIdlePerAddress {
-		_ = idle[0].conn.Close()
-		idle = idle[1:]
-	}
-	pool.idle[address] = append(idle, connection)
 }
 
-// Sweep closes expired idle connections, and all those to addresses not in use.
+// Sweep closes expired idle connections, those beyond the budgets, and all those to
+// addresses not in use.
 func (pool *Pool) Sweep(inUse map[string]bool) {
 	now := time.Now()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	for address, idle := range pool.idle {
-		var remaining []*connection
-		for _, connection := range idle {
-			if inUse[address] && now.Before(connection.expiresAt) {
-				remaining = append(remaining, connection)
-				continue
+	for address := range pool.endpoints {
+		endpoint := pool.endpoint(address)
+		endpoint.idle = slices.DeleteFunc(endpoint.idle, func(connection *connection) bool {
+			expired := !inUse[address] || !now.Before(connection.expiresAt)
+			if expired {
+				pool.retire(endpoint, connection)
 			}
-			_ = connection.conn.Close()
-		}
-		if len(remaining) == 0 {
-			delete(pool.idle, address)
-			continue
+			return expired
+		})
+		pool.trim(endpoint)
+		if endpoint.open == 0 && endpoint.waiting == 0 {
+			delete(pool.endpoints, address)
 		}
-		pool.idle[address] = remaining
 	}
 }
 
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -109,5 +109,11 @@
 break_one "shares that miss a node that has gone" io/edge/limits.go 'users != limits.users' 'false' ./io/edge TestSharesAreComputedOnNews
 break_one "a limit that ends with a late report" io/edge/limits.go '!observation.NewerThan(control.limits.known[id])' 'false' ./io/edge TestEndOfALimit
 
+break_one "connections beyond the budget" io/pool/budget.go 'endpoint.hasBudget && endpoint.open >= endpoint.budget.total()' 'false' ./io/pool 'TestNoMoreConnections|TestOldest'
+break_one "a place that is free before the endpoint has closed its side" io/pool/budget.go '		closeBothSides(connection.conn)' '		_ = connection.conn.Close()' ./io/pool TestEndpointThatNoticesLate
+break_one "a place that is free at once after a request is given up" io/pool/budget.go 'time.AfterFunc(closeTimeout, func() {' 'time.AfterFunc(0, func() {' ./io/pool TestEndpointThatNoticesLate
+break_one "probes without a place of their own" io/pool/budget.go 'return endpoint.ownInUse < endpoint.budget.Own' 'return endpoint.inUse < endpoint.budget.Requests' ./io/pool TestRequestWithoutRoom
+break_one "resets that do not reduce the connections" io/edge/connections.go 'connections.Requests = min(connections.Requests, max(1, reduction.open-connections.Own))' '_ = reduction' ./io/edge TestResetsReduceTheConnections
+break_one "connections that each node uses alone" core/reach/share.go 'max(1, nodes)' '1' ./core/reach TestSharesOfConnections
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
