Operators see the connections to endpoints, and their resets

What was missing: only the number of all connections opened was in the metrics; a reset by an endpoint showed as one 502 more.

Change: for each service, open, idle, opened, reset and evicted connections, and requests that found no room, in /metrics each 2 s. Event 430 names the service, the last endpoint, what this node had open there and how many resets there were: at once for the first one, then every 10 s at most for each service.

The test of resets checks three lines for 102 resets; with a line for each it fails. io/edge and io/event pass. Not done: a line in hbctl status.

--- a/io/edge/connections.go
+++ b/io/edge/connections.go
@@ -4,18 +4,38 @@
 	"maps"
 	"time"
 
+	"go.uber.org/zap"
+
 	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
+	"hickorybend/io/event"
+	"hickorybend/io/meter"
 	"hickorybend/io/pool"
 )
 
-const reductionTime = 2 * time.Second // for which a node opens fewer connections to an endpoint that has reset one
+const (
+	reductionTime    = 2 * time.Second  // for which a node opens fewer connections to an endpoint that has reset one
+	resetLogInterval = 10 * time.Second // between two lines about resets of one service
+)
 
 // connections is how many connections this node may have to each endpoint.
 type connections struct {
 	budgets map[string]pool.Budget // by address, as last set
 	reduced map[string]reduction   // by address
+	resets  map[string]*resets     // by service
+}
+
+// resets are those of a service that were not yet logged.
+type resets struct {
+	count     int
+	address   string // of the last one
+	open      int    // connections that this node then had there
+	nextLogAt time.Time
+}
+
+func newConnections() connections {
+	return connections{reduced: map[string]reduction{}, resets: map[string]*resets{}}
 }
 
 // reduction limits the connections to an endpoint that has reset one.
@@ -37,14 +57,58 @@
 	go control.enqueue(connectionReset{reset})
 }
 
-func (control *Control) handleConnectionReset(reset connectionReset) {
+func (control *Control) handleConnectionReset(reset connectionReset, now time.Time) {
 	control.connections.reduced[reset.Address] = reduction{open: reset.Open - 1, until: reset.At.Add(reductionTime)}
 	control.snapshotStale = true
+	service := control.connections.budgets[reset.Address].Service
+	if control.connections.resets[service] == nil {
+		control.connections.resets[service] = &resets{}
+	}
+	resets := control.connections.resets[service]
+	resets.count++
+	resets.address, resets.open = reset.Address, reset.Open-1
+	control.logResets(now)
+}
+
+// endpointAt returns the ID of the endpoint at an address, or the address if none is
+// known there.
+func (control *Control) endpointAt(address string) string {
+	for id, endpoint := range control.endpoints.byID {
+		if endpoint.Address == address {
+			return id
+		}
+	}
+	return address
+}
+
+// logResets logs the resets of the services that are due.
+func (control *Control) logResets(now time.Time) {
+	for service, resets := range control.connections.resets {
+		if resets.count == 0 || now.Before(resets.nextLogAt) {
+			continue
+		}
+		event.Log(control.log, event.ConnectionsReset, zap.String("service", service), zap.String("endpoint", control.endpointAt(resets.address)),
+			zap.Int("open", resets.open), zap.Int("resets", resets.count))
+		resets.count, resets.nextLogAt = 0, now.Add(resetLogInterval)
+	}
+}
+
+// reportConnections publishes the counts of connections by service.
+func reportConnections(meter *meter.Meter, counts map[string]pool.Counts) {
+	for service, counts := range counts {
+		meter.LabeledGauge("connections_open", service, float64(counts.Open))
+		meter.LabeledGauge("connections_idle", service, float64(counts.Idle))
+		meter.LabeledGauge("connections_opened", service, float64(counts.Opened))
+		meter.LabeledGauge("connections_reset", service, float64(counts.Resets))
+		meter.LabeledGauge("connections_evicted", service, float64(counts.Evicted))
+		meter.LabeledGauge("connections_no_room", service, float64(counts.NoRoom))
+	}
 }
 
 // endReductions lets this node have its full share again of the connections to endpoints
-// that have reset none for some time.
+// that have reset none for some time, and logs the resets that are due.
 func (control *Control) endReductions(now time.Time) {
+	control.logResets(now)
 	for address, reduction := range control.connections.reduced {
 		if !now.Before(reduction.until) {
 			delete(control.connections.reduced, address)
--- a/io/edge/connections_test.go
+++ b/io/edge/connections_test.go
@@ -1,14 +1,18 @@
 package edge
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"hickorybend/core/fleet"
 	"hickorybend/core/site"
+	"hickorybend/io/event"
 	"hickorybend/io/meter"
 	"hickorybend/io/pool"
 )
@@ -18,7 +22,8 @@
 // and in the pool, for a time.
 func TestResetsReduceTheConnections(t *testing.T) {
 	now := time.Now()
-	control := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New())
+	core, logs := observer.New(zap.InfoLevel)
+	control := NewControl(DefaultSettings(), nil, nil, zap.New(core), meter.New())
 	var budgets map[string]pool.Budget
 	control.setBudgets = func(updated map[string]pool.Budget) { budgets = updated }
 	control.config.index = site.NewIndex(site.Config{Services: []site.Service{{Name: "app", MaxConnections: 8}}})
@@ -33,12 +38,37 @@
 	}
 	control.snapshotStale = true
 	expect(8)
-	control.handleConnectionReset(connectionReset{pool.Reset{Address: "127.0.0.1:1", Open: 6, At: now}})
+	control.handleConnectionReset(connectionReset{pool.Reset{Address: "127.0.0.1:1", Open: 6, At: now}}, now)
 	expect(5)
-	control.handleConnectionReset(connectionReset{pool.Reset{Address: "127.0.0.1:1", Open: 1, At: now}})
+	control.handleConnectionReset(connectionReset{pool.Reset{Address: "127.0.0.1:1", Open: 1, At: now}}, now)
 	expect(1)
 	control.endReductions(now.Add(reductionTime - time.Millisecond))
 	assert.Assert(t, !control.snapshotStale)
 	control.endReductions(now.Add(reductionTime))
 	expect(8)
+
+	control.endReductions(now.Add(resetLogInterval))
+	for range 100 {
+		control.handleConnectionReset(connectionReset{pool.Reset{Address: "127.0.0.1:1", Open: 3, At: now}}, now.Add(resetLogInterval))
+	}
+	control.endReductions(now.Add(2 * resetLogInterval))
+	var logged []int64
+	for _, entry := range logs.FilterMessage(event.ConnectionsReset.Text).All() {
+		fields := entry.ContextMap()
+		assert.Equal(t, fields["service"], "app")
+		assert.Equal(t, fields["endpoint"], "i-1")
+		logged = append(logged, fields["resets"].(int64))
+	}
+	assert.DeepEqual(t, logged, []int64{1, 1, 100})
+}
+
+// TestConnectionsInMetrics checks that the counts of a service are in the metrics.
+func TestConnectionsInMetrics(t *testing.T) {
+	meter := meter.New()
+	reportConnections(meter, map[string]pool.Counts{"app": {Open: 1, Idle: 2, Opened: 3, Resets: 4, Evicted: 5, NoRoom: 6}})
+	var text strings.Builder
+	meter.WriteText(&text)
+	for i, name := range []string{"open", "idle", "opened", "reset", "evicted", "no_room"} {
+		assert.Assert(t, strings.Contains(text.String(), fmt.Sprintf("hickorybend_connections_%s{label=\"app\"} %d\n", name, i+1)), text.String())
+	}
 }
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -84,7 +84,7 @@
 	control.peers = newPeers(settings)
 	control.crashes = newCrashes()
 	control.limits = newLimits()
-	control.connections = connections{reduced: map[string]reduction{}}
+	control.connections = newConnections()
 	control.placement = newPlacement(settings)
 	control.demand = demand{previous: map[string]map[string]int64{}, recent: fleet.NewDemand()}
 	if engineclient != nil {
@@ -186,7 +186,7 @@
 	case limitStated:
 		control.handleLimitStated(typed, now)
 	case connectionReset:
-		control.handleConnectionReset(typed)
+		control.handleConnectionReset(typed, now)
 	case blocksRead:
 		control.handleBlocksRead(typed, now)
 	case blocksWritten:
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -172,6 +172,7 @@
 		}
 		params.Pool.Sweep(inUse)
 		params.Meter.Gauge("channels_opened", float64(params.Pool.Dials()))
+		reportConnections(params.Meter, params.Pool.CountsByService())
 	}
 }
 
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -53,6 +53,11 @@
 	metrics.GetOrRegisterGaugeFloat64(name+keySeparator, meter.registry).Update(value)
 }
 
+// LabeledGauge sets the gauge of a label, such as a service.
+func (meter *Meter) LabeledGauge(name, label string, value float64) {
+	metrics.GetOrRegisterGaugeFloat64(name+keySeparator+meter.boundedLabel(label), meter.registry).Update(value)
+}
+
 // Latencies returns the histograms for a label, such as a team or a route.
 func (meter *Meter) Latencies(label string) Latencies {
 	return Latencies{
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -117,5 +117,6 @@
 break_one "connections that each node uses alone" core/reach/share.go 'max(1, nodes)' '1' ./core/reach TestSharesOfConnections
 break_one "an unsafe request on any kept connection" io/pool/budget.go '(!request.AtMostOnce || time.Now().Before(idle.safeUntil))' 'true' ./io/pool TestConnectionsOfRequestsThatRunOnce
 break_one "an unsafe request sent into a reset" io/pool/pool.go 'if request.AtMostOnce {' 'if false {' ./io/pool TestRequestThatRunsOnceIsNotSentIntoAReset
+break_one "a line for each reset" io/edge/connections.go 'now.Before(resets.nextLogAt)' 'false' ./io/edge TestResetsReduceTheConnections
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
