Each value of max_connections has a reading

What callers saw: a number with a fraction, or none at all, in this one field made the whole configuration unreadable, so that nodes stayed with the last one (tried: 48.9, "48", 1e300 and true). 0, a negative and an absent value meant 2 connections of each node. With fewer than two connections for each node the sum passed the cap: 390 nodes had 780 where 198 are allowed.

Change: platform decodes the field by itself. Of a fraction the whole part counts; what is below 1 or no number counts as absent, with event 431 for each version of the configuration. Absent means up to 64 of each node, which resets reduce. A node's least share is 1 in place of 2, so the sum holds while the cap is at least the number of nodes. Below it each has 1: subsets of endpoints are not built.

At 6 to 89 nodes this changes the share of services whose cap is less than twice the number of nodes, from 2 to 1.

TestMaxConnectionsValues fails with the check of numbers below 1 removed; TestSharesOfConnections holds the sum for 1 to 390 nodes. core/reach, core/site, platform, io/edge, io/event pass, and of platform/fakes TestNoResetsInCalmTraffic, TestUnsafeRequestBeyondTheCap, TestAtMostOnceUnderFaults, TestConfigurationTakesEffect and TestInvalidRequestReachesNoEndpoint.

--- a/core/reach/share.go
+++ b/core/reach/share.go
@@ -1,8 +1,9 @@
 package reach
 
 const (
-	minConnections   = 2 // of a node to an endpoint, also where that is more than its share
-	reservedFromHere = 4 // from this share on, a place of it is kept for the node's own requests
+	minConnections      = 1  // of a node to an endpoint, also where that is more than its share
+	unstatedConnections = 64 // of a node to an endpoint of which it is not stated how many it accepts
+	reservedFromHere    = 4  // from this share on, a place of it is kept for the node's own requests
 )
 
 // Connections is how many connections a node may have in use to one endpoint.
@@ -15,9 +16,12 @@
 // all of them. The shares are equal: one that followed the requests would have to be
 // taken back while its connections are in use, and the sum would pass what the endpoint
 // accepts until they are not. Endpoints that take commands need a place for them, so that
-// a probe finds one however many streams there are.
+// a probe finds one however many streams there are. accepted is 0 if it is not stated.
 func ShareConnections(accepted, nodes int, takesCommands bool) Connections {
 	share := max(minConnections, accepted/max(1, nodes))
+	if accepted <= 0 {
+		share = unstatedConnections
+	}
 	switch {
 	case !takesCommands:
 		return Connections{Requests: share}
--- a/core/site/config.go
+++ b/core/site/config.go
@@ -71,10 +71,11 @@
 // Service is a set of endpoints. A service with an engine runs models on
 // replicas, which are groups of endpoints.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int // to one endpoint, from all nodes together
-	Engine         *Engine
+	Name                   string
+	HealthPath             string
+	MaxConnections         int    // to one endpoint, from all nodes together; 0 if not stated
+	UnusableMaxConnections string // what is stated in its place, if it is no number of connections
+	Engine                 *Engine
 }
 
 // Engine describes how the endpoints of a service batch requests, load weights and
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -59,6 +59,7 @@
 	EndpointLimited       = Event{419, "endpoint limits the requests that it takes", zap.WarnLevel}
 	EndpointUnlimited     = Event{420, "endpoint takes any number of requests again", zap.InfoLevel}
 	ConnectionsReset      = Event{430, "endpoint reset new connections", zap.WarnLevel}
+	ConnectionsUnusable   = Event{431, "unusable max_connections of a service", zap.WarnLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -86,7 +87,7 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial, EndpointLimited, EndpointUnlimited, ConnectionsReset,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial, EndpointLimited, EndpointUnlimited, ConnectionsReset, ConnectionsUnusable,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent,
 	}
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -118,5 +118,6 @@
 break_one "an unsafe request on any kept connection" io/pool/budget.go '(!request.AtMostOnce || time.Now().Before(idle.safeUntil))' 'true' ./io/pool TestConnectionsOfRequestsThatRunOnce
 break_one "an unsafe request sent into a reset" io/pool/pool.go 'if request.AtMostOnce {' 'if false {' ./io/pool TestRequestThatRunsOnceIsNotSentIntoAReset
 break_one "a line for each reset" io/edge/connections.go 'now.Before(resets.nextLogAt)' 'false' ./io/edge TestResetsReduceTheConnections
+break_one "a cap of 0 taken for a number of connections" platform/config.go 'errors.Is(err, strconv.ErrRange) || number < 1' 'errors.Is(err, strconv.ErrRange)' ./platform TestMaxConnectionsValues
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
