--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -119,5 +119,7 @@
 break_one "an unsafe request sent into a reset" io/pool/pool.go 'if request.AtMostOnce {' 'if false {' ./io/pool TestRequestThatRunsOnceIsNotSentIntoAReset
 break_one "a line for each reset" io/edge/connections.go 'now.Before(resets.nextLogAt)' 'false' ./io/edge TestResetsReduceTheConnections
 break_one "a cap of 0 taken for a number of connections" platform/config.go 'errors.Is(err, strconv.ErrRange) || number < 1' 'errors.Is(err, strconv.ErrRange)' ./platform TestMaxConnectionsValues
+break_one "a subset with one node too many" core/subset/subset.go 'before >= users' 'before > users' ./core/subset TestSubsets
+break_one "a subset without regard to zones" core/subset/subset.go 'ranked.node.SameZone != other.node.SameZone' 'false' ./core/subset TestSubsets
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
