The stand-in endpoint of io/pool's tests has no data race

A lock guards the list now, its length is the count, and tests read a copy. The checks are the same.

go test -race ./io/pool: failed before, two runs pass.

--- a/io/pool/once_test.go
+++ b/io/pool/once_test.go
@@ -55,7 +55,7 @@
 			time.Sleep(test.idle)
 			assert.NilError(t, sendAtMostOnce(connections, address))
 			assert.Equal(t, connections.Dials(), test.dials)
-			assert.Equal(t, len(*targets), 2)
+			assert.Equal(t, len(targets()), 2)
 		})
 	}
 }
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,13 +24,18 @@
 
 // startEndpoint starts an endpoint that sends the next of the answers to each
 // request, byte for byte; an empty answer closes the connection. It returns the
-// address and the targets received.
-func startEndpoint(t *testing.T, answers ...string) (string, *[]string) {
+// address and a function that returns the targets received.
+func startEndpoint(t *testing.T, answers ...string) (string, func() []string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
+	var mutex sync.Mutex
 	var targets []string
-	next := 0
+	received := func() []string {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return slices.Clone(targets)
+	}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -38,15 +45,16 @@
 			go func() {
 				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
-				for next < len(answers) {
+				for len(received()) < len(answers) {
 					request, err := http.ReadRequest(reader)
 					if err != nil {
 						return
 					}
 					_, _ = io.Copy(io.Discard, request.Body)
+					mutex.Lock()
+					answer := answers[len(targets)]
 					targets = append(targets, request.RequestURI)
-					answer := answers[next]
-					next++
+					mutex.Unlock()
 					if answer == "" {
 						return
 					}
@@ -59,7 +67,7 @@
 			}()
 		}
 	}()
-	return listener.Addr().String(), &targets
+	return listener.Addr().String(), received
 }
 
 // okResponse returns the text of a response that allows reuse of its connection.
@@ -110,7 +118,7 @@
 				time.Sleep(40 * time.Millisecond) // for bytes beyond the response to arrive
 			}
 			assert.Equal(t, connections.Dials(), test.dials)
-			assert.DeepEqual(t, *targets, []string{"/a%2Fb?x=%20", "/a%2Fb?x=%20"})
+			assert.DeepEqual(t, targets(), []string{"/a%2Fb?x=%20", "/a%2Fb?x=%20"})
 		})
 	}
 }
@@ -156,5 +164,5 @@
 		_, err := pool.New().Send(context.Background(), address, pool.Request{Method: "GET", Target: target, Host: "h", Header: http.Header{}})
 		assert.Assert(t, err != nil, target)
 	}
-	assert.Equal(t, len(*received), 0)
+	assert.Equal(t, len(received()), 0)
 }
