Budgets of connections are computed once a second, and when shares change

What callers saw: nothing.

Change: at once for another configuration, number of nodes or reset, or the end of a reduction; otherwise once a second.

--- a/io/edge/connections.go
+++ b/io/edge/connections.go
@@ -17,13 +17,18 @@
 const (
 	reductionTime    = 2 * time.Second  // for which a node opens fewer connections to an endpoint that has reset one
 	resetLogInterval = 10 * time.Second // between two lines about resets of one service
+	budgetInterval   = time.Second      // between two updates of the budgets for endpoints that come and go
 )
 
 // connections is how many connections this node may have to each endpoint.
 type connections struct {
-	budgets map[string]pool.Budget // by address, as last set
-	reduced map[string]reduction   // by address
-	resets  map[string]*resets     // by service
+	budgets      map[string]pool.Budget // by address, as last set
+	reduced      map[string]reduction   // by address
+	resets       map[string]*resets     // by service
+	nodes        int                    // for which the budgets were last computed
+	index        *site.Index            // the same for the configuration
+	stale        bool                   // the budgets have to be computed
+	nextUpdateAt time.Time
 }
 
 // resets are those of a service that were not yet logged.
@@ -59,6 +64,7 @@
 
 func (control *Control) handleConnectionReset(reset connectionReset, now time.Time) {
 	control.connections.reduced[reset.Address] = reduction{open: reset.Open - 1, until: reset.At.Add(reductionTime)}
+	control.connections.nextUpdateAt = time.Time{}
 	control.snapshotStale = true
 	service := control.connections.budgets[reset.Address].Service
 	if control.connections.resets[service] == nil {
@@ -106,37 +112,50 @@
 }
 
 // endReductions lets this node have its full share again of the connections to endpoints
-// that have reset none for some time, and logs the resets that are due.
+// that have reset none for some time, logs the resets that are due, and updates the budgets
+// if they are.
 func (control *Control) endReductions(now time.Time) {
 	control.logResets(now)
 	for address, reduction := range control.connections.reduced {
 		if !now.Before(reduction.until) {
 			delete(control.connections.reduced, address)
+			control.connections.nextUpdateAt = time.Time{}
 			control.snapshotStale = true
 		}
 	}
+	if control.connections.stale {
+		control.updateBudgets(control.peers.count(), now)
+	}
 }
 
 // connectionsTo returns how many connections this node may have in use to an endpoint.
 func (control *Control) connectionsTo(service *site.Service, endpoint fleet.Endpoint, nodes int) reach.Connections {
-	connections := reach.ShareConnections(service.MaxConnections, nodes, service.Engine != nil)
+	share := reach.ShareConnections(service.MaxConnections, nodes, service.Engine != nil)
 	if reduction, found := control.connections.reduced[endpoint.Address]; found {
-		connections.Requests = min(connections.Requests, max(1, reduction.open-connections.Own))
+		share.Requests = min(share.Requests, max(1, reduction.open-share.Own))
 	}
-	return connections
+	return share
 }
 
-// updateBudgets tells the pool how many connections this node may have to each endpoint.
-func (control *Control) updateBudgets(nodes int) {
+// updateBudgets tells the pool how many connections this node may have to each endpoint:
+// at once if the shares have changed, and otherwise once in budgetInterval, since the
+// endpoints' rows change all the time.
+func (control *Control) updateBudgets(nodes int, now time.Time) {
+	connections := &control.connections
+	sharesChanged := nodes != connections.nodes || control.config.index != connections.index
+	if connections.stale = !sharesChanged && now.Before(connections.nextUpdateAt); connections.stale {
+		return
+	}
+	connections.nodes, connections.index, connections.nextUpdateAt = nodes, control.config.index, now.Add(budgetInterval)
 	budgets := map[string]pool.Budget{}
 	for _, endpoint := range control.endpoints.byID {
 		if service, found := control.service(endpoint.Service); found {
-			connections := control.connectionsTo(service, endpoint, nodes)
-			budgets[endpoint.Address] = pool.Budget{Service: service.Name, Requests: connections.Requests, Own: connections.Own}
+			share := control.connectionsTo(service, endpoint, nodes)
+			budgets[endpoint.Address] = pool.Budget{Service: service.Name, Requests: share.Requests, Own: share.Own}
 		}
 	}
-	if !maps.Equal(budgets, control.connections.budgets) {
-		control.connections.budgets = budgets
+	if !maps.Equal(budgets, connections.budgets) {
+		connections.budgets = budgets
 		control.setBudgets(budgets)
 	}
 }
--- a/io/edge/connections_test.go
+++ b/io/edge/connections_test.go
@@ -62,6 +62,48 @@
 	assert.DeepEqual(t, logged, []int64{1, 1, 100})
 }
 
+// TestBudgetsOfNewEndpoints checks that an endpoint that comes shortly after the budgets
+// were computed gets one within a second, and at once if the shares change.
+func TestBudgetsOfNewEndpoints(t *testing.T) {
+	now := time.Now()
+	control, budgets := newBudgetControl(1)
+	control.publish(now)
+	assert.Equal(t, len(*budgets), 1)
+	control.endpoints.byID["i-new"] = fleet.Endpoint{ID: "i-new", Service: "app", Address: "127.0.0.1:9"}
+	control.publish(now.Add(tickInterval))
+	control.endReductions(now.Add(budgetInterval - time.Millisecond))
+	assert.Equal(t, len(*budgets), 1)
+	control.endReductions(now.Add(budgetInterval))
+	assert.Equal(t, len(*budgets), 2)
+	assert.Equal(t, (*budgets)["127.0.0.1:9"].Requests, 8)
+	control.peers.nodes["other"] = &peer{}
+	control.publish(now.Add(budgetInterval + time.Millisecond))
+	assert.Equal(t, (*budgets)["127.0.0.1:9"].Requests, 4)
+}
+
+// newBudgetControl returns a control with endpoints that accept 8 connections each, and
+// the budgets that it sets.
+func newBudgetControl(endpoints int) (*Control, *map[string]pool.Budget) {
+	control, budgets := NewControl(DefaultSettings(), nil, nil, zap.NewNop(), meter.New()), &map[string]pool.Budget{}
+	control.setBudgets = func(updated map[string]pool.Budget) { *budgets = updated }
+	control.config.index = site.NewIndex(site.Config{Services: []site.Service{{Name: "app", MaxConnections: 8}}})
+	for i := range endpoints {
+		id := fmt.Sprint("i-", i)
+		control.endpoints.byID[id] = fleet.Endpoint{ID: id, Service: "app", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)}
+	}
+	return control, budgets
+}
+
+// BenchmarkUpdateBudgets computes the budgets of connections to 12,000 endpoints.
+func BenchmarkUpdateBudgets(b *testing.B) {
+	control, _ := newBudgetControl(12000)
+	now := time.Now()
+	for b.Loop() {
+		now = now.Add(budgetInterval)
+		control.updateBudgets(390, now)
+	}
+}
+
 // TestConnectionsInMetrics checks that the counts of a service are in the metrics.
 func TestConnectionsInMetrics(t *testing.T) {
 	meter := meter.New()
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -20,14 +20,14 @@
 }
 
 // publish builds the snapshot for request handling and publishes it.
-func (control *Control) publish(time.Time) {
+func (control *Control) publish(now time.Time) {
 	snapshot := &reach.Snapshot{Index: control.config.index, Services: map[string]*reach.ServicePool{}, Nodes: control.peers.count(), Blocked: control.crashes.blockedParts()}
 	if snapshot.Index != nil {
 		for i := range snapshot.Index.Config.Services {
 			service := &snapshot.Index.Config.Services[i]
 			snapshot.Services[service.Name] = control.newServicePool(service, snapshot.Nodes)
 		}
-		control.updateBudgets(snapshot.Nodes)
+		control.updateBudgets(snapshot.Nodes, now)
 	}
 	control.snapshot.Store(snapshot)
 	control.logReplicas(snapshot)
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -113,7 +113,7 @@
 break_one "a place that is free before the endpoint has closed its side" io/pool/budget.go '		closeBothSides(connection.conn)' '		_ = connection.conn.Close()' ./io/pool TestEndpointThatNoticesLate
 break_one "a place that is free at once after a request is given up" io/pool/budget.go 'time.AfterFunc(closeTimeout, func() {' 'time.AfterFunc(0, func() {' ./io/pool TestEndpointThatNoticesLate
 break_one "probes without a place of their own" io/pool/budget.go 'return endpoint.ownInUse < endpoint.budget.Own' 'return endpoint.inUse < endpoint.budget.Requests' ./io/pool TestRequestWithoutRoom
-break_one "resets that do not reduce the connections" io/edge/connections.go 'connections.Requests = min(connections.Requests, max(1, reduction.open-connections.Own))' '_ = reduction' ./io/edge TestResetsReduceTheConnections
+break_one "resets that do not reduce the connections" io/edge/connections.go 'share.Requests = min(share.Requests, max(1, reduction.open-share.Own))' '_ = reduction' ./io/edge TestResetsReduceTheConnections
 break_one "connections that each node uses alone" core/reach/share.go 'max(1, nodes)' '1' ./core/reach TestSharesOfConnections
 break_one "an unsafe request on any kept connection" io/pool/budget.go '(!request.AtMostOnce || time.Now().Before(idle.safeUntil))' 'true' ./io/pool TestConnectionsOfRequestsThatRunOnce
 break_one "an unsafe request sent into a reset" io/pool/pool.go 'if request.AtMostOnce {' 'if false {' ./io/pool TestRequestThatRunsOnceIsNotSentIntoAReset
@@ -121,5 +121,6 @@
 break_one "a cap of 0 taken for a number of connections" platform/config.go 'errors.Is(err, strconv.ErrRange) || number < 1' 'errors.Is(err, strconv.ErrRange)' ./platform TestMaxConnectionsValues
 break_one "a subset with one node too many" core/subset/subset.go 'before >= users' 'before > users' ./core/subset TestSubsets
 break_one "a subset without regard to zones" core/subset/subset.go 'ranked.node.SameZone != other.node.SameZone' 'false' ./core/subset TestSubsets
+break_one "budgets that are computed for each row of an endpoint" io/edge/connections.go 'now.Before(connections.nextUpdateAt)' 'false' ./io/edge TestBudgetsOfNewEndpoints
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
