--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -59,6 +59,8 @@
 	control.lastAnswer = server.LastAnswer
 	control.localRequests = server.Requests
 	control.reportLost, control.reportFound = server.ReportLost, server.ReportFound
+	control.setBudgets = pool.SetBudgets
+	pool.OnReset(control.ConnectionReset)
 	return server
 }
 
@@ -170,6 +172,7 @@
 		}
 		params.Pool.Sweep(inUse)
 		params.Meter.Gauge("channels_opened", float64(params.Pool.Dials()))
+		reportConnections(params.Meter, params.Pool.CountsByService())
 	}
 }
 
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -20,13 +20,14 @@
 }
 
 // publish builds the snapshot for request handling and publishes it.
-func (control *Control) publish(time.Time) {
+func (control *Control) publish(now time.Time) {
 	snapshot := &reach.Snapshot{Index: control.config.index, Services: map[string]*reach.ServicePool{}, Nodes: control.peers.count(), Blocked: control.crashes.blockedInputs(), Suspected: control.crashes.suspected}
 	if snapshot.Index != nil {
 		for i := range snapshot.Index.Config.Services {
 			service := &snapshot.Index.Config.Services[i]
 			snapshot.Services[service.Name] = control.newServicePool(service, snapshot.Nodes)
 		}
+		control.updateBudgets(snapshot.Nodes, now)
 	}
 	control.snapshot.Store(snapshot)
 	control.logReplicas(snapshot)
@@ -79,13 +80,12 @@
 	return found
 }
 
-// newCandidate describes an endpoint for routing. This node may use an equal share
-// of the connections that the service allows to one endpoint, but at least 2. The
+// newCandidate describes an endpoint for routing. The
 // tie-break is the upper 53 bits of a hash as a number in [0,1).
 func (control *Control) newCandidate(service *site.Service, endpoint fleet.Endpoint, nodes int) *reach.Candidate {
 	return &reach.Candidate{
 		ID: endpoint.ID, Address: endpoint.Address, StartedAt: endpoint.StartedAt, SameZone: endpoint.Zone == control.settings.Zone,
-		Slots: endpoint.Slots, MaxInFlight: max(2, service.MaxConnections/max(1, nodes)), Load: control.endpoints.load(endpoint.ID),
+		Slots: endpoint.Slots, MaxInFlight: control.connectionsTo(service, endpoint, nodes).Requests, Load: control.endpoints.load(endpoint.ID),
 		TieBreak: float64(xxhash.Sum64String(control.settings.Node+"/"+endpoint.ID)>>11) / (1 << 53),
 	}
 }
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -188,6 +188,9 @@
 // that ended because the caller disconnected, or because it was not needed any more,
 // doesn't count against the endpoint.
 func (request *request) handleFailure(attempt *attempt, err error) result {
+	if errors.Is(err, pool.ErrNoRoom) {
+		return noRoom{}
+	}
 	candidate, now := attempt.candidate, time.Now()
 	unneeded := errors.Is(context.Cause(attempt.ctx), errNotNeeded)
 	if request.r.Context().Err() == nil && !unneeded {
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -184,7 +184,7 @@
 // of a stream that was not read to its end.
 func (request *request) recordOutcome(outcome result) {
 	switch outcome.(type) {
-	case unsent, notExecuted:
+	case unsent, notExecuted, noRoom:
 		request.notRun++
 	default:
 		request.mayHaveRun = true
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -122,6 +122,8 @@
 break_one "a limit that each node uses alone" core/limit/limit.go 'return perSecond * own / weights' 'return perSecond * own / own' ./core/limit 'TestSharesAddUp|TestNodesStayWithin'
 break_one "a small limit that all nodes use at once" core/limit/limit.go 'len(users) > most' 'false && most > 0' ./core/limit TestNodesStayWithinTheLimit
 break_one "a request that takes no turn" core/reach/choose.go 'best.Load.TakeTurn(request.Now)' 'true' ./core/reach TestEndpointsWithLimits
+break_one "nodes that come last use an endpoint" core/limit/limit.go 'compare(self) < 0' 'compare(self) > 0' ./core/limit 'TestSharesAddUp|TestNodesOfTwoVersionsAgree'
+break_one "shares that miss a node that has gone" io/edge/limits.go 'users != limits.users' 'false' ./io/edge TestSharesAreComputedOnNews
 break_one "a limit that ends with a late report" io/edge/limits.go '!observation.NewerThan(control.limits.known[id])' 'false' ./io/edge TestEndOfALimit
 break_one "a silent attempt that ends before another endpoint has answered" io/entry/handover.go 'handover.beginSecond()
 	}' 'handover.beginSecond()
@@ -134,5 +136,18 @@
 break_one "an endpoint reported as lost that is never given up" io/entry/handover.go 'attempt.gone(time.Now())' 'false' ./io/entry TestLostEndpointIsGivenUp
 break_one "a replica ended because a member pauses" io/edge/probe.go 'endpoints.pausingUntil[result.id] = now.Add(pauseTolerance)' '' ./platform/fakes TestReplicaEndedWhileMemberPauses
 
+break_one "connections beyond the budget" io/pool/budget.go 'endpoint.hasBudget && endpoint.open >= endpoint.budget.total()' 'false' ./io/pool 'TestNoMoreConnections|TestOldest'
+break_one "a place that is free before the endpoint has closed its side" io/pool/budget.go '		closeBothSides(connection.conn)' '		_ = connection.conn.Close()' ./io/pool TestEndpointThatNoticesLate
+break_one "a place that is free at once after a request is given up" io/pool/budget.go 'time.AfterFunc(closeTimeout, func() {' 'time.AfterFunc(0, func() {' ./io/pool TestEndpointThatNoticesLate
+break_one "probes without a place of their own" io/pool/budget.go 'return endpoint.ownInUse < endpoint.budget.Own' 'return endpoint.inUse < endpoint.budget.Requests' ./io/pool TestRequestWithoutRoom
+break_one "resets that do not reduce the connections" io/edge/connections.go 'share.Requests = min(share.Requests, max(1, reduction.open-share.Own))' '_ = reduction' ./io/edge TestResetsReduceTheConnections
+break_one "connections that each node uses alone" core/reach/share.go 'max(1, nodes)' '1' ./core/reach TestSharesOfConnections
+break_one "an unsafe request on any kept connection" io/pool/budget.go '(!request.AtMostOnce || time.Now().Before(idle.safeUntil))' 'true' ./io/pool TestConnectionsOfRequestsThatRunOnce
+break_one "an unsafe request sent into a reset" io/pool/pool.go 'if request.AtMostOnce {' 'if false {' ./io/pool TestRequestThatRunsOnceIsNotSentIntoAReset
+break_one "a line for each reset" io/edge/connections.go 'now.Before(resets.nextLogAt)' 'false' ./io/edge TestResetsReduceTheConnections
+break_one "a cap of 0 taken for a number of connections" platform/config.go 'errors.Is(err, strconv.ErrRange) || number < 1' 'errors.Is(err, strconv.ErrRange)' ./platform TestMaxConnectionsValues
+break_one "a subset with one node too many" core/subset/subset.go 'before >= users' 'before > users' ./core/subset TestSubsets
+break_one "a subset without regard to zones" core/subset/subset.go 'ranked.node.SameZone != other.node.SameZone' 'false' ./core/subset TestSubsets
+break_one "budgets that are computed for each row of an endpoint" io/edge/connections.go 'now.Before(connections.nextUpdateAt)' 'false' ./io/edge TestBudgetsOfNewEndpoints
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
