Waiting and conversion follow from the sizes of the models

Cause: replicas of one or two hosts counted as small everywhere, a replica took one donor for every four hosts, and an urgent one as many donors as if each had two hosts.

A new replica may lack MissingFraction of its hosts for the others to wait for them, and takes that many donors, at least one. An urgent one takes as many of the smallest replicas of other models as have its number of hosts.

At the sizes 2 to 5 and 8 the hosts waited for and the normal number of donors are the same as before. Urgent donors are the same at 4 and 2 and at 8 and 2; for 8 out of fours there are 2 instead of 4. Sizes 6 and 7 wait for two hosts instead of one, 16 for five instead of four.

--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -115,8 +115,8 @@
 // domain has no such donors, if they are too many, or if ending them costs more
 // than the new replica gains.
 //
-// Normally some hosts of the domain have to be prepared and free already, and one
-// donor may end for every four hosts of the new replica. If the need is urgent,
+// Normally some hosts of the domain have to be prepared and free already, and no
+// more donors may end than the new replica may lack hosts. If the need is urgent,
 // the new replica may be made of donors' hosts alone.
 //
 // A donor that its model cannot spare costs that model's score without the donor,
@@ -124,10 +124,10 @@
 // the prepared hosts.
 func (pass *pass) selectDonors(to need, needs []need, domain string, prepared int) []*replica {
 	lacking := to.model.ReplicaSize - prepared
-	maxDonors := max(1, to.model.ReplicaSize/hostsPerDonor)
+	maxDonors := max(1, pass.maxMissing(to.model))
 	urgent := to.score() >= urgentScore || to.score() >= urgentScoreAtLowUtilization && othersAtLowUtilization(needs, to)
 	if urgent {
-		maxDonors = to.model.ReplicaSize / smallReplicaSize
+		maxDonors = max(maxDonors, pass.donorsForAll(to.model))
 	}
 	if lacking <= 0 || prepared == 0 && !urgent {
 		return nil
@@ -152,13 +152,27 @@
 }
 
 const (
-	hostsPerDonor               = 4   // hosts of a new replica for each donor that it may take, or each missing host that it may wait for
 	urgentScore                 = 2.2 // score from which on a replica may be made of donors' hosts alone
 	urgentScoreAtLowUtilization = 1.3 // the same while the utilization of all other models is low
 	lowUtilization              = 0.5 // utilization up to which it counts as low
 	gainRatio                   = 1.3 // how many times more the hosts that begin to serve have to be needed than those that stop
 )
 
+// donorsForAll returns how many of the smallest replicas of other models have as many
+// hosts as a replica of the model.
+func (pass *pass) donorsForAll(model site.Model) int {
+	smallest := 0
+	for _, other := range pass.Engine.Models {
+		if other.Name != model.Name && other.ReplicaSize > 0 && (smallest == 0 || other.ReplicaSize < smallest) {
+			smallest = other.ReplicaSize
+		}
+	}
+	if smallest == 0 {
+		return 0
+	}
+	return (model.ReplicaSize + smallest - 1) / smallest
+}
+
 // othersAtLowUtilization reports whether the utilization of all other models is
 // low.
 func othersAtLowUtilization(needs []need, to need) bool {
--- a/core/fleet/form.go
+++ b/core/fleet/form.go
@@ -95,19 +95,25 @@
 	}
 }
 
-// nearlyComplete reports whether the endpoints of a domain lack just one more
-// host, or two of eight, to form a replica that is wanted. They wait for that
-// host: as members of another model's replicas they would lose the weights of the
-// wanted one.
+// nearlyComplete reports whether the endpoints of a domain lack only a few hosts to
+// form a replica that is wanted. They wait for those hosts: as members of another
+// model's replicas they would lose the weights of the wanted one.
 func (pass *pass) nearlyComplete(needs []need, ids []string) bool {
 	for _, need := range needs {
-		if need.score() >= 1 && need.model.ReplicaSize > smallReplicaSize && pass.countPrepared(ids, need.model) >= need.model.ReplicaSize-max(1, need.model.ReplicaSize/hostsPerDonor) {
+		missing := pass.maxMissing(need.model)
+		if need.score() >= 1 && missing > 0 && pass.countPrepared(ids, need.model) >= need.model.ReplicaSize-missing {
 			return true
 		}
 	}
 	return false
 }
 
+// maxMissing returns how many hosts a new replica may lack for the others to wait
+// for them or for donors to end. It is 0 where the hosts that wait would be too few.
+func (pass *pass) maxMissing(model site.Model) int {
+	return int(float64(model.ReplicaSize) * pass.planner.policy.MissingFraction)
+}
+
 // formOne forms one replica of a model and reports whether it did. It needs enough
 // endpoints of one domain that are prepared for the model.
 func (pass *pass) formOne(model site.Model, domains map[string][]string) bool {
@@ -135,10 +141,6 @@
 	return true
 }
 
-// smallReplicaSize is the size up to which a replica counts as small: any two
-// hosts that are left over form one.
-const smallReplicaSize = 2
-
 // chooseMembers picks the endpoints that are ready soonest for a model. It returns
 // them with their cost, which is the readiness of the slowest one. It returns nil
 // if there are too few or if the cost exceeds the limit.
--- a/core/fleet/policy.go
+++ b/core/fleet/policy.go
@@ -22,6 +22,7 @@
 	LoadRateFraction    float64       // fraction of the weight store's rate that loads may use
 	SharePrior          time.Duration // the configured shares weigh as much as the demand of all hosts over this time
 	ConvertFraction     float64       // fraction of the endpoints that may be changing to another model at once
+	MissingFraction     float64       // fraction of a new replica's hosts that may be missing for the others to wait for them
 	ServingLoadFraction float64       // fraction of the concurrent weight loads that may go to hosts which serve
 }
 
@@ -32,6 +33,6 @@
 		StallTimeout: 6 * time.Second, StallMargin: 700 * time.Millisecond, MaxCommandDelay: 12500 * time.Millisecond, Debounce: 1300 * time.Millisecond,
 		AdoptionGrace: 3 * time.Second, MaxReportAge: time.Second, CommandRetry: 700 * time.Millisecond, RejectedRetry: 300 * time.Millisecond, StageRetry: 3 * time.Second, FormTimeout: 6 * time.Second,
 		RetireTimeout: 1500 * time.Millisecond, SpareFraction: 0.03, ConvertTimeout: 2500 * time.Millisecond, ConvertRatio: 1.15, HighUtilization: 0.75, LoadRateFraction: 0.8, SharePrior: 4 * time.Second,
-		ConvertFraction: 0.04, ServingLoadFraction: 0.6,
+		ConvertFraction: 0.04, MissingFraction: 1.0 / 3, ServingLoadFraction: 0.6,
 	}
 }
