Parts of a deployment that cannot be placed are logged once

Callers saw: nothing was said of a model larger than every domain, of a share of 0, of a service with one model, or of a domain with too few hosts.

Planner.Problems lists each of them once, with the reason, and io/edge logs it as event 421. Models that fit into no domain get no replicas and no weights; the others use all hosts. If no model fits, nothing changes.

One loop is added to planService in io/edge/placement.go.

--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -162,7 +162,7 @@
 // hosts as a replica of the model.
 func (pass *pass) donorsForAll(model site.Model) int {
 	smallest := 0
-	for _, other := range pass.Engine.Models {
+	for _, other := range pass.models {
 		if other.Name != model.Name && other.ReplicaSize > 0 && (smallest == 0 || other.ReplicaSize < smallest) {
 			smallest = other.ReplicaSize
 		}
--- a/core/fleet/initial.go
+++ b/core/fleet/initial.go
@@ -41,15 +41,15 @@
 // first. If none has a share, all shares count as equal.
 func (pass *pass) packableModels() []site.Model {
 	var models []site.Model
-	for _, model := range pass.Engine.Models {
+	for _, model := range pass.models {
 		if model.ReplicaSize > 0 && model.InitialShare > 0 {
 			models = append(models, model)
 		}
 	}
 	if len(models) == 0 {
-		for _, model := range pass.Engine.Models {
+		for _, model := range pass.models {
 			if model.ReplicaSize > 0 {
-				model.InitialShare = 1 / float64(len(pass.Engine.Models))
+				model.InitialShare = 1 / float64(len(pass.models))
 				models = append(models, model)
 			}
 		}
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -28,7 +28,7 @@
 func (pass *pass) needs() []need {
 	usable := float64(len(pass.Endpoints)) * (1 - pass.planner.policy.SpareFraction)
 	var needs []need
-	for _, model := range pass.Engine.Models {
+	for _, model := range pass.models {
 		share := shareOf(model, len(pass.Endpoints), pass.planner.policy.SharePrior, pass.Demand)
 		need := need{model: model, wanted: usable * share / float64(max(model.ReplicaSize, 1))}
 		inFlight := 0
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -46,6 +46,7 @@
 	loadStarts        []time.Time            // starts of recent weight loads
 	reservations      map[string]reservation // by domain
 	lastNewEndpointAt time.Time              // when an endpoint was last seen for the first time
+	listedProblems    map[Problem]bool       // problems that Problems has listed
 	unconfirmedUntil  time.Time              // by then, an unresponsive first host whose members the previous holder told to leave must have broken
 }
 
@@ -96,15 +97,28 @@
 	return &Planner{
 		policy: policy, service: service, replicas: map[string]*replica{}, ended: map[string]bool{},
 		unknownSince: map[string]time.Time{}, records: map[string]*record{}, reservations: map[string]reservation{},
+		listedProblems: map[Problem]bool{},
 	}
 }
 
 // pass is one planning pass.
 type pass struct {
 	Input
-	planner  *Planner
-	known    map[string]Endpoint // Input.Endpoints by ID
-	commands []Command           // to send
+	planner     *Planner
+	known       map[string]Endpoint // Input.Endpoints by ID
+	domainSizes map[string]int      // endpoints of each domain
+	models      []site.Model        // those that replicas are formed of
+	commands    []Command           // to send
+}
+
+// newPass returns a pass that has observed no endpoint yet.
+func newPass(planner *Planner, input Input) *pass {
+	pass := &pass{Input: input, planner: planner, known: map[string]Endpoint{}, domainSizes: map[string]int{}}
+	for _, endpoint := range input.Endpoints {
+		pass.domainSizes[endpoint.Domain]++
+	}
+	pass.models = pass.placeable()
+	return pass
 }
 
 // Plan runs one planning pass and returns the commands to send now. It first
@@ -120,7 +134,7 @@
 		planner.epochCount = 0
 		planner.unconfirmedUntil = input.Now.Add(planner.policy.StallTimeout + planner.policy.StallMargin)
 	}
-	pass := &pass{Input: input, planner: planner, known: map[string]Endpoint{}}
+	pass := newPass(planner, input)
 	for _, endpoint := range input.Endpoints {
 		pass.known[endpoint.ID] = endpoint
 		pass.observeEndpoint(endpoint)
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -133,7 +133,7 @@
 func (pass *pass) secondModelLoad(supply supply, id string, serves bool) weightLoad {
 	last := pass.planner.recordOf(id).lastModel
 	best := weightLoad{id: id, serves: serves}
-	for _, model := range pass.Engine.Models {
+	for _, model := range pass.models {
 		if last == "" || model.Name == last || pass.known[id].HasWeights(model.Name) {
 			continue
 		}
@@ -145,7 +145,7 @@
 			best.model, best.value = model, value
 		}
 	}
-	if len(pass.Engine.Models) > 2 && len(pass.known[id].Staged) > 0 && !pass.known[id].HasWeights(last) {
+	if len(pass.models) > 2 && len(pass.known[id].Staged) > 0 && !pass.known[id].HasWeights(last) {
 		return weightLoad{} // it has a second model already
 	}
 	return best
@@ -182,7 +182,7 @@
 func (pass *pass) supplyOf(ids []string, scores map[string]float64) supply {
 	supply := supply{prepared: map[string]int{}, hosts: map[string]int{}, donorHosts: map[string]int{}, scores: scores}
 	for _, id := range ids {
-		for _, model := range pass.Engine.Models {
+		for _, model := range pass.models {
 			if pass.readinessOf(id, model.Name) < readyCold {
 				supply.prepared[model.Name]++
 			}
@@ -195,7 +195,7 @@
 // or are loading them.
 func (pass *pass) countDonorHosts(supply supply, replica *replica) {
 	for _, id := range replica.members {
-		for _, model := range pass.Engine.Models {
+		for _, model := range pass.models {
 			if model.Name != replica.model.Name && pass.readinessOf(id, model.Name) < readyCold {
 				supply.donorHosts[model.Name]++
 			}
@@ -206,7 +206,7 @@
 // preparedFor returns the first model that an endpoint is prepared for or is
 // loading, or "" if there is none.
 func (pass *pass) preparedFor(id string) string {
-	for _, model := range pass.Engine.Models {
+	for _, model := range pass.models {
 		if pass.readinessOf(id, model.Name) < readyCold {
 			return model.Name
 		}
@@ -224,7 +224,7 @@
 	}
 	from := pass.preparedFor(id)
 	best := weightLoad{id: id}
-	for _, model := range pass.Engine.Models {
+	for _, model := range pass.models {
 		if model.Name == from || model.ReplicaSize == 0 {
 			continue
 		}
--- a/core/fleet/stats.go
+++ b/core/fleet/stats.go
@@ -17,7 +17,7 @@
 // Stats returns the counts after the last pass; input is that of the pass.
 func (planner *Planner) Stats(input Input) Stats {
 	stats := Stats{Endpoints: len(input.Endpoints), Serving: map[string]int{}, InTransition: map[string]int{}, Staged: map[string]int{}, Wanted: map[string]float64{}}
-	for _, need := range (&pass{Input: input, planner: planner}).needs() {
+	for _, need := range newPass(planner, input).needs() {
 		stats.Wanted[need.model.Name] = need.wanted
 	}
 	taken := map[string]bool{}
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -285,6 +285,9 @@
 	for _, command := range planner.Plan(input) {
 		control.sendCommand(name, command)
 	}
+	for _, problem := range planner.Problems(input) {
+		event.Log(control.log, event.PlacementProblem, zap.String("service", name), zap.String("model", problem.Model), zap.String("domain", problem.Domain), zap.String("reason", problem.Reason))
+	}
 	if now.Sub(control.storeRepliedAt) >= maxStoreReplyAge {
 		for _, id := range planner.InTransition() {
 			control.probe(id, now) // in a store outage no row shows their progress
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -58,6 +58,7 @@
 	PartTrial             = Event{418, "trial request with a blocked prompt part ended", zap.WarnLevel}
 	EndpointLimited       = Event{419, "endpoint limits the requests that it takes", zap.WarnLevel}
 	EndpointUnlimited     = Event{420, "endpoint takes any number of requests again", zap.InfoLevel}
+	PlacementProblem      = Event{421, "part of a deployment cannot be placed as configured", zap.WarnLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -85,7 +86,7 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial, EndpointLimited, EndpointUnlimited,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, PartBlocked, PartAllowed, PartTrial, EndpointLimited, EndpointUnlimited, PlacementProblem,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent,
 	}
