--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -19,8 +19,12 @@
 // more than the donors' models do, where that completes a replica of it. For
 // example, a replica of four broke and left three hosts, and its domain has no
 // spare. A replica of two there whose hosts have the weights of both models ends,
-// and one of its hosts completes the four.
+// and one of its hosts completes the four. Before the first request nothing is
+// converted: the replicas are those of the best packing.
 func (pass *pass) convert() {
+	if pass.NoRequestsYet {
+		return
+	}
 	for domain, reservation := range pass.planner.reservations {
 		if pass.Now.After(reservation.until) {
 			delete(pass.planner.reservations, domain)
@@ -111,50 +115,68 @@
 // domain has no such donors, if they are too many, or if ending them costs more
 // than the new replica gains.
 //
-// Normally some hosts of the domain have to be prepared and free already, and one
-// donor may end for every four hosts of the new replica. If the need is urgent,
-// the new replica may be made of donors' hosts alone.
+// Normally some hosts of the domain have to be prepared and free already, and of the
+// donors that their models cannot spare no more may end than the new replica may
+// lack hosts. If the need is urgent, the new replica may be made of donors' hosts
+// alone.
 //
 // A donor that its model cannot spare costs that model's score without the donor,
 // times the donor's hosts. The gain is the score of the new replica's model times
 // the prepared hosts.
 func (pass *pass) selectDonors(to need, needs []need, domain string, prepared int) []*replica {
 	lacking := to.model.ReplicaSize - prepared
-	maxDonors := max(1, to.model.ReplicaSize/hostsPerDonor)
+	maxDonors := max(1, pass.maxMissing(to.model))
 	urgent := to.score() >= urgentScore || to.score() >= urgentScoreAtLowUtilization && othersAtLowUtilization(needs, to)
 	if urgent {
-		maxDonors = to.model.ReplicaSize / smallReplicaSize
+		maxDonors = max(maxDonors, pass.donorsForAll(to.model))
 	}
 	if lacking <= 0 || prepared == 0 && !urgent {
 		return nil
 	}
 	var chosen []*replica
-	lostScore := 0.0
+	lostScore, notSpared := 0.0, 0
+	left := slices.Clone(needs)
 	for _, candidate := range pass.donors(needs, to, domain) {
 		if lacking <= 0 {
 			break
 		}
-		from := needOf(needs, candidate.model.Name)
+		from := needOf(left, candidate.model.Name)
+		countOneFewer(left, candidate.model.Name)
 		if !pass.canSpare(from, to) {
 			lostScore += from.scoreIfOneFewer() * float64(candidate.model.ReplicaSize)
+			notSpared++
 		}
 		chosen = append(chosen, candidate)
 		lacking -= pass.countPrepared(candidate.members, to.model)
 	}
-	if lacking > 0 || len(chosen) > maxDonors || lostScore*gainRatio > to.score()*float64(prepared) {
+	if lacking > 0 || notSpared > maxDonors || lostScore*gainRatio > to.score()*float64(prepared) {
 		return nil
 	}
 	return chosen
 }
 
 const (
-	hostsPerDonor               = 4   // hosts of a new replica for each donor that it may take, or each missing host that it may wait for
 	urgentScore                 = 2.2 // score from which on a replica may be made of donors' hosts alone
 	urgentScoreAtLowUtilization = 1.3 // the same while the utilization of all other models is low
 	lowUtilization              = 0.5 // utilization up to which it counts as low
 	gainRatio                   = 1.3 // how many times more the hosts that begin to serve have to be needed than those that stop
 )
 
+// donorsForAll returns how many of the smallest replicas of other models have as many
+// hosts as a replica of the model.
+func (pass *pass) donorsForAll(model site.Model) int {
+	smallest := 0
+	for _, other := range pass.models {
+		if other.Name != model.Name && other.ReplicaSize > 0 && (smallest == 0 || other.ReplicaSize < smallest) {
+			smallest = other.ReplicaSize
+		}
+	}
+	if smallest == 0 {
+		return 0
+	}
+	return (model.ReplicaSize + smallest - 1) / smallest
+}
+
 // othersAtLowUtilization reports whether the utilization of all other models is
 // low.
 func othersAtLowUtilization(needs []need, to need) bool {
