--- a/core/fleet/convert.go
+++ b/core/fleet/convert.go
@@ -115,10 +115,9 @@
 // domain has no such donors, if they are too many, or if ending them costs more
 // than the new replica gains.
 //
-// Normally some hosts of the domain have to be prepared and free already, and of the
-// donors that their models cannot spare no more may end than the new replica may
-// lack hosts. If the need is urgent, the new replica may be made of donors' hosts
-// alone.
+// Normally some hosts of the domain have to be prepared and free already, and no
+// more donors may end than the new replica may lack hosts. If the need is urgent,
+// the new replica may be made of donors' hosts alone.
 //
 // A donor that its model cannot spare costs that model's score without the donor,
 // times the donor's hosts. The gain is the score of the new replica's model times
@@ -134,22 +133,19 @@
 		return nil
 	}
 	var chosen []*replica
-	lostScore, notSpared := 0.0, 0
-	left := slices.Clone(needs)
+	lostScore := 0.0
 	for _, candidate := range pass.donors(needs, to, domain) {
 		if lacking <= 0 {
 			break
 		}
-		from := needOf(left, candidate.model.Name)
-		countOneFewer(left, candidate.model.Name)
+		from := needOf(needs, candidate.model.Name)
 		if !pass.canSpare(from, to) {
 			lostScore += from.scoreIfOneFewer() * float64(candidate.model.ReplicaSize)
-			notSpared++
 		}
 		chosen = append(chosen, candidate)
 		lacking -= pass.countPrepared(candidate.members, to.model)
 	}
-	if lacking > 0 || notSpared > maxDonors || lostScore*gainRatio > to.score()*float64(prepared) {
+	if lacking > 0 || len(chosen) > maxDonors || lostScore*gainRatio > to.score()*float64(prepared) {
 		return nil
 	}
 	return chosen
