Plain endpoints keep a place for health checks among their connections

Callers would have seen: requests that crash plain endpoints are recognized seconds late, since no crash of one is confirmed until its row goes.

The budget of connections kept a place for the node's own requests only at endpoints that take commands; health checks of plain endpoints, which are new, found "no room for a further connection".

Change: one place of each share is kept for the node's own requests, whatever the endpoint.

--- a/core/reach/share.go
+++ b/core/reach/share.go
@@ -9,25 +9,21 @@
 // Connections is how many connections a node may have in use to one endpoint.
 type Connections struct {
 	Requests int // for callers' requests
-	Own      int // for probes and commands
+	Own      int // for probes, health checks and commands
 }
 
 // ShareConnections divides among the nodes the connections that an endpoint accepts from
 // all of them. The shares are equal: one that followed the requests would have to be
 // taken back while its connections are in use, and the sum would pass what the endpoint
-// accepts until they are not. Endpoints that take commands need a place for them, so that
+// accepts until they are not. One place is kept for the node's own requests, so that
 // a probe finds one however many streams there are. accepted is 0 if it is not stated.
-func ShareConnections(accepted, nodes int, takesCommands bool) Connections {
+func ShareConnections(accepted, nodes int) Connections {
 	share := max(minConnections, accepted/max(1, nodes))
 	if accepted <= 0 {
 		share = unstatedConnections
 	}
-	switch {
-	case !takesCommands:
-		return Connections{Requests: share}
-	case share < reservedFromHere:
+	if share < reservedFromHere {
 		return Connections{Requests: share, Own: 1}
-	default:
-		return Connections{Requests: share - 1, Own: 1}
 	}
+	return Connections{Requests: share - 1, Own: 1}
 }
--- a/io/edge/connections.go
+++ b/io/edge/connections.go
@@ -130,7 +130,7 @@
 
 // connectionsTo returns how many connections this node may have in use to an endpoint.
 func (control *Control) connectionsTo(service *site.Service, endpoint fleet.Endpoint, nodes int) reach.Connections {
-	share := reach.ShareConnections(service.MaxConnections, nodes, service.Engine != nil)
+	share := reach.ShareConnections(service.MaxConnections, nodes)
 	if reduction, found := control.connections.reduced[endpoint.Address]; found {
 		share.Requests = min(share.Requests, max(1, reduction.open-share.Own))
 	}
