The soak's checker knows of a crash that no heartbeat shows

Another fault ended its process before it had started again, so no heartbeat with a later start came, by which the checker had known of crashes. The four cuts were one more than it tolerates without a fault. They are allowed: the runner itself ended.

Change: the crash counts as a fault of the runner from the moment in which the request begins to run. TestCheckerCrashWithoutRestart failed before; its second case shows that the same cuts without a crash stay a finding.

--- a/io/soak/busy.go
+++ b/io/soak/busy.go
@@ -78,6 +78,8 @@
 }
 
 // recordCrash records that a runner is about to crash, once for each of its incarnations.
+// The crash is a fault of the runner even if its process is ended before it has started
+// again, so that no heartbeat shows it.
 func (checker *checker) recordCrash(execution fakes.Execution) {
 	runner := checker.runners[execution.Runner]
 	if runner == nil || !runner.crashedAt.IsZero() {
@@ -85,4 +87,5 @@
 	}
 	runner.crashedAt = checker.now()
 	checker.crashes = append(checker.crashes, runner.crashedAt)
+	checker.timeline.addFault(runnerComponent(execution.Runner), runner.crashedAt, runner.crashedAt.Add(crashDowntime))
 }
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -378,6 +378,30 @@
 	}
 }
 
+// TestCheckerCrashWithoutRestart guards against a checker that reports answers that a
+// crash has cut off, if the runner's process was ended before it started again; without a
+// crash they are findings.
+func TestCheckerCrashWithoutRestart(t *testing.T) {
+	for _, test := range []struct {
+		part       string
+		invariants []string
+	}{{crashPart, nil}, {"sound", []string{InvariantNoLostAnswers}}} {
+		expectFindings(t, func(harness *harness) {
+			harness.heartbeat("r", "g", "open", 1, "r")
+			for i := range toleratedViolations + 1 {
+				harness.send(fmt.Sprint("a", i), kindStream)
+				harness.execute(fmt.Sprint("a", i), "r")
+			}
+			harness.requestSent(fakes.Request{Method: "POST", Path: "/p/x", ID: "c", Key: firstKey, Body: []byte("{}"), Parts: test.part + ":60"}, kindStream, 0)
+			harness.execute("c", "r")
+			harness.advance(50 * time.Millisecond)
+			for i := range toleratedViolations + 1 {
+				harness.answerReceived(fmt.Sprint("a", i), fakes.Answer{Err: errors.New("reset")})
+			}
+		}, test.invariants...)
+	}
+}
+
 // TestCheckerBusyRunners guards against a checker that misses requests for a runner that
 // has asked for none, or on which runners crash.
 func TestCheckerBusyRunners(t *testing.T) {
