The strongest hosts lead zones and place replicas

Cause, in part: the lease went to whichever node drew the shortest delay, and leadership of a zone to a hash of names. A leader answers 38 nodes, and the holder plans for 760 endpoints, on a fifth of a core. Change: the capacity of the processor is a setting, which a node tells in its row. A zone's strongest node leads it. Where nodes form no mesh, weak hosts acquire a free lease up to 0.6 s later than others.

--- a/core/topo/assign.go
+++ b/core/topo/assign.go
@@ -15,8 +15,9 @@
 type Node struct {
 	Name         string
 	Zone         string
-	Unresponsive bool // it has not replied recently
-	WithoutStore bool // the store does not answer it, but does answer other nodes
+	Unresponsive bool    // it has not replied recently
+	WithoutStore bool    // the store does not answer it, but does answer other nodes
+	Capacity     float64 // of its processor, as a multiple of one core; 0 if not stated
 }
 
 // passedOver reports whether a node should not lead its zone now.
@@ -24,12 +25,13 @@
 
 // Role is a node's part in the exchange of digests.
 type Role struct {
-	Mesh     bool     // every node exchanges digests with every other
-	IsLeader bool     // it reads the platform's tables and aggregates the digests for its zone
-	Leader   string   // leader of its zone
-	Leaders  []string // leaders of all zones
-	Peers    []string // nodes with which it starts an exchange in each round
-	ZoneSize int      // number of nodes of its zone, itself included
+	Mesh     bool              // every node exchanges digests with every other
+	IsLeader bool              // it reads the platform's tables and aggregates the digests for its zone
+	Leader   string            // leader of its zone
+	Leaders  []string          // leaders of all zones
+	ByZone   map[string]string // the same by zone
+	Peers    []string          // nodes with which it starts an exchange in each round
+	ZoneSize int               // number of nodes of its zone, itself included
 }
 
 // Assign returns the role of the node self. The leader of a zone is its first
@@ -45,8 +47,12 @@
 func Assign(self Node, others []Node) Role {
 	role := Role{Mesh: len(others) < MaxMeshNodes, ZoneSize: 1}
 	leaders := leadersOf(self, others)
-	role.Leader = leaders[self.Zone]
-	role.Leaders = slices.Sorted(maps.Values(leaders))
+	role.Leader = leaders[self.Zone].Name
+	role.ByZone = map[string]string{}
+	for zone, leader := range leaders {
+		role.ByZone[zone] = leader.Name
+	}
+	role.Leaders = slices.Sorted(maps.Values(role.ByZone))
 	role.IsLeader = role.Leader == self.Name
 	for _, other := range others {
 		if other.Zone == self.Zone {
@@ -64,7 +70,7 @@
 // A node that is unresponsive starts none itself, so others try to reach it in
 // order to notice its return. Those that it would exchange with as a leader also
 // ask one that is without the store, in order to notice when it may lead again.
-func startsExchange(role Role, self, other Node, leaders map[string]string) bool {
+func startsExchange(role Role, self, other Node, leaders map[string]Node) bool {
 	switch {
 	case role.Mesh:
 		return self.Name < other.Name || other.Unresponsive
@@ -73,16 +79,16 @@
 		if !found {
 			return true // no node of that zone is responsive
 		}
-		return leader == other.Name && self.Name < other.Name || other.passedOver() && precedes(other, Node{Name: leader})
+		return leader.Name == other.Name && self.Name < other.Name || other.passedOver() && precedes(other, leader)
 	case role.IsLeader:
 		return other.passedOver() && precedes(other, self) // it should lead once it is back
 	default:
-		return other.Zone == self.Zone && (leaders[self.Zone] == other.Name || other.passedOver() && precedes(other, self))
+		return other.Zone == self.Zone && (leaders[self.Zone].Name == other.Name || other.passedOver() && precedes(other, self))
 	}
 }
 
-// leadersOf returns the name of the leader of each zone.
-func leadersOf(self Node, others []Node) map[string]string {
+// leadersOf returns the leader of each zone.
+func leadersOf(self Node, others []Node) map[string]Node {
 	leaders := map[string]Node{self.Zone: self}
 	for _, other := range others {
 		leader, found := leaders[other.Zone]
@@ -90,11 +96,7 @@
 			leaders[other.Zone] = other
 		}
 	}
-	names := map[string]string{}
-	for zone, node := range leaders {
-		names[zone] = node.Name
-	}
-	return names
+	return leaders
 }
 
 // leadsBefore reports whether a leads rather than b, if both are responsive.
@@ -105,9 +107,12 @@
 	return precedes(a, b)
 }
 
-// precedes orders the nodes of a zone by a hash of their names, so that the
-// choice of the leader is unrelated to its host.
+// precedes orders the nodes of a zone: those with the strongest processor first, since
+// a leader answers all nodes of its zone, and equal ones by a hash of their names.
 func precedes(a, b Node) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
+	}
 	hashA, hashB := xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)
 	if hashA != hashB {
 		return hashA < hashB
--- a/core/topo/assign_test.go
+++ b/core/topo/assign_test.go
@@ -136,3 +136,31 @@
 		assert.Equal(t, leaders, 2)
 	}
 }
+
+// TestWeakNodeLeads guards against a zone whose leader, which answers all of its nodes, has
+// a fifth of a core although there are nodes with more.
+func TestWeakNodeLeads(t *testing.T) {
+	all := nodes(2, 30)
+	strong := map[string]bool{}
+	for i := range all {
+		all[i].Capacity = 0.2
+		if i%10 == 3 {
+			all[i].Capacity = 0.8
+			strong[all[i].Name] = true
+		}
+	}
+	for name, role := range rolesOf(all) {
+		assert.Assert(t, strong[role.Leader], "%s follows %s", name, role.Leader)
+		assert.Equal(t, len(role.Leaders), 2)
+		assert.Equal(t, role.ByZone["zone-"+name[5:6]], role.Leader)
+	}
+	for i := range all {
+		all[i].Unresponsive = strong[all[i].Name]
+	}
+	for _, node := range all {
+		if !strong[node.Name] {
+			assert.Assert(t, !strong[rolesOf(all)[node.Name].Leader])
+			break
+		}
+	}
+}
--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -12,8 +12,9 @@
 
 // nodeRow is the body of a node's row in the store.
 type nodeRow struct {
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
+	Address   string  `json:"address"`
+	Zone      string  `json:"zone"`
+	Processor float64 `json:"processor,omitempty"` // Settings.Processor
 }
 
 // handleNodes applies rows of the nodes table.
@@ -55,7 +56,12 @@
 	var wire nodeRow
 	decoded, err := control.store.DecodeRow(tableNames[tableNodes], row)
 	return row.Version.Era() < peers.version.Era() || err != nil || json.Unmarshal(decoded.Body, &wire) != nil ||
-		wire != nodeRow{Address: control.settings.PeersAddress, Zone: control.settings.Zone}
+		wire != control.ownNodeRow()
+}
+
+// ownNodeRow returns the body of this node's row.
+func (control *Control) ownNodeRow() nodeRow {
+	return nodeRow{Address: control.settings.PeersAddress, Zone: control.settings.Zone, Processor: control.settings.Processor}
 }
 
 // updatePeer adds, replaces or removes a peer by its row.
@@ -70,10 +76,10 @@
 		control.snapshotStale = true
 		return
 	}
-	if known := peers.nodes[name]; known != nil && known.address == wire.Address && known.zone == wire.Zone {
+	if known := peers.nodes[name]; known != nil && known.address == wire.Address && known.zone == wire.Zone && known.processor == wire.Processor {
 		return
 	}
-	peers.nodes[name] = &peer{zone: wire.Zone, address: wire.Address, client: gossip.NewClient(peers.http, wire.Address, peers.key)}
+	peers.nodes[name] = &peer{zone: wire.Zone, address: wire.Address, processor: wire.Processor, client: gossip.NewClient(peers.http, wire.Address, peers.key)}
 	control.snapshotStale = true
 }
 
@@ -85,7 +91,7 @@
 		return
 	}
 	key := rows.Key{Partition: tableNames[tableNodes], Sort: peers.self}
-	body, err := json.Marshal(nodeRow{Address: control.settings.PeersAddress, Zone: control.settings.Zone})
+	body, err := json.Marshal(control.ownNodeRow())
 	if err != nil {
 		event.Log(control.log, event.RowUnreadable, zap.Error(err))
 		return
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -52,6 +52,7 @@
 type peer struct {
 	zone               string
 	address            string
+	processor          float64 // Settings.Processor
 	client             *gossip.Client
 	digest             gossip.Digest
 	digestReceivedAt   time.Time
@@ -116,11 +117,11 @@
 	storeAnswers := control.storeAnswersANode(now)
 	for name, peer := range peers.nodes {
 		others = append(others, topo.Node{
-			Name: name, Zone: peer.zone, Unresponsive: peer.lastExchangeFailed || peer.unresponsive(now, peers),
+			Name: name, Zone: peer.zone, Capacity: peer.processor, Unresponsive: peer.lastExchangeFailed || peer.unresponsive(now, peers),
 			WithoutStore: storeAnswers && peer.digest.StoreUnreachable,
 		})
 	}
-	self := topo.Node{Name: peers.self, Zone: control.settings.Zone, WithoutStore: storeAnswers && control.storeUnreachable.Load()}
+	self := topo.Node{Name: peers.self, Zone: control.settings.Zone, Capacity: control.settings.Processor, WithoutStore: storeAnswers && control.storeUnreachable.Load()}
 	peers.role = topo.Assign(self, others)
 	control.isLeader.Store(peers.role.IsLeader)
 	control.inMesh.Store(peers.role.Mesh)
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -22,6 +22,8 @@
 	acquireJitter    = 200 * time.Millisecond // spreads the nodes, so that they do not all acquire a free lease at once
 	initialWindow    = 30 * time.Second       // after the first start, in which weight loading is not rate-limited until a request arrives
 	statsLogInterval = time.Second            // between two log lines of placement statistics
+
+	weakHostDelay = 600 * time.Millisecond // how much later than a host with a whole core one with nearly none acquires a free lease
 )
 
 // leasePolicy returns lease times with which another node acquires the lease
@@ -61,6 +63,15 @@
 	}
 }
 
+// weaknessDelay returns how much later than others a host acquires a free lease, by the
+// capacity of its processor: planning takes more of it than anything else does.
+func weaknessDelay(processor float64) time.Duration {
+	if processor <= 0 {
+		return 0
+	}
+	return time.Duration((1 - min(1, processor)) * float64(weakHostDelay))
+}
+
 // updateRow applies a row of the lease's table unless it is older than the known
 // one: a poll may still deliver a row that this node has already replaced.
 func (placement *placement) updateRow(row rows.Row) {
@@ -253,7 +264,11 @@
 	if !placement.active && now.Before(placement.holderReport.ReceivedAt.Add(digestTTL)) {
 		return // another node places, with the lease or, in a store outage, without it
 	}
-	action := placement.claim.Next(now, placement.acquireDelay, uuid.NewString())
+	delay := placement.acquireDelay
+	if !control.peers.role.Mesh {
+		delay += weaknessDelay(control.settings.Processor)
+	}
+	action := placement.claim.Next(now, delay, uuid.NewString())
 	txn := txnOf(action)
 	if len(txn.Ops) == 0 {
 		return
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -21,6 +21,7 @@
 	Seeds             []string      `json:"seeds"`       // addresses of some hosts that run nodes; their port is ignored
 	FirstStart        bool          `json:"first-start"` // all nodes start for the first time, and no replica has been placed before
 	MemoryMB          int           `json:"memory-mb"`
+	Processor         float64       `json:"processor"`          // capacity of the host's processor, as a multiple of one core; 0 if not known
 	Grace             time.Duration `json:"grace"`              // from SIGTERM until the platform kills the process
 	DrainDelay        time.Duration `json:"notice"`             // for the load balancer to see two failed readiness checks; part of the grace
 	EndpointHeartbeat time.Duration `json:"endpoint-heartbeat"` // interval at which endpoints renew their rows
@@ -94,5 +95,8 @@
 	if settings.MemoryMB < 32 {
 		doc.AddFault("memory-mb", "at least 32", "less")
 	}
+	if settings.Processor < 0 {
+		doc.AddFault("processor", "0 or more", "less")
+	}
 	return settings, doc.Err()
 }
