A late node does not take endpoints for silent

The new holder took 205 sound endpoints for unresponsive within two seconds and ended their replicas (210 leave commands). Cause: it asked 725 endpoints for their command counts at once, read the answers after the 200 ms that a probe may take, and took its own lateness for their silence. Nothing compared when an answer was read with when it could have been. Change: core/delay tracks how late a node runs its periodic work. A missing answer counts only if the node was on time meanwhile; else the endpoint is asked again with twice the time, three times at most. A holder asks for 24 command counts at a time, idle endpoints first. Where nodes form no mesh, a holder that is late again and again for two seconds releases the lease.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"hickorybend/core/crash"
+	"hickorybend/core/delay"
 	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/rows"
@@ -21,6 +22,7 @@
 
 const (
 	tickInterval      = 100 * time.Millisecond // between two runs of the periodic work
+	tickTolerance     = 60 * time.Millisecond  // how late the periodic work may be until the node counts as late
 	maxQueuedMessages = 1024                   // capacity of the message queue
 )
 
@@ -66,6 +68,7 @@
 	storeRepliedAt   time.Time      // when the store last answered
 	bootClockOffset  func(monotonic time.Duration) (time.Duration, error)
 	lastClockOffset  time.Duration // bootClockOffset at the last tick
+	lateness         *delay.Tracker
 	draining         bool
 	snapshotStale    bool // the snapshot must be rebuilt
 }
@@ -78,7 +81,7 @@
 		settings: settings, store: store, engineClient: engineclient, log: log, meter: meter,
 		hadRequests: func() bool { return false }, localDemand: func() map[string]time.Duration { return nil }, reportLost: func([]string) {}, reportFound: func([]string) {}, lastAnswer: func(crash.Input) time.Time { return time.Time{} },
 		localRequests: func() map[string]int64 { return nil }, setBudgets: func(map[string]pool.Budget) {},
-		messages: make(chan message, maxQueuedMessages), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
+		messages: make(chan message, maxQueuedMessages), lateness: delay.NewTracker(delay.Policy{Interval: tickInterval, Tolerance: tickTolerance}), loggedServing: map[string]int{}, bootClockOffset: bootClockOffset,
 	}
 	control.copies = newCopies(settings)
 	control.endpoints = newEndpoints()
@@ -269,6 +272,7 @@
 // whose results it plans from.
 func (control *Control) tick(now time.Time) {
 	control.checkSuspension(now)
+	control.lateness.Tick(now)
 	control.checkEndpointDeadlines(now)
 	control.judgeCrashes(now)
 	control.exchangeDigests(now)
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -33,6 +33,7 @@
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
 	leaving          map[string]time.Time      // endpoints that have said in an answer that they leave, and the starts of those incarnations
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
+	lateProbes       map[string]int            // probes in a row that failed while this node was late
 	pausingUntil     map[string]time.Time      // those of them that accept connections, and until when they may only be pausing
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
 	updatedAt        map[string]time.Time      // when a row was last applied, or the endpoint left its replica
@@ -45,7 +46,7 @@
 	return endpoints{
 		removals: map[string]rows.Version{}, removed: map[string]fleet.Endpoint{},
 		byID: map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
-		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, pausingUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
+		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, lateProbes: map[string]int{}, pausingUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
 
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -23,7 +23,10 @@
 	initialWindow    = 30 * time.Second       // after the first start, in which weight loading is not rate-limited until a request arrives
 	statsLogInterval = time.Second            // between two log lines of placement statistics
 
-	weakHostDelay = 600 * time.Millisecond // how much later than a host with a whole core one with nearly none acquires a free lease
+	maxPendingCountProbes = 24                     // pending probes from which on no command count is asked for
+	weakHostDelay         = 600 * time.Millisecond // how much later than a host with a whole core one with nearly none acquires a free lease
+	maxLateness           = 2 * time.Second        // for this long a holder may be late again and again before it releases the lease
+	lateHolderPause       = 10 * time.Second       // after that, before it acquires the lease again
 )
 
 // leasePolicy returns lease times with which another node acquires the lease
@@ -166,6 +169,7 @@
 // services if this node places.
 func (control *Control) runPlacement(now time.Time) {
 	placement := &control.placement
+	control.releaseIfLate(now)
 	control.claimLease(now)
 	fence, active := placement.claim.Held(now)
 	placement.isLatestHolder = placement.isLatestHolder || active
@@ -279,6 +283,33 @@
 	}()
 }
 
+// releaseIfLate releases the lease if this node has been late again and again: a holder
+// that lags plans from what was true a while ago. Where there are few nodes, they are as
+// slow as this one.
+func (control *Control) releaseIfLate(now time.Time) {
+	placement := &control.placement
+	if placement.claimPending || control.peers.role.Mesh || control.lateness.LateFor(now) < maxLateness {
+		return
+	}
+	txn, held := placement.claim.Release(now, uuid.NewString())
+	if !held {
+		return
+	}
+	placement.nextClaimAt = now.Add(lateHolderPause)
+	event.Log(control.log, event.LeaseReleased, zap.String("outcome", "this node is late"), zap.Duration("late-for", control.lateness.LateFor(now)))
+	go func() {
+		if outcome := control.store.Commit(control.ctx, txn); !committed(outcome) {
+			event.Log(control.log, event.LeaseReleased, zap.String("outcome", describeOutcome(outcome)))
+		}
+	}()
+}
+
+// committed reports whether a transaction took effect.
+func committed(outcome rows.Outcome) bool {
+	_, done := outcome.(rows.Committed)
+	return done
+}
+
 // planService runs a planning pass for a service and sends its commands.
 func (control *Control) planService(name string, now time.Time) {
 	placement := &control.placement
@@ -331,10 +362,23 @@
 		case noRequestsYet && endpoint.Membership.Replica == "":
 			endpoints[i].CommandCountKnown = true // all nodes have just started, and none has sent a command
 			control.endpoints.byID[endpoint.ID] = endpoints[i]
-		default:
-			control.probe(endpoint.ID, now)
+		case endpoint.Membership.Replica == "":
+			control.probeCount(endpoint.ID, now)
 		}
 	}
+	for _, endpoint := range endpoints {
+		if !endpoint.CommandCountKnown {
+			control.probeCount(endpoint.ID, now) // those of members are needed only once their replicas end
+		}
+	}
+}
+
+// probeCount probes an endpoint for its command count. A new holder knows none, so it asks
+// a few endpoints at a time, and its processor keeps up with the answers.
+func (control *Control) probeCount(id string, now time.Time) {
+	if len(control.endpoints.probing) < maxPendingCountProbes {
+		control.probe(id, now)
+	}
 }
 
 // noRequestsYet reports whether all nodes have just started for the first time and
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -15,6 +15,7 @@
 const (
 	probeTimeout             = 200 * time.Millisecond // for an endpoint's report, which takes up no request slot
 	probeAttempts            = 2
+	maxLateProbes            = 3                       // in a row, each with twice the time of the one before
 	probeInterval            = 350 * time.Millisecond  // minimum time between two probes of one endpoint
 	reprobeInterval          = time.Second             // between two probes of an unresponsive endpoint
 	pauseTolerance           = 1500 * time.Millisecond // after the first unanswered probe; sound endpoints pause for a second or two
@@ -55,16 +56,17 @@
 	}
 	endpoints.probing[id] = true
 	endpoints.probedAt[id] = now
-	go func() { control.enqueue(control.requestReport(endpoint, now)) }()
+	timeout := probeTimeout << endpoints.lateProbes[id]
+	go func() { control.enqueue(control.requestReport(endpoint, timeout, now)) }()
 }
 
 // requestReport asks an endpoint for its report, up to probeAttempts times, the last
 // time over a new connection. A process that stands still accepts one; a host that is
 // down or cut off does not.
-func (control *Control) requestReport(endpoint fleet.Endpoint, now time.Time) probeResult {
+func (control *Control) requestReport(endpoint fleet.Endpoint, timeout time.Duration, now time.Time) probeResult {
 	result := probeResult{id: endpoint.ID, sentAt: now}
 	for i := range probeAttempts {
-		report, err := control.engineClient.Report(control.ctx, endpoint, probeTimeout, i == probeAttempts-1)
+		report, err := control.engineClient.Report(control.ctx, endpoint, timeout, i == probeAttempts-1)
 		if err == nil {
 			result.alive, result.report = true, report
 			return result
@@ -89,6 +91,7 @@
 	wasUnresponsive := endpoints.isUnresponsive(result.id)
 	if result.alive {
 		control.crashes.answeredAt[result.id] = result.sentAt
+		delete(endpoints.lateProbes, result.id)
 		endpoints.forgetUnresponsive(result.id)
 		control.handleReport(result)
 		control.snapshotStale = control.snapshotStale || wasUnresponsive
@@ -97,6 +100,9 @@
 		}
 		return
 	}
+	if !wasUnresponsive && control.repeatLateProbe(result, now) {
+		return
+	}
 	switch {
 	case !result.connected:
 		delete(endpoints.pausingUntil, result.id)
@@ -115,6 +121,21 @@
 	}
 }
 
+// repeatLateProbe probes an endpoint again, with more time, if it did not answer while this
+// node itself was late: the answer may have arrived, and waited here to be read. It
+// returns false if the missing answer stands.
+func (control *Control) repeatLateProbe(result probeResult, now time.Time) bool {
+	endpoints := &control.endpoints
+	if endpoints.lateProbes[result.id] >= maxLateProbes || !control.lateness.LateSince(result.sentAt, now) {
+		delete(endpoints.lateProbes, result.id)
+		return false
+	}
+	endpoints.lateProbes[result.id]++
+	delete(endpoints.probedAt, result.id)
+	control.probe(result.id, now)
+	return true
+}
+
 // allRespond reports whether no member of a replica is known as unresponsive.
 func (control *Control) allRespond(replica string) bool {
 	for id := range control.endpoints.unresponsive {
@@ -129,6 +150,7 @@
 func (endpoints *endpoints) forgetUnresponsive(id string) {
 	delete(endpoints.unresponsive, id)
 	delete(endpoints.pausingUntil, id)
+	delete(endpoints.lateProbes, id)
 }
 
 // reprobeDelay returns the time between two probes of an unresponsive endpoint. The
