One node watches an endpoint for all others

Cause: each of 195 nodes probed, each 0.7 s and twice, each endpoint that any node found silent. Change: above 12 nodes the leader of an endpoint's zone watches it for all. It lists the lost ones in its digest, and the others take its word. A node whose request gets no answer probes the first host and names the other members to the leader. The node that places replicas sees for itself before it ends one.

--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -33,6 +33,8 @@
 	missingUntil     map[string]time.Time      // endpoints whose rows are missing after a store outage, and until when to wait for the rows
 	leaving          map[string]time.Time      // endpoints that have said in an answer that they leave, and the starts of those incarnations
 	unresponsive     map[string]time.Time      // endpoints that do not answer probes, and when to probe them next
+	lostElsewhere    map[string]time.Time      // those of them that the node which watches them has reported, and when it last did
+	suspectedUntil   map[string]time.Time      // endpoints that the node which watches them should probe, and until when this node says so
 	lateProbes       map[string]int            // probes in a row that failed while this node was late
 	pausingUntil     map[string]time.Time      // those of them that accept connections, and until when they may only be pausing
 	reportedAt       map[string]time.Time      // when the probe was sent whose report was last applied
@@ -46,7 +48,7 @@
 	return endpoints{
 		removals: map[string]rows.Version{}, removed: map[string]fleet.Endpoint{},
 		byID: map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
-		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, lateProbes: map[string]int{}, pausingUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
+		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, lostElsewhere: map[string]time.Time{}, suspectedUntil: map[string]time.Time{}, lateProbes: map[string]int{}, pausingUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, loads: map[string]*reach.Load{},
 	}
 }
 
@@ -186,7 +188,7 @@
 	endpoints.byID[entry.Key] = endpoint
 	endpoints.updatedAt[entry.Key] = now
 	endpoints.forgetEarlierIncarnation(endpoint)
-	if endpoints.isUnresponsive(entry.Key) {
+	if _, elsewhere := endpoints.lostElsewhere[entry.Key]; endpoints.isUnresponsive(entry.Key) && !elsewhere {
 		control.probe(entry.Key, now) // the new row shows that the endpoint still writes to the store
 	}
 	if !found || endpoint.Draining != previous.Draining || endpoint.Membership != previous.Membership {
@@ -262,6 +264,7 @@
 			control.forgetEndpoint(id, endpoints.removals[id], fromGrace, now)
 		}
 	}
+	control.expireLost(now)
 	for id, nextProbeAt := range endpoints.unresponsive {
 		if now.After(nextProbeAt) {
 			endpoints.unresponsive[id] = now.Add(control.reprobeDelay(id, now))
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -215,9 +214,7 @@
 	for model, total := range control.localDemand() {
 		digest.Demand[model] = int64(total)
 	}
-	for id := range control.endpoints.unresponsive {
-		digest.Unresponsive = append(digest.Unresponsive, id)
-	}
+	digest.Unresponsive, digest.Lost = control.unresponsiveLists(time.Now())
 	digest.Leaving = control.endpoints.leavingList()
 	digest.Crashes = control.crashDigest(time.Now())
 	digest.Limits, digest.Requests = control.limitDigest(), control.localRequests()
@@ -302,30 +299,10 @@
 	control.learnCrashes(digest.Crashes)
 	control.learnLimits(digest.Limits, now)
 	control.reconcileUnresponsive(digest, now)
+	control.learnLost(digest, now)
 	control.placement.updateHolderReport(digest, now)
 }
 
-// reconcileUnresponsive probes endpoints on which this node and another one
-// differ: those that are unresponsive only to the other node, and those that this
-// zone's leader has stopped reporting as unresponsive.
-func (control *Control) reconcileUnresponsive(digest gossip.Digest, now time.Time) {
-	endpoints, peers := &control.endpoints, control.peers
-	for _, id := range digest.Unresponsive {
-		if !endpoints.isUnresponsive(id) && now.After(endpoints.probedAt[id].Add(hintProbeInterval)) {
-			control.probe(id, now)
-		}
-	}
-	if digest.Node != peers.role.Leader {
-		return
-	}
-	for _, id := range peers.leaderUnresponsive {
-		if endpoints.isUnresponsive(id) && !slices.Contains(digest.Unresponsive, id) {
-			control.probe(id, now)
-		}
-	}
-	peers.leaderUnresponsive = digest.Unresponsive
-}
-
 // updatePeerLoads adds up the other nodes' requests in flight and pending tokens at
 // each endpoint.
 func (control *Control) updatePeerLoads(now time.Time) {
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -17,6 +17,7 @@
 	probeAttempts            = 2
 	maxLateProbes            = 3                       // in a row, each with twice the time of the one before
 	probeInterval            = 350 * time.Millisecond  // minimum time between two probes of one endpoint
+	unwatchedProbeInterval   = time.Second             // the same for an endpoint that another node watches
 	reprobeInterval          = time.Second             // between two probes of an unresponsive endpoint
 	pauseTolerance           = 1500 * time.Millisecond // after the first unanswered probe; sound endpoints pause for a second or two
 	pauseProbeInterval       = 450 * time.Millisecond  // between two probes of an endpoint that may only be pausing
@@ -25,19 +26,21 @@
 	reportLag                = 500 * time.Millisecond  // how old the contents of a report may be
 )
 
-// probeReplica probes an endpoint and all members of its replica.
+// probeReplica probes an endpoint and all members of its replica. Those that another node
+// watches are left to that node, except the endpoint itself.
 func (control *Control) probeReplica(id string, now time.Time) {
 	suspect, found := control.endpoints.byID[id]
 	if !found {
 		return
 	}
+	control.suspectEndpoint(suspect, now)
 	control.probe(id, now)
 	if suspect.Membership.Replica == "" {
 		return
 	}
 	for other, endpoint := range control.endpoints.byID {
 		if other != id && endpoint.Membership.Replica == suspect.Membership.Replica {
-			control.probe(other, now)
+			control.suspectEndpoint(endpoint, now)
 		}
 	}
 }
@@ -48,7 +51,11 @@
 func (control *Control) probe(id string, now time.Time) {
 	endpoints := &control.endpoints
 	endpoint, found := endpoints.byID[id]
-	if !found || endpoints.probing[id] || now.Before(endpoints.probedAt[id].Add(probeInterval)) {
+	interval := probeInterval
+	if found && !control.watches(endpoint, now) {
+		interval = unwatchedProbeInterval
+	}
+	if !found || endpoints.probing[id] || now.Before(endpoints.probedAt[id].Add(interval)) {
 		return
 	}
 	if service, found := control.service(endpoint.Service); found && service.Engine == nil {
@@ -150,6 +157,7 @@
 func (endpoints *endpoints) forgetUnresponsive(id string) {
 	delete(endpoints.unresponsive, id)
 	delete(endpoints.pausingUntil, id)
+	delete(endpoints.lostElsewhere, id)
 	delete(endpoints.lateProbes, id)
 }
 
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -7,7 +7,7 @@
 )
 
 // Copy returns a copy whose maps, which are not nil, and lists Unresponsive,
-// Leaving, Crashes and Limits are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
+// Lost, Leaving, Crashes and Limits are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
 func (digest Digest) Copy() Digest {
 	digest.InFlight = cloneCounts(digest.InFlight)
 	digest.PendingTokens = cloneCounts(digest.PendingTokens)
@@ -15,7 +15,7 @@
 	if digest.Demand == nil {
 		digest.Demand = map[string]int64{}
 	}
-	digest.Unresponsive, digest.Leaving = slices.Clone(digest.Unresponsive), slices.Clone(digest.Leaving)
+	digest.Unresponsive, digest.Lost, digest.Leaving = slices.Clone(digest.Unresponsive), slices.Clone(digest.Lost), slices.Clone(digest.Leaving)
 	digest.Crashes, digest.Limits = digest.Crashes.copy(), slices.Clone(digest.Limits)
 	digest.Requests = maps.Clone(digest.Requests)
 	if digest.Requests == nil {
@@ -44,11 +44,8 @@
 	for model, hostTime := range other.Demand {
 		digest.Demand[model] += hostTime
 	}
-	for _, id := range other.Unresponsive {
-		if !slices.Contains(digest.Unresponsive, id) {
-			digest.Unresponsive = append(digest.Unresponsive, id)
-		}
-	}
+	digest.Unresponsive = addIDs(digest.Unresponsive, other.Unresponsive)
+	digest.Lost = addIDs(digest.Lost, other.Lost)
 	for _, leaving := range other.Leaving {
 		if !slices.Contains(digest.Leaving, leaving) {
 			digest.Leaving = append(digest.Leaving, leaving)
@@ -65,6 +62,16 @@
 	}
 }
 
+// addIDs adds the IDs that a list lacks.
+func addIDs(ids, others []string) []string {
+	for _, id := range others {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // NewerThan reports whether the digest's placement state is newer than one with the
 // given fencing number and plan count.
 func (digest Digest) NewerThan(fence, planCount int64) bool {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -33,7 +33,8 @@
 	InFlight         map[string]int   `cbor:"3,keyasint,omitempty"`  // requests by endpoint
 	PendingTokens    map[string]int   `cbor:"7,keyasint,omitempty"`  // tokens of prompts whose answer has not begun, by endpoint
 	Demand           map[string]int64 `cbor:"8,keyasint,omitempty"`  // nanoseconds of estimated host time by model since the start
-	Unresponsive     []string         `cbor:"4,keyasint,omitempty"`  // endpoints that do not answer this node
+	Unresponsive     []string         `cbor:"4,keyasint,omitempty"`  // endpoints that do not answer this node, or may not
+	Lost             []string         `cbor:"23,keyasint,omitempty"` // endpoints that the node watches for the others, and that do not answer it
 	Leaving          []Leaving        `cbor:"19,keyasint,omitempty"` // endpoints that have said in an answer that they leave
 	HadRequests      bool             `cbor:"5,keyasint,omitempty"`  // a request has arrived since the start, at this node or at one whose digest it has
 	StoreUnreachable bool             `cbor:"10,keyasint,omitempty"` // the platform's store does not answer this node
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -149,5 +149,14 @@
 break_one "a subset with one node too many" core/subset/subset.go 'before >= users' 'before > users' ./core/subset TestSubsets
 break_one "a subset without regard to zones" core/subset/subset.go 'ranked.node.SameZone != other.node.SameZone' 'false' ./core/subset TestSubsets
 break_one "budgets that are computed for each row of an endpoint" io/edge/connections.go 'now.Before(connections.nextUpdateAt)' 'false' ./io/edge TestBudgetsOfNewEndpoints
+
+break_one "every node probes what any node finds silent" io/edge/watch.go 'case peers.role.Mesh, peers.role.IsLeader &&' 'case true, peers.role.IsLeader &&' ./io/edge TestSilenceIsProbedByEveryNode
+break_one "a holder whose word about endpoints all nodes take" io/edge/watch.go 'control.watchesForOthers(endpoints.byID[id], now) {' 'control.watches(endpoints.byID[id], now) {' ./io/edge TestHolderAndWatcherDisagree
+break_one "endpoints that stay lost though nobody reports it any more" io/edge/watch.go 'case now.After(listedAt.Add(lostTTL)):' 'case now.Before(listedAt):' ./io/edge TestWatchersWordIsTaken
+break_one "a late node that takes endpoints for silent" io/edge/probe.go '!control.lateness.LateSince(result.sentAt, now)' 'true' ./io/edge TestLateNodeTakesEndpointsForSilent
+break_one "a new holder that probes all endpoints at once" io/edge/placement.go 'len(control.endpoints.probing) < maxPendingCountProbes' 'true' ./io/edge TestNewHolderProbesAllAtOnce
+break_one "a late holder that keeps the lease" io/edge/placement.go 'control.lateness.LateFor(now) < maxLateness' 'true' ./io/edge TestLateHolderKeepsTheLease
+break_one "a weak node that leads its zone" core/topo/assign.go 'return a.Capacity > b.Capacity' 'return a.Capacity < b.Capacity' ./core/topo TestWeakNodeLeads
+
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
