--- a/core/crash/ledger.go
+++ b/core/crash/ledger.go
@@ -45,8 +45,8 @@
 }
 
 // report returns what the sighting says of the crash and the answer.
-func (seen sighting) report() Report {
-	return Report{At: seen.at, BegunAt: seen.begunAt, Ended: seen.ended}
+func (sighting sighting) report() Report {
+	return Report{At: sighting.at, BegunAt: sighting.begunAt, Ended: sighting.ended}
 }
 
 // crashTimes are the times of a crash.
--- a/core/crash/spread_test.go
+++ b/core/crash/spread_test.go
@@ -78,7 +78,6 @@
 
 type simRequest struct {
 	node, endpoint int
-	arrivedAt      time.Duration
 	parts          []crash.Input
 	begunAt        time.Duration // when its answer begins
 	endsAt         time.Duration
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -85,13 +85,13 @@
 }
 
 // add adds an input of a request. Of several requests, the one closest to the crash counts.
-func (broken *brokenAttempts) add(report crash.Report) {
-	known, found := broken.reports[report.Input]
+func (brokenattempts *brokenAttempts) add(report crash.Report) {
+	known, found := brokenattempts.reports[report.Input]
 	switch {
 	case found:
-		broken.reports[report.Input] = known.Join(report)
-	case len(broken.reports) < maxBrokenInputs:
-		broken.reports[report.Input] = report
+		brokenattempts.reports[report.Input] = known.Join(report)
+	case len(brokenattempts.reports) < maxBrokenInputs:
+		brokenattempts.reports[report.Input] = report
 	}
 }
 
