A stopping node answers all requests that endpoints have received

What callers would have seen: in a planned stop, requests that came late in the grace were passed on and cut without an answer when the process exited, among them ones that may run once (LOST).

Cause: the time that a request needs was a constant of a second for all that are no streams, checked once, before the body was read; neither slow services nor further attempts nor slow bodies counted.

Change: the check comes before each attempt. It takes the longest answer of the service in the last 30 to 60 s with a factor, and the request's own time limit. 150 ms before the node stops it answers requests that are no streams and whose endpoint has not: 502 if one may have run them, 503 otherwise.

TestLateRequestsCutAtEndOfGrace, plain endpoints that take 1.35 s, a request each 0.1 s through a grace of 4 s: before, three had run at endpoints and had no answer when the process would exit; after, none. 26 of 37 served before, 20 of 33 or 34 after; the others get 503 at once, "not run".

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -151,6 +151,7 @@
 		return request.handleFailure(attempt, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrIncompleteResponse))
 	}
 	exchange.Release()
+	request.server.answerTimes.record(request.service, time.Since(attempt.sentAt), time.Now())
 	switch {
 	case status < http.StatusMultipleChoices:
 		request.recordAnswer(candidate, request.inputs)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -77,25 +77,37 @@
 		request.fail(http.StatusUnauthorized, "the key is missing or unknown")
 		return false
 	}
-	if request.server.stopsWithin(request.receivedAt, request.timeNeeded()) {
-		request.reject("this node is leaving", request.server.routing.MinRetryDelay)
-		return false
-	}
 	timeout := route.Timeout
 	if request.header.Timeout > 0 {
 		timeout = min(timeout, request.header.Timeout)
 	}
 	request.deadline = request.receivedAt.Add(timeout)
+	if request.leavesTooSoon() {
+		request.reject("this node is leaving", request.server.routing.MinRetryDelay)
+		return false
+	}
 	return request.readBody(index.Config.Limits.BodyBytes)
 }
 
-// timeNeeded returns the time within which the response almost certainly ends.
-// That of a stream is estimated from its prompt and the tokens that its caller
-// accepts.
-func (request *request) timeNeeded() time.Duration {
+// leavesTooSoon reports whether this node probably stops before an attempt that begins now
+// would be answered.
+func (request *request) leavesTooSoon() bool {
+	now := time.Now()
+	return request.server.stopsWithin(now, request.timeNeeded(now))
+}
+
+// timeNeeded returns the time within which the response to an attempt that begins now almost certainly
+// ends. That of a stream is estimated from its prompt and the tokens that its caller
+// accepts, and that of other requests from the answers of their services of late and their
+// time limit.
+func (request *request) timeNeeded(now time.Time) time.Duration {
 	policy := request.server.policy
 	if _, stream := request.route.Kind.(site.Stream); !stream {
-		return policy.ExpectedAnswerTime
+		longest := policy.ExpectedAnswerTime
+		for _, target := range request.route.Targets {
+			longest = max(longest, time.Duration(policy.AnswerSlack*float64(request.server.answerTimes.longest(target.Service, now))))
+		}
+		return policy.LastAnswer + min(longest, request.deadline.Sub(now))
 	}
 	longest := policy.ExpectedAnswerTime
 	for _, target := range request.route.Targets {
@@ -162,6 +174,7 @@
 	case site.Stream:
 		request.serveStream(ctx)
 	case site.Idempotent, site.AtMostOnce:
+		defer context.AfterFunc(request.server.stopping, cancel)()
 		request.serveBuffered(ctx)
 	}
 }
@@ -192,6 +205,9 @@
 	defer request.count() // if no byte of it has left this node
 	cause := "no endpoint took the request"
 	for request.mayAttempt() {
+		if request.leavesTooSoon() { // the body or an attempt before may have taken long
+			return &failure{cause: "this node is leaving"}
+		}
 		decision := request.choose(headerWritten())
 		if reject, rejected := decision.(reach.Reject); rejected {
 			if retryAt := request.peerRetryAt.Load(); retryAt != 0 {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"hickorybend/core/crash"
@@ -47,6 +48,9 @@
 	log         *zap.Logger
 	meter       *meter.Meter
 	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
+	stopping    context.Context           // done when requests have to be answered because this node stops
+	endRequests context.CancelCauseFunc   // of stopping
+	answerTimes *answerTimes              // of requests that are no streams
 	inFlight    atomic.Int64
 	hadRequests atomic.Bool
 	seconds     sync.Mutex // held while an endpoint for a second attempt is chosen
@@ -112,15 +116,25 @@
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]attempts{},
 		demand: map[string]time.Duration{},
 	}
+	server.stopping, server.endRequests = context.WithCancelCause(context.Background())
 	for _, option := range options {
 		option(server)
 	}
+	server.answerTimes = newAnswerTimes(server.policy.AnswerSpan)
 	return server
 }
 
+// errStopping ends attempts at requests when this node stops. Its text can reach the caller
+// in the body of a 502.
+var errStopping = errors.New("entry: this node stops")
+
 // Drain makes the server close a caller's connection after each response, and
-// reject requests that would probably not be answered before the node stops.
-func (server *Server) Drain(stopsAt time.Time) { server.stopsAt.Store(&stopsAt) }
+// reject requests that would probably not be answered before the node stops. Just before that,
+// it answers those that their endpoints have not answered, streams apart.
+func (server *Server) Drain(stopsAt time.Time) {
+	server.stopsAt.Store(&stopsAt)
+	time.AfterFunc(time.Until(stopsAt.Add(-server.policy.LastAnswer)), func() { server.endRequests(errStopping) })
+}
 
 // stopsWithin reports whether the node stops within a duration from now.
 // Requests arrive during a drain too: the load balancer sends them to a node
