--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for building, running and checking the project.
 
-.PHONY: build run run-muscat smoke test check bench month sizes slopes soak faults faults-short faults-breaks fuzz breaks experiment clean
+.PHONY: build run run-muscat smoke test check bench month sizes slopes soak faults faults-short faults-upgrade faults-breaks fuzz breaks experiment clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -58,6 +58,11 @@
 faults: build
 	bin/hbsoak --seeds $(SEEDS) --jobs 3
 
+# The same with an earlier build, whose programs are in OTHER, on half of the starts of
+# nodes: OTHER=/path/to/bin make faults-upgrade
+faults-upgrade: build
+	bin/hbsoak --seeds $(SEEDS) --jobs 3 --other-bin $(OTHER)
+
 # Runs two seeds and those that had a finding before.
 faults-short: build
 	bin/hbsoak --seeds 1,2,io/soak/testdata/seeds.txt --jobs 3
--- a/cmd/hbsoak/main.go
+++ b/cmd/hbsoak/main.go
@@ -20,6 +20,7 @@
 func main() {
 	flags := ff.NewFlagSet("hbsoak")
 	bin := flags.StringLong("bin", "bin", "directory of the programs")
+	otherBin := flags.StringLong("other-bin", "", "directory of another build, which nodes run at half of their starts")
 	dir := flags.StringLong("dir", filepath.Join(os.TempDir(), "hbsoak"), "directory for settings and logs; those of seeds without findings are removed")
 	seeds := flags.StringLong("seeds", "1", "seeds, such as 1,4,10-19; a file name stands for the seeds at the start of its lines")
 	jobs := flags.IntLong("jobs", 2, "number of seeds that run at once")
@@ -40,7 +41,7 @@
 			if err != nil {
 				return shell.ExitError{Code: shell.CodeUsage, Message: err.Error()}
 			}
-			return runAll(ctx, parsed, *jobs, soak.Config{Bin: *bin, Dir: *dir, Scale: scale})
+			return runAll(ctx, parsed, *jobs, soak.Config{Bin: *bin, OtherBin: *otherBin, Dir: *dir, Scale: scale})
 		},
 	}, "HBSOAK")
 }
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -22,10 +23,21 @@
 
 // Config describes one run of the soak.
 type Config struct {
-	Seed  uint64
-	Bin   string // directory of the programs
-	Dir   string // directory for settings and logs
-	Scale Scale
+	Seed     uint64
+	Bin      string // directory of the programs
+	OtherBin string // directory of another build of the node's program, which nodes run at half of their starts; empty for none
+	Dir      string // directory for settings and logs
+	Scale    Scale
+}
+
+// nodeProgram returns the program that a node runs at a start, counted from 0. It does not draw from the
+// streams of the faults, which stay as they are.
+func (config Config) nodeProgram(node, start int) string {
+	directory := config.Bin
+	if config.OtherBin != "" && rand.New(rand.NewPCG(config.Seed, uint64(node)<<32|uint64(start))).IntN(2) == 0 {
+		directory = config.OtherBin
+	}
+	return filepath.Join(directory, "hickorybend")
 }
 
 const (
@@ -202,8 +214,9 @@
 	if err := os.WriteFile(node.settingsFile, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "soak: writing the settings of a node")
 	}
+	program := cluster.config.nodeProgram(node.index, node.incarnation)
 	node.incarnation++
-	started, err := startProcess(strings.TrimSuffix(node.settingsFile, ".jsonc")+".log", filepath.Join(cluster.config.Bin, "hickorybend"), "edge", "--config", node.settingsFile)
+	started, err := startProcess(strings.TrimSuffix(node.settingsFile, ".jsonc")+".log", program, "edge", "--config", node.settingsFile)
 	if err != nil {
 		return err
 	}
