--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -93,23 +93,27 @@
 break_one "a body that is cut at the limit" io/pool/pool.go 'err == nil && int64(len(read)) > limit' 'false' ./io/pool 'TestEndlessResponse|TestBodyUpToTheLimit'
 break_one "an event without a limit" io/entry/eventreader.go 'if eventreader.event.Len() > maxEventBytes {' 'if eventreader.event.Len() > 1<<26 {' ./io/entry TestEndlessEvent
 break_one "a part of a line that passes for a line" io/entry/eventreader.go 'if !found || continued {' 'if !found {' ./io/entry TestLinesLongerThanTheBuffer
-break_one "a prompt part blamed for crashes before its last answer" core/crash/ledger.go 'seen.at.After(suspected.soundAt) && ' '' ./core/crash TestWhichPartIsBlocked
-break_one "a prompt part blamed for crashes that another one explains" core/crash/ledger.go ' && !explained[incarnation]' ' && (true || explained[incarnation])' ./core/crash TestWhichPartIsBlocked
-break_one "crashes of a rack that count one by one" core/crash/ledger.go '!at.Before(last.Add(ledger.policy.MomentGap))' 'at.After(last)' ./core/crash TestWhichPartIsBlocked
-break_one "a part answered before that is blamed first" core/crash/ledger.go 'return unknown
-	}' 'return otherUnknown
-	}' ./core/crash TestWhichPartIsBlocked
-break_one "crashes of prompt parts that are not recorded" io/edge/crashes.go 'control.crashes.ledger.Record(crash.Report{Input: input, Position: position, Incarnation: incarnation, At: broken.at}, true)' '_ = position' ./platform/fakes TestPromptPartThatCrashesEndpoints
+break_one "an answer that counts for nothing" core/crash/judge.go 'perUse*float64(suspected.uses-uses)' '0*perUse*float64(suspected.uses-uses)' ./core/crash TestWhichPartIsBlocked
+break_one "a prompt part blamed for crashes that another one explains" core/crash/judge.go ' && !explained[incarnation] {
+			crashes' ' && (true || explained[incarnation]) {
+			crashes' ./core/crash TestWhichPartIsBlocked
+break_one "crashes of a rack that count one by one" core/crash/judge.go 'moments := ledger.joinMoments(crashes, 1)' 'moments := crashes' ./core/crash TestWhichPartIsBlocked
+break_one "a part answered before that needs as few crashes" core/crash/judge.go 'max(lowest, -perUse*float64(suspected.usesFirst)), 0' '0.0, 0' ./core/crash TestWhichPartIsBlocked
+break_one "crashes of prompt parts that are not recorded" io/edge/crashes.go 'control.crashes.ledger.Record(report, true, now)' '_ = report' ./platform/fakes TestPromptPartThatCrashesEndpoints
 break_one "blocks that are not stored" io/edge/blocks.go 'control.overwriteRow(blocksKey, body)' 'control.overwriteRow(blocksKey, body[:0])' ./platform/fakes TestBlocksSurviveRestartOfAllNodes
-break_one "an answer that does not lift a block" core/crash/ledger.go 'block.Lifted = true' 'block.Lifted = false' ./core/crash TestBlockEnds
+break_one "trials that do not lift a block" core/crash/ledger.go 'block.Passed++' '' ./core/crash TestBlockEnds
+break_one "one trial that lifts a block" core/crash/input.go 'return policy.PassesToLift * max(1, block.Round)' 'return 1' ./core/crash TestBlockEnds
+break_one "trials that need not pass in a row" core/crash/ledger.go 'block.Passed = 0' '' ./core/crash TestTrialsHaveToPassInARow
+break_one "an older build that lifts blocks" core/crash/ledger.go ' || block.Lifted && !block.liftHolds(ledger.policy)' '' ./core/crash TestOlderBuildLiftsBlock
 break_one "a request that is not the same as its repetition" io/entry/crash.go 'Target: request.r.URL.RequestURI()' 'Target: request.header.RequestID' ./platform/fakes TestRequestThatCrashesEndpoints/unsafe
 break_one "fields of a request hashed without their lengths" core/crash/input.go '_ = binary.Write(hash, binary.BigEndian, int64(len(field)))' '_ = binary.BigEndian' ./core/crash TestSoundRequestSharesID
-break_one "crashes of an unknown request that count by moments" core/crash/ledger.go 'if input.IsRequest() && suspected.soundAt.IsZero() {' 'if false {' ./core/crash TestWhichRequestIsBlocked
-break_one "crashes of a popular read that count one by one" core/crash/ledger.go 'if input.IsRequest() && suspected.soundAt.IsZero() {' 'if input.IsRequest() {' ./core/crash TestWhichRequestIsBlocked
-break_one "a request blamed for a part of its prompt" core/crash/ledger.go 'if crashes == otherCrashes && input.IsRequest() != other.IsRequest() {' 'if input.IsRequest() != other.IsRequest() {' ./core/crash TestWhichRequestIsBlocked
-break_one "one of two requests as likely as each other blocked" core/crash/ledger.go 'case !best.IsRequest():' 'default:' ./core/crash TestWhichRequestIsBlocked
+break_one "crashes of an unknown request that count by moments" core/crash/judge.go 'if !suspected.used() && input.IsRequest() {' 'if false {' ./core/crash TestWhichRequestIsBlocked
+break_one "crashes of a popular read that count one by one" core/crash/judge.go 'if !suspected.used() && input.IsRequest() {' 'if input.IsRequest() {' ./core/crash TestWhichRequestIsBlocked
+break_one "a request blamed for a part of its prompt" core/crash/judge.go 'if order != 0 || a.IsRequest() == b.IsRequest() {' 'if a.IsRequest() == b.IsRequest() {' ./core/crash TestWhichRequestIsBlocked
+break_one "one of two requests as likely as each other blocked" core/crash/judge.go 'ledger.suspects[input].score != score })' 'input != best })' ./core/crash TestWhichRequestIsBlocked
 break_one "the most suspicious request not reported" core/crash/ledger.go 'cmp.Or(ledger.compareSuspicion(a.Input, b.Input), b.At.Compare(a.At))' 'b.At.Compare(a.At)' ./core/crash TestNewBodiesHideCrashingRequest
 break_one "a crash that another node saw not counted" io/edge/crashes.go 'for _, report := range digest.Reports {' 'for _, report := range digest.Reports[:0] {' ./platform/fakes TestCrashesSeenByDifferentNodes
+break_one "a common cause of crashes not seen" core/crash/judge.go 'count >= ledger.policy.CommonCause' 'false' ./core/crash TestCrashingPartAmongOtherCrashes
 break_one "an endpoint without an engine not asked whether it runs" io/edge/crashes.go 'control.checkHealth(incarnation, broken, service.HealthPath, now)' '_ = now' ./io/edge TestCrashOfPlainEndpointKnownLate
 break_one "an endpoint that does not answer counts as ended" io/edge/health.go 'ended: errors.Is(err, platform.ErrEnded)' 'ended: err != nil' ./io/edge TestCrashOfPlainEndpointKnownLate
 break_one "an endpoint without an engine that is never probed again" io/edge/probe.go 'service.Engine == nil {
@@ -117,15 +121,24 @@
 		endpoints.probing[id] = true
 		return' ./io/edge TestPlainEndpointMarkedAsProbed
 break_one "a suspected request sent to a second endpoint" io/entry/request.go 'request.suspected || ' '' ./platform/fakes TestSuspectedRequestSentTwice
-break_one "a lifted block that its crashes bring back" core/crash/ledger.go 'ledger.acquit(input)' '' ./core/crash TestLiftedBlockElsewhere
-break_one "a lifted block that another node's crashes bring back" core/crash/ledger.go 'ledger.acquit(block.Input)' '' ./core/crash TestLiftedBlockElsewhere
-break_one "a few events that acquit a prompt" core/crash/answers.go 'now.Sub(answer.At) >= answers.soundAfter' 'true' ./core/crash TestAnswerBeforeCrashShowsNothing
-break_one "an old answer blamed for a crash" core/crash/answers.go ' || answers.isSound(recent, now)' '' ./core/crash TestOldAnswerBlamedForCrash
-break_one "an answer that its node ended acquits its prompt" core/crash/answers.go 'return recent == answer' 'return false' ./core/crash TestWithdrawnAnswerShowsNothing
-break_one "a crash after the first events that is not counted" io/entry/crash.go 'request.server.endAnswers(candidate.ID)' '_ = candidate' ./platform/fakes TestEventsBeforeCrashAcquitPart
-break_one "a crash that counts before the others have reported" core/crash/ledger.go 'return !recent || !learnedAt.After(now.Add(-ledger.policy.Settle))' 'return !recent || !learnedAt.After(now)' ./core/crash TestPartBlamedBeforeOthersReport
-break_one "crashes that another part explains not counted at all" core/crash/ledger.go '(all-unexplained)/2' '(all-unexplained)/200' ./core/crash TestWhichPartIsBlocked
-break_one "crashes right after each other taken for a failed rack" core/crash/ledger.go '(input.IsRequest() || count > 1)' 'input.IsRequest()' ./core/crash TestWhichPartIsBlocked
+break_one "a lifted block that its crashes bring back" core/crash/ledger.go 'ledger.clear(block.Input)
+}
+
+// clear' '}
+
+// clear' ./core/crash TestLiftedBlockElsewhere
+break_one "a lifted block that another node's crashes bring back" core/crash/ledger.go 'if block.Lifted {
+		ledger.clear(block.Input)' 'if false {
+		ledger.clear(block.Input)' ./core/crash TestLiftedBlockElsewhere
+break_one "an answer in progress that acquits a prompt" core/crash/answers.go '!(*list)[count].BegunAt.After(until)' 'true' ./core/crash TestAnswerBeforeCrashShowsNothing
+break_one "an old answer blamed for a crash" core/crash/answers.go 'now.Sub(answers.ended[count].endedAt) >= answers.policy.Linger' 'false' ./core/crash TestAnswerBeforeCrashShowsNothing
+break_one "an answer that its node ended counts" core/crash/answers.go 'return answer.withdrawn || answer.doubted' 'return answer.doubted' ./core/crash TestWithdrawnAnswerShowsNothing
+break_one "a crash after an answer that is not counted" io/entry/crash.go 'running, ended := server.answers.Doubt(endpoint, at)' 'running, ended := server.answers.Doubt("", at)' ./platform/fakes TestLateCrashAcquitsPart
+break_one "a crash that counts before the others have reported" core/crash/judge.go 'return !recent || !times.learnedAt.After(now.Add(-ledger.policy.Settle))' 'return !recent || !times.learnedAt.After(now)' ./core/crash TestPartBlamedBeforeOthersReport
+break_one "crashes that another part explains not counted at all" core/crash/judge.go '(all-unexplained)/2' '(all-unexplained)/200' ./core/crash TestWhichPartIsBlocked
+break_one "crashes right after each other taken for a failed rack" core/crash/judge.go 'return ledger.joinMoments(crashes, ledger.policy.MomentScore)' 'return moments' ./core/crash TestWhichPartIsBlocked
+break_one "a request taken too late in the grace" io/entry/request.go 'return request.server.stopsWithin(now, request.timeNeeded(now))' 'return request.server.stopsWithin(now, 0*request.timeNeeded(now))' ./platform/fakes TestNodeDrain
+break_one "requests cut at the end of the grace" io/entry/request.go 'defer context.AfterFunc(request.server.stopping, cancel)()' '' ./platform/fakes TestLateRequestsCutAtEndOfGrace
 break_one "a node that serves only what it reaches" core/reach/peer.go 'peer.Usable[key] > reached' 'peer.Usable[key] > reached && false' ./platform/fakes TestCallersOfCutOffNodesNotServed
 break_one "a request that nodes pass around" io/entry/peer.go 'request.from == "" && request.peersTried' 'request.peersTried' ./platform/fakes TestRequestSentAround
 break_one "another node's failure read as not run" io/entry/peer.go 'case request.mayHaveRun:' 'case false:' ./platform/fakes TestAtMostOnceThroughOtherNode
