--- a/core/crash/judge.go
+++ b/core/crash/judge.go
@@ -12,21 +12,21 @@
 // its share of the blame. Inputs are told apart as follows:
 //
 //   - Each input has a score, the logarithm of the odds that it crashes endpoints (a sequential
-//     probability ratio test). Each crash that it was near at raises it: the more so, the sooner the crash came
-//     after the answer began, and the fewer endpoints crash without the input. Each
-//     request with it that an endpoint has answered and outlived lowers it. So no
-//     single event decides.
+//     probability ratio test). Each crash that it was near at raises it: the more so, the sooner
+//     the crash came after the answer began, and the fewer endpoints crash without the input.
+//     Each request with it that an endpoint has answered and outlived lowers it. So no single
+//     event decides.
 //   - The score falls to a lowest one at most. For example, a part that was answered all day begins
 //     to crash a new build of the endpoints: seven crashes in a row block it, however many answers
 //     came before. A part of which an answer is known begins with a score of its own, since
 //     answers count only some time after they began.
-//   - The most likely input is blocked first, and the crashes at which it was near do
-//     not count against the others any more, or half (see weighScore). For example,
-//     part b crashes endpoints, and all requests with b begin with part f, as do sound
-//     ones. At three crashes both were near. Answers on f are known from before, so b
-//     needs fewer crashes, is blocked, and explains all three. If f has about the same score and was near at all crashes that b was near
-//     at, the later part in the prompt is blocked: were it f, requests with f and without b would
-//     crash endpoints as well, and these crashes count against f.
+//   - The most likely input is blocked first, and the crashes at which it was near do not count
+//     against the others any more, or half (see weighScore). For example, part b crashes
+//     endpoints, and all requests with b begin with part f, as do sound ones. At three crashes
+//     both were near. Answers on f are known from before, so b needs fewer crashes, is blocked,
+//     and explains all three. If f has about the same score and was near at all crashes that b
+//     was near at, the later part in the prompt is blocked: were it f, requests with f and
+//     without b would crash endpoints as well, and these crashes count against f.
 //   - A crash does not count if many other endpoints crash in the same moment without the input.
 //   - Crashes in one moment count as one: when a rack fails, every input with enough
 //     requests is near at several of its endpoints. Of an input that has never been
--- a/core/crash/policy.go
+++ b/core/crash/policy.go
@@ -39,8 +39,8 @@
 // DefaultPolicy suits nodes that exchange reports several times a second. Three crashes
 // block an input of which no answer is known, and seven one that has been answered often;
 // all nodes know it two seconds later. If crashes have other causes as often as is counted,
-// a sound input is blocked with odds of one to six hundred or less. Its trials end no more than two endpoints in the first
-// hour.
+// a sound input is blocked with odds of one to six hundred or less. The trials of one that crashes
+// every endpoint end no more than two of them in the first hour.
 func DefaultPolicy() Policy {
 	return Policy{
 		CrashShare: 1.0 / 3, CrashTime: time.Second, MaxCrashScore: 1, MaxEndedScore: 0.8, BlockScore: 2.8, LowestScore: -4, TieScore: 1.5, KnownScore: -2, KnownAfter: 2 * time.Second, PartInQuestion: 2, RequestQuestion: 0.5,
