Review case 2: streams taken late in a planned stop are cut at its end

Cause: a stopping node takes a stream if its estimated duration leaves less room than the silence that a sound runner is allowed; what has not ended when the process exits is cut. Case: SIGTERM to a zone's only node, one runner silent for 1.5 s late in the grace (LOST).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/hickorybend ] && [ -x target/review-lab ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-exec timeout -k 5 115 target/review-lab recover "$here/record.txt"
+exec timeout -k 5 115 target/review-lab grace "$here/record.txt"
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*record) error{
 	"memory":  memoryCase,
 	"recover": recoverCase,
+	"grace":   graceCase,
 }
 
 // trouble reports whether the disruption is played.
