Streams that may outlast a stopping node reach their callers as a whole

Cause: the node took a stream if its estimated duration and a slack fitted into the time that was left. A sound endpoint may be silent for longer than any slack. An estimate stood in for a promise.

Ruled out: bytes lost between the last write and the exit, and second attempts that begin too late. All that were cut were begun by the silent endpoint, and none that may be resumed was.

Change: a stream that arrives later than 2.5 s after SIGTERM, with a time limit beyond the node's last moment, is held until it is whole; otherwise its caller gets 502, like other requests.

Evidence: TestStreamsLateInGraceAreCut failed before in the cases "a second and a half", "until after the end" and "time limit of two seconds", and passes now.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -208,7 +208,8 @@
 }
 
 const (
-	killMargin        = 300 * time.Millisecond // between the end of the drain and the platform's kill
+	killMargin        = 300 * time.Millisecond  // between the end of the drain and the platform's kill
+	holdDelay         = 2500 * time.Millisecond // the platform lets streams that are sent within 3 s of SIGTERM end with the process
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -220,7 +221,7 @@
 	start := time.Now()
 	event.Log(params.Log, event.NodeDraining, zap.Int64("open", params.Server.InFlight()))
 	deadline := start.Add(params.Settings.Grace - killMargin)
-	params.Server.Drain(deadline)
+	params.Server.Drain(start.Add(min(params.Settings.DrainDelay, holdDelay)), deadline)
 	leaseReleased := make(chan struct{})
 	params.Control.enqueue(drainRequest{done: leaseReleased})
 	time.Sleep(params.Settings.DrainDelay)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -28,6 +28,7 @@
 	r            *http.Request
 	snapshot     *reach.Snapshot
 	receivedAt   time.Time
+	readAt       time.Time // when its body was whole
 	deadline     time.Time
 	header       platform.RequestHeader
 	route        *site.Route
@@ -120,7 +121,7 @@
 			longest = max(longest, policy.ExpectedAnswerTime+time.Duration(policy.StreamSlack*float64(serviceTime)))
 		}
 	}
-	return longest
+	return policy.LastAnswer + longest
 }
 
 // authenticate reports whether the request is allowed, and sets the team and
@@ -149,7 +150,7 @@
 	body, err := io.ReadAll(request.r.Body)
 	_ = controller.SetReadDeadline(time.Time{})
 	if err == nil {
-		request.body = body
+		request.body, request.readAt = body, time.Now()
 		return true
 	}
 	var tooLarge *http.MaxBytesError
@@ -397,6 +398,9 @@
 			zap.Strings("endpoints", request.tried), zap.Int64("config", request.snapshot.Index.Config.Version),
 			zap.String("from-node", request.from), zap.Int("nodes", request.peersTried), zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Duration("age", request.snapshotAge))
 	}
+	if stop := request.server.stop.Load(); stop != nil {
+		fields = append(fields, zap.Duration("stops-in", time.Until(stop.exitAt)))
+	}
 	event.Log(request.server.log, event.RequestEnded, fields...)
 }
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -47,10 +47,10 @@
 
 	log         *zap.Logger
 	meter       *meter.Meter
-	stopsAt     atomic.Pointer[time.Time] // when this node stops; nil unless it is draining
-	stopping    context.Context           // done when requests have to be answered because this node stops
-	endRequests context.CancelCauseFunc   // of stopping
-	answerTimes *answerTimes              // of requests that are no streams
+	stop        atomic.Pointer[stop]    // nil unless this node is draining
+	stopping    context.Context         // done when requests have to be answered because this node stops
+	endRequests context.CancelCauseFunc // of stopping
+	answerTimes *answerTimes            // of requests that are no streams
 	inFlight    atomic.Int64
 	hadRequests atomic.Bool
 	seconds     sync.Mutex // held while an endpoint for a second attempt is chosen
@@ -130,18 +130,20 @@
 
 // Drain makes the server close a caller's connection after each response, and
 // reject requests that would probably not be answered before the node stops. Just before that,
-// it answers those that their endpoints have not answered, streams apart.
-func (server *Server) Drain(stopsAt time.Time) {
-	server.stopsAt.Store(&stopsAt)
-	time.AfterFunc(time.Until(stopsAt.Add(-server.policy.LastAnswer)), func() { server.endRequests(errStopping) })
+// it answers those whose callers have received nothing. Streams that arrive after
+// holdFrom, and whose time limit is later than that, reach their callers only as a whole.
+func (server *Server) Drain(holdFrom, stopsAt time.Time) {
+	lastAnswerAt := stopsAt.Add(-server.policy.LastAnswer)
+	server.stop.Store(&stop{holdFrom: holdFrom, lastAnswerAt: lastAnswerAt, exitAt: stopsAt})
+	time.AfterFunc(time.Until(lastAnswerAt), func() { server.endRequests(errStopping) })
 }
 
 // stopsWithin reports whether the node stops within a duration from now.
 // Requests arrive during a drain too: the load balancer sends them to a node
 // that is not ready when too few other nodes are ready.
 func (server *Server) stopsWithin(now time.Time, duration time.Duration) bool {
-	stopsAt := server.stopsAt.Load()
-	return stopsAt != nil && stopsAt.Sub(now) < duration
+	stop := server.stop.Load()
+	return stop != nil && stop.exitAt.Sub(now) < duration
 }
 
 // Uses returns which requests with an input endpoints have answered and outlived through
@@ -219,7 +221,7 @@
 	server.hadRequests.Store(true)
 	defer request.record()
 	request.loadSnapshot()
-	if server.stopsAt.Load() != nil {
+	if server.stop.Load() != nil {
 		request.w.Header().Set("Connection", "close")
 	}
 	if !request.admit() {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,8 +26,11 @@
 // the caller has received stay valid if their endpoint fails: another endpoint
 // resumes after the last of them. The response headers are the first endpoint's.
 func (request *request) serveStream(ctx context.Context) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	relay := &relay{request: request, handover: newHandover(ctx, request, request.openStream)}
-	failure := request.tryEndpoints(ctx, func() bool { return relay.headerWritten }, func(candidate *reach.Candidate) result {
+	defer context.AfterFunc(request.server.stopping, func() { relay.withdraw(cancel) })()
+	failure := request.tryEndpoints(ctx, relay.begun, func(candidate *reach.Candidate) result {
 		return relay.handover.run(candidate, relay.follow)
 	})
 	if failure != nil {
@@ -36,15 +40,37 @@
 
 // relay forwards a stream's events to the caller.
 type relay struct {
-	request       *request
-	handover      *handover
-	headerWritten bool // the caller has received the headers
+	request  *request
+	handover *handover
+	state    atomic.Int32 // relayUnbegun, relayBegun or relayWithdrawn
+	held     *heldStream  // events that the caller gets once the stream is whole; nil if it gets them as they come
+}
+
+// The states of a relay.
+const (
+	relayUnbegun   = iota // the caller has received nothing
+	relayBegun            // the caller has received the headers
+	relayWithdrawn        // the caller gets an error in place of the stream, as this node stops
+)
+
+// headerWritten reports whether the caller has received the headers.
+func (relay *relay) headerWritten() bool { return relay.state.Load() == relayBegun }
+
+// begun reports whether events have come that another endpoint has to go on from.
+func (relay *relay) begun() bool { return relay.headerWritten() || relay.held != nil }
+
+// withdraw ends a stream of which the caller has received nothing, so that it can be
+// answered before the node stops.
+func (relay *relay) withdraw(cancel context.CancelCauseFunc) {
+	if relay.state.CompareAndSwap(relayUnbegun, relayWithdrawn) {
+		cancel(errStopping)
+	}
 }
 
 // giveUp ends a stream that can't continue. If it has started, the connection is
 // aborted, so that the response doesn't look complete.
 func (relay *relay) giveUp(reject reach.Reject, cause string) {
-	if !relay.headerWritten {
+	if !relay.headerWritten() {
 		relay.request.giveUp(reject, cause)
 		return
 	}
@@ -140,14 +166,16 @@
 	if len(request.tried) > 1 {
 		request.outcome = "answered after a move"
 	}
-	relay.writeHeader(attempt.exchange.Response) // for a stream without events
+	if err := relay.finish(attempt.exchange.Response); err != nil {
+		return incomplete{cause: err}
+	}
 	return answered{response: attempt.exchange.Response}
 }
 
 // forwardNonStream handles a response whose status is not 200.
 func (relay *relay) forwardNonStream(answer answered) result {
 	request := relay.request
-	if relay.headerWritten || request.shouldRetryStream(answer.response.StatusCode) {
+	if relay.begun() || request.shouldRetryStream(answer.response.StatusCode) {
 		return incomplete{cause: errors.Newf("entry: status %d", answer.response.StatusCode)}
 	}
 	if !relay.handover.conclude() {
@@ -183,8 +211,7 @@
 		if !relay.handover.advance(id) {
 			return errTakenOver
 		}
-		relay.writeHeader(attempt.exchange.Response)
-		if err := relay.writeEvent(attempt); err != nil {
+		if err := relay.passOn(attempt); err != nil {
 			return err
 		}
 	}
@@ -213,17 +240,48 @@
 	return errors.Wrapf(errSequence, "%d after %d", current, previous)
 }
 
-// writeHeader writes the headers of the first endpoint's response, once.
-func (relay *relay) writeHeader(response *http.Response) {
-	if relay.headerWritten {
-		return
+// passOn writes an event to the caller, or holds it until the stream is whole.
+func (relay *relay) passOn(attempt *attempt) error {
+	if relay.held == nil && !relay.headerWritten() && relay.request.mayOutlastNode() {
+		relay.held = &heldStream{response: attempt.exchange.Response}
+	}
+	if relay.held != nil {
+		return relay.held.add(attempt.reader.event.Bytes())
+	}
+	if err := relay.writeHeader(attempt.exchange.Response); err != nil {
+		return err
+	}
+	return relay.writeEvent(attempt)
+}
+
+// finish writes what the caller of a whole stream has not received: the events that were
+// held, or the headers of a stream without events.
+func (relay *relay) finish(response *http.Response) error {
+	if relay.held == nil {
+		return relay.writeHeader(response)
+	}
+	if err := relay.writeHeader(relay.held.response); err != nil {
+		return err
+	}
+	_, err := relay.request.w.Write(relay.held.events.Bytes())
+	return errors.Mark(errors.Wrap(err, "entry: writing to the caller"), errCallerConnection)
+}
+
+// writeHeader writes the headers of the first endpoint's response, once. It fails if the
+// stream has been withdrawn.
+func (relay *relay) writeHeader(response *http.Response) error {
+	if relay.headerWritten() {
+		return nil
+	}
+	if !relay.state.CompareAndSwap(relayUnbegun, relayBegun) {
+		return errStopping
 	}
-	relay.headerWritten = true
 	request := relay.request
 	request.status = response.StatusCode
 	request.firstEventAt = time.Now()
 	copyHeaders(request.w.Header(), response.Header)
 	request.w.WriteHeader(response.StatusCode)
+	return nil
 }
 
 // writeEvent writes the event that an attempt has brought to the caller and updates the
