Requests whose callers have left are not sent, nor delivered from a send buffer

Two mechanisms are shown. The pool looked at a request's context only where it had to wait, so that a write on a kept connection came before the close. And the ordinary close of a request that was given up still delivered what stood in the send buffer.

Ruled out: a connection that took more than a second to open; opening is limited to 0.5 s, and nothing is sent on a connection that was given up meanwhile.

Change: the request's end, and the caller's socket, are looked at right before the first byte. Connections that are given up within an exchange are reset. Event 612 tells of requests given up with bytes on their way.

--- a/io/edge/connections.go
+++ b/io/edge/connections.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// logGivenUp returns a function that logs and counts requests that were given up while bytes of
+// them were on their way.
+func logGivenUp(log *zap.Logger, meter *meter.Meter) func(pool.GivenUp) {
+	return func(givenup pool.GivenUp) {
+		meter.Count("requests_given_up_unacknowledged", "")
+		event.Log(log, event.RequestGivenUp, zap.String("address", givenup.Address), zap.Duration("waited", givenup.Waited), zap.Int("unacknowledged", givenup.Unacknowledged))
+	}
+}
+
 // endReductions lets this node have its full share again of the connections to endpoints
 // that have reset none for some time, logs the resets that are due, and updates the budgets
 // if they are.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -62,6 +62,7 @@
 	control.reportLost, control.reportFound = server.ReportLost, server.ReportFound
 	control.setBudgets = pool.SetBudgets
 	pool.OnReset(control.ConnectionReset)
+	pool.OnGivenUp(logGivenUp(log, meter))
 	return server
 }
 
@@ -84,9 +85,10 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(params.Settings.MemoryMB) * (1 << 20)))
 	callers := &http.Server{
 		Handler: params.Server, ReadHeaderTimeout: params.Settings.HeaderTimeout, IdleTimeout: callersIdleTimeout, MaxHeaderBytes: params.Settings.HeaderBytes,
+		ConnContext: entry.ConnContext,
 	}
 	ready := &http.Server{Handler: readinessHandler(params.Control), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout}
-	peers := &http.Server{Handler: internalHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout}
+	peers := &http.Server{Handler: internalHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, ConnContext: entry.ConnContext}
 	ctx, cancel := context.WithCancel(context.Background())
 	params.Control.ctx = ctx
 	params.Control.initClock(time.Now())
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -195,8 +195,11 @@
 // that ended because the caller disconnected, or because it was not needed any more,
 // doesn't count against the endpoint.
 func (request *request) handleFailure(attempt *attempt, err error) result {
-	if errors.Is(err, pool.ErrNoRoom) {
+	switch {
+	case errors.Is(err, pool.ErrNoRoom):
 		return noRoom{}
+	case errors.Is(err, pool.ErrGivenUp):
+		return unsent{cause: err} // by this node, which says nothing of the endpoint
 	}
 	candidate, now := attempt.candidate, time.Now()
 	unneeded := errors.Is(context.Cause(attempt.ctx), errNotNeeded)
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -113,7 +113,7 @@
 	}
 	return pool.Request{
 		Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
-		AtMostOnce: request.atMostOnce(), NewConnection: request.needsNewConnection(),
+		AtMostOnce: request.atMostOnce(), NewConnection: request.needsNewConnection(), Wanted: request.callerStays,
 	}
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -210,6 +210,9 @@
 			return &failure{cause: "this node is leaving"}
 		}
 		decision := request.choose(headerWritten())
+		if request.callerLeft() { // while the request waited
+			request.abortDisconnected()
+		}
 		if reject, rejected := decision.(reach.Reject); rejected {
 			if retryAt := request.peerRetryAt.Load(); retryAt != 0 {
 				reject.RetryAt = time.Unix(0, retryAt)
@@ -226,7 +229,7 @@
 		case incomplete:
 			cause = "the answer broke off: " + result.cause.Error()
 		}
-		if request.r.Context().Err() != nil {
+		if request.callerLeft() {
 			request.abortDisconnected()
 		}
 		if ctx.Err() != nil {
@@ -316,6 +319,7 @@
 		Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
 		AtMostOnce:    request.atMostOnce(),
 		NewConnection: request.needsNewConnection(),
+		Wanted:        request.callerStays,
 	}
 }
 
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -81,6 +81,7 @@
 	LimitUnusable         = Event{609, "unusable Server-Limit of an endpoint", zap.WarnLevel}
 	AttemptSilent         = Event{610, "attempt ended because its endpoint is silent", zap.InfoLevel}
 	AttemptHandover       = Event{611, "request sent to another endpoint beside a silent one", zap.InfoLevel}
+	RequestGivenUp        = Event{612, "request given up before its endpoint had received all of it", zap.InfoLevel}
 )
 
 // All returns every event in the order of the numbers.
@@ -93,7 +94,7 @@
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp,
 	}
 }
 
--- a/io/pool/budget.go
+++ b/io/pool/budget.go
@@ -246,9 +246,13 @@
 	}()
 }
 
-// abort closes a connection in the middle of an exchange. The mutex must be held.
+// abort resets a connection in the middle of an exchange: an ordinary close would still deliver
+// what stands in the send buffer. The mutex must be held.
 func (pool *Pool) abort(endpoint *endpoint, connection *connection) {
 	endpoint.closing++
+	if conn, ok := connection.conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // if it fails, the connection has ended
+	}
 	_ = connection.conn.Close()
 	time.AfterFunc(closeTimeout, func() {
 		pool.mutex.Lock()
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -21,6 +21,10 @@
 // ErrUnsent marks errors after which no byte of the request has left this node.
 var ErrUnsent = errors.New("pool: the request was not sent")
 
+// ErrGivenUp marks errors of requests that could have been sent, but whose context had ended or
+// that nobody wanted any more. They are marked by ErrUnsent too.
+var ErrGivenUp = errors.New("pool: the request was given up")
+
 // ErrIncompleteResponse marks errors after which the request may have arrived, but
 // its response has not.
 var ErrIncompleteResponse = errors.New("pool: the response is incomplete")
@@ -47,6 +51,7 @@
 	budgets   map[string]Budget    // by address; replaced as a whole
 	counts    map[string]*Counts   // by service
 	onReset   func(Reset)
+	onGivenUp func(GivenUp)
 	dial      Dial
 	dials     int64
 }
@@ -59,6 +64,13 @@
 	At      time.Time
 }
 
+// GivenUp says that a request was given up while the endpoint had not acknowledged all of it.
+type GivenUp struct {
+	Address        string
+	Waited         time.Duration // from the call of Send until the first byte was written
+	Unacknowledged int           // bytes, which the endpoint will not get
+}
+
 // connection is a TCP connection to an endpoint with its buffers.
 type connection struct {
 	conn      net.Conn
@@ -105,7 +117,7 @@
 // New creates an empty pool.
 func New(options ...Option) *Pool {
 	dialer := &net.Dialer{Control: TCPUserTimeout(unackedDataTimeout)}
-	pool := &Pool{endpoints: map[string]*endpoint{}, counts: map[string]*Counts{}, onReset: func(Reset) {}, dial: dialer.DialContext}
+	pool := &Pool{endpoints: map[string]*endpoint{}, counts: map[string]*Counts{}, onReset: func(Reset) {}, onGivenUp: func(GivenUp) {}, dial: dialer.DialContext}
 	for _, option := range options {
 		option(pool)
 	}
@@ -116,6 +128,10 @@
 // called before the pool is used.
 func (pool *Pool) OnReset(onReset func(Reset)) { pool.onReset = onReset }
 
+// OnGivenUp sets the function that is called for a request that was given up while bytes of it
+// were on their way. It must be called before the pool is used.
+func (pool *Pool) OnGivenUp(onGivenUp func(GivenUp)) { pool.onGivenUp = onGivenUp }
+
 // Request is the request to send. Target, the path with its query, is sent byte for
 // byte.
 type Request struct {
@@ -127,6 +143,9 @@
 	NewConnection bool // don't reuse an idle connection, which the endpoint may be closing
 	AtMostOnce    bool // the request may run once at most, and may have run once a byte of it was sent
 	Own           bool // one of this node's own requests: a probe or a command
+
+	// Wanted is asked right before the first byte is sent; nil stands for always.
+	Wanted func() bool
 }
 
 // Exchange is a request whose response body is still to be read.
@@ -137,7 +156,8 @@
 	address       string
 	connection    *connection
 	own           bool
-	stop          func() bool // detaches the connection from the context of Send
+	stop          func() bool   // detaches the connection from the context of Send
+	waited        time.Duration // before the first byte was written
 	once          sync.Once
 }
 
@@ -157,11 +177,17 @@
 // Send sends a request and reads the headers of its response. Canceling the context
 // ends the exchange at any time until the exchange is released or closed.
 func (pool *Pool) Send(ctx context.Context, address string, request Request) (*Exchange, error) {
+	startedAt := time.Now()
 	connection, isNew, err := pool.get(ctx, address, request)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "pool: connecting to %s", address), ErrUnsent)
 	}
 	exchange := &Exchange{NewConnection: isNew, pool: pool, address: address, connection: connection, own: request.Own}
+	if ctx.Err() != nil || request.Wanted != nil && !request.Wanted() {
+		exchange.putBack()
+		return nil, errors.Mark(errors.Mark(errors.Newf("pool: not sent to %s", address), ErrGivenUp), ErrUnsent)
+	}
+	exchange.waited = time.Since(startedAt)
 	exchange.stop = context.AfterFunc(ctx, func() { _ = connection.conn.SetDeadline(time.Unix(1, 0)) })
 	response, err := connection.roundTrip(request)
 	if err != nil {
@@ -258,10 +284,26 @@
 	})
 }
 
-// Close closes the connection, which cancels the request at the endpoint.
+// putBack gives back the connection of an exchange of which no byte was sent.
+func (exchange *Exchange) putBack() {
+	exchange.pool.release(exchange.address, exchange.own, false, func(endpoint *endpoint) {
+		if exchange.NewConnection { // the endpoint has not stated how long it may be idle
+			exchange.pool.retire(endpoint, exchange.connection)
+			return
+		}
+		endpoint.idle = append(endpoint.idle, exchange.connection)
+		exchange.pool.trim(endpoint)
+	})
+}
+
+// Close resets the connection, which cancels the request at the endpoint. What the endpoint has
+// not received of the request is not delivered.
 func (exchange *Exchange) Close() {
 	exchange.once.Do(func() {
 		exchange.stop()
+		if unacknowledged := unacknowledgedBytes(exchange.connection.conn); unacknowledged > 0 {
+			exchange.pool.onGivenUp(GivenUp{Address: exchange.address, Waited: exchange.waited, Unacknowledged: unacknowledged})
+		}
 		exchange.pool.release(exchange.address, exchange.own, false, func(endpoint *endpoint) {
 			exchange.pool.abort(endpoint, exchange.connection)
 		})
@@ -435,15 +477,54 @@
 // reusable reports whether an idle connection is open and has no unread bytes. Any
 // such bytes belong to no request.
 func reusable(conn net.Conn) bool {
-	raw, err := conn.(syscall.Conn).SyscallConn()
+	_, err := peek(conn)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// Ended reports whether the other side of a connection has closed or reset it, also if nobody
+// has read that yet.
+func Ended(conn net.Conn) bool {
+	count, err := peek(conn)
+	return err == nil && count == 0 || errors.Is(err, unix.ECONNRESET)
+}
+
+// peek returns how many bytes of a connection can be read at once, one at most, and none at its
+// end. The error is EAGAIN if there is neither a byte nor the end.
+func peek(conn net.Conn) (count int, err error) {
+	syscallconn, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, unix.ENOTSOCK
+	}
+	raw, err := syscallconn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
 	var peekErr error
-	var peek [1]byte
-	err = raw.Read(func(descriptor uintptr) bool {
-		_, _, peekErr = unix.Recvfrom(int(descriptor), peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return true
+	var buffer [1]byte
+	err = raw.Control(func(descriptor uintptr) {
+		count, _, peekErr = unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && errors.Is(peekErr, unix.EAGAIN)
+	if err != nil {
+		return 0, err
+	}
+	return count, peekErr
+}
+
+// unacknowledgedBytes returns how many written bytes the other side has not acknowledged, or 0
+// if that is not known.
+func unacknowledgedBytes(conn net.Conn) int {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	count := 0
+	err = raw.Control(func(descriptor uintptr) {
+		if queued, ioctlErr := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); ioctlErr == nil {
+			count = queued
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return count
 }
