One limit for all bytes that a node holds for others, with shares

Cause: 16 MiB for each answer and the configured limit for each body, and no limit for their sum.

Ruled out: heads (64 KiB) and events (1 MiB), which did not fill the memory in the test; garbage that is not collected, since memory stays in use as long as the answers go on.

Change: core/buffer, a ledger of all answers and callers' bodies: a fifth of memory-mb, at most 16 MiB of it for one endpoint and half for one team. Bytes without a receipt end first, then what has not grown for longest. Answers without a receipt are limited to 64 KiB. Event 613 and two gauges.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -53,6 +53,7 @@
 func newServer(settings Settings, control *Control, pool *pool.Pool, log *zap.Logger, meter *meter.Meter) *entry.Server {
 	server := entry.New(pool, control.Snapshot(),
 		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded), entry.WithLimits(control.LimitStated), entry.WithUnreachable(control.Unreachable),
+		entry.WithMemory(int64(settings.MemoryMB)<<20),
 		entry.WithPeers(control.Peers, settings.Node, settings.PeerKey),
 		entry.WithRetryBudget(retry.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, UsableShare: usableBudgetShare}))
 	control.hadRequests = server.HadRequests
@@ -188,6 +189,9 @@
 		params.Pool.Sweep(inUse)
 		params.Meter.Gauge("channels_opened", float64(params.Pool.Dials()))
 		reportConnections(params.Meter, params.Pool.CountsByService())
+		held, ended := params.Server.HeldBytes()
+		params.Meter.Gauge("held_bytes", float64(held))
+		params.Meter.Gauge("held_bytes_ended", float64(ended))
 	}
 }
 
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -15,9 +15,6 @@
 	"hickorybend/platform"
 )
 
-// maxBufferedBytes limits the body of a response that is buffered completely.
-const maxBufferedBytes = 16 << 20
-
 // result is the outcome of one attempt: answered, unsent, notExecuted or
 // incomplete.
 type result interface {
@@ -100,10 +97,23 @@
 		return outcome
 	}
 	responseheader := request.readHeader(attempt.candidate, exchange)
-	body, err := exchange.ReadBody(maxBufferedBytes)
+	return request.readAnswer(attempt, exchange, responseheader)
+}
+
+// readAnswer reads the body of a response that is no stream, and classifies it.
+func (request *request) readAnswer(attempt *attempt, exchange *pool.Exchange, responseheader platform.ResponseHeader) result {
+	limit := int64(maxBufferedBytes)
+	if !responseheader.Receipt {
+		limit = maxUnsignedBytes
+	}
+	held := request.holdAnswer(attempt, responseheader.Receipt)
+	body, err := held.read(exchange.Response.Body, limit)
 	if err != nil {
-		return request.handleFailure(attempt, causeOf(attempt.ctx, err))
+		held.release()
+		exchange.Close()
+		return request.handleFailure(attempt, errors.Mark(causeOf(attempt.ctx, err), pool.ErrIncompleteResponse))
 	}
+	request.keep(held)
 	return request.classify(attempt, exchange, responseheader, body)
 }
 
--- a/io/entry/eventreader.go
+++ b/io/entry/eventreader.go
@@ -21,10 +21,11 @@
 	reader *bufio.Reader
 	event  bytes.Buffer // the last event read, with the empty line that ends it
 	id     string       // its id
+	held   *heldBytes   // of event
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, eventBufferBytes)}
+func newEventReader(body io.Reader, held *heldBytes) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, eventBufferBytes), held: held}
 }
 
 // next reads one event. It returns io.EOF if the stream has ended between two events.
@@ -38,6 +39,9 @@
 		if eventreader.event.Len() > maxEventBytes {
 			return errEventTooLong
 		}
+		if !eventreader.held.grow(int64(eventreader.event.Cap())) {
+			return eventreader.held.refuse(eventreader.event.Len())
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			eventreader.id, continued = idOf(line, continued, eventreader.id), true
 			continue
--- a/io/entry/heldstream.go
+++ b/io/entry/heldstream.go
@@ -21,6 +21,7 @@
 type heldStream struct {
 	response *http.Response // the first endpoint's
 	events   bytes.Buffer
+	bytes    *heldBytes
 }
 
 // add adds an event.
@@ -29,6 +30,9 @@
 		return errHeldTooLong
 	}
 	heldstream.events.Write(event)
+	if !heldstream.bytes.grow(int64(heldstream.events.Cap())) {
+		return heldstream.bytes.refuse(heldstream.events.Len())
+	}
 	return nil
 }
 
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -124,7 +124,7 @@
 	if outcome == "" {
 		return nil
 	}
-	if _, err := exchange.ReadBody(maxBufferedBytes); err != nil {
+	if _, err := exchange.ReadBody(maxUnsignedBytes); err != nil {
 		return request.handleFailure(attempt, causeOf(attempt.ctx, err))
 	}
 	exchange.Release()
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -2,17 +2,19 @@
 
 import (
 	"context"
-	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorybend/core/buffer"
 	"hickorybend/core/crash"
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
@@ -56,6 +58,8 @@
 	firstEventAt time.Time     // when the response headers of a stream were written
 	lastEventAt  time.Time     // when the last event was written
 	longestGap   time.Duration // longest time between two events
+	heldMutex    sync.Mutex
+	held         []*heldBytes // released when the request has ended
 }
 
 // admit checks the request and reads its body, before it is sent anywhere. If the
@@ -147,16 +151,25 @@
 	}
 	controller := http.NewResponseController(request.w)
 	_ = controller.SetReadDeadline(request.receivedAt.Add(request.server.policy.BodyReadTimeout))
-	body, err := io.ReadAll(request.r.Body)
+	held := &heldBytes{server: request.server, owner: buffer.Team{Name: request.team}, answer: true, end: func() {
+		_ = controller.SetReadDeadline(time.Unix(1, 0)) // if it fails, the caller has left
+	}}
+	request.keep(held)
+	body, err := held.read(request.r.Body, math.MaxInt64) // MaxBytesReader limits it
 	_ = controller.SetReadDeadline(time.Time{})
 	if err == nil {
 		request.body, request.readAt = body, time.Now()
 		return true
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		request.fail(http.StatusRequestEntityTooLarge, "the body is larger than the limit")
 		return false
+	case !held.complete():
+		request.w.Header().Set("Connection", "close") // the rest of the body may never come
+		request.reject("this node has no memory for the body", memoryRetryDelay)
+		return false
 	}
 	request.fail(http.StatusBadRequest, "the body did not come whole")
 	return false
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorybend/core/buffer"
 	"hickorybend/core/crash"
 	"hickorybend/core/reach"
 	"hickorybend/core/retry"
@@ -51,6 +52,8 @@
 	stopping    context.Context         // done when requests have to be answered because this node stops
 	endRequests context.CancelCauseFunc // of stopping
 	answerTimes *answerTimes            // of requests that are no streams
+	ledger      *buffer.Ledger          // of the bytes held for others
+	endedClaims endedClaims
 	inFlight    atomic.Int64
 	hadRequests atomic.Bool
 	seconds     sync.Mutex // held while an endpoint for a second attempt is chosen
@@ -105,6 +108,9 @@
 	return func(server *Server) { server.leaving = leaving }
 }
 
+// defaultMemory is the memory of a node that states none, in bytes.
+const defaultMemory = 256 << 20
+
 // New creates a server that routes by the snapshot that the control loop
 // publishes.
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
@@ -117,6 +123,7 @@
 		demand: map[string]time.Duration{},
 	}
 	server.stopping, server.endRequests = context.WithCancelCause(context.Background())
+	WithMemory(defaultMemory)(server)
 	for _, option := range options {
 		option(server)
 	}
@@ -220,6 +227,7 @@
 	defer server.inFlight.Add(-1)
 	server.hadRequests.Store(true)
 	defer request.record()
+	defer request.releaseHeld()
 	request.loadSnapshot()
 	if server.stop.Load() != nil {
 		request.w.Header().Set("Connection", "close")
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -97,17 +97,15 @@
 	}
 	responseheader := request.readHeader(attempt.candidate, exchange)
 	if exchange.Response.StatusCode != http.StatusOK {
-		body, err := exchange.ReadBody(maxBufferedBytes)
-		if err != nil {
-			return request.handleFailure(attempt, causeOf(attempt.ctx, err))
-		}
-		return request.classify(attempt, exchange, responseheader, body)
+		return request.readAnswer(attempt, exchange, responseheader)
 	}
 	if request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID || !responseheader.Receipt || responseheader.Encoded {
 		exchange.Close()
 		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the stream is another request's or bears no receipt"), pool.ErrIncompleteResponse))
 	}
-	attempt.exchange, attempt.reader = exchange, newEventReader(exchange.Response.Body)
+	held := request.holdAnswer(attempt, true)
+	request.keep(held)
+	attempt.exchange, attempt.reader = exchange, newEventReader(exchange.Response.Body, held)
 	if request.readEvent(attempt); attempt.readErr != nil && !errors.Is(attempt.readErr, io.EOF) {
 		return request.handleStreamFailure(attempt, attempt.readErr)
 	}
@@ -242,8 +240,10 @@
 
 // passOn writes an event to the caller, or holds it until the stream is whole.
 func (relay *relay) passOn(attempt *attempt) error {
-	if relay.held == nil && !relay.headerWritten() && relay.request.mayOutlastNode() {
-		relay.held = &heldStream{response: attempt.exchange.Response}
+	if request := relay.request; relay.held == nil && !relay.headerWritten() && request.mayOutlastNode() {
+		held := request.holdAnswer(attempt, true)
+		request.keep(held)
+		relay.held = &heldStream{response: attempt.exchange.Response, bytes: held}
 	}
 	if relay.held != nil {
 		return relay.held.add(attempt.reader.event.Bytes())
--- a/io/entry/stream_test.go
+++ b/io/entry/stream_test.go
@@ -35,7 +35,7 @@
 // end, and lines without an empty one between them.
 func TestEndlessEvent(t *testing.T) {
 	for _, text := range []string{"x", "data: x\n", "id: 1\n", ":\r\n"} {
-		eventreader := newEventReader(&endless{text: text})
+		eventreader := newEventReader(&endless{text: text}, &heldBytes{server: New(pool.New(), nil)})
 		err := eventreader.next()
 		assert.Assert(t, errors.Is(err, errEventTooLong), "%v", err)
 		assert.Assert(t, eventreader.event.Cap() < 4*maxEventBytes, "%d bytes", eventreader.event.Cap())
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -82,6 +82,7 @@
 	AttemptSilent         = Event{610, "attempt ended because its endpoint is silent", zap.InfoLevel}
 	AttemptHandover       = Event{611, "request sent to another endpoint beside a silent one", zap.InfoLevel}
 	RequestGivenUp        = Event{612, "request given up before its endpoint had received all of it", zap.InfoLevel}
+	BytesRefused          = Event{613, "answers or bodies ended, as this node holds too many bytes for others", zap.WarnLevel}
 )
 
 // All returns every event in the order of the numbers.
@@ -94,7 +95,7 @@
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused,
 	}
 }
 
