A cut-off node stays so until an endpoint answers it, and sound ones are not

Cause: a node took itself for cut off if first hosts were silent to it and answered others, however much earlier or later than it had asked. So sound nodes gave the lease up, one after the other, when endpoints came back. The cut node took it, since its state ended when nobody said any more that endpoints answer. If all endpoints crashed first, it never began.

Change: an answer to another node counts only between two probes of this node that were not answered; digests carry its age. The state ends when an endpoint answers.

A test that was wrong: the row "cut off from all" wanted the state to end 3 s after others had last said that endpoints answer, with all of them still silent.

--- a/core/cutoff/tracker.go
+++ b/core/cutoff/tracker.go
@@ -1,6 +1,10 @@
 package cutoff
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Policy holds the limits by which a node takes itself for cut off.
 type Policy struct {
@@ -27,15 +31,19 @@
 
 // View is what a node knows at one time.
 type View struct {
-	FirstHosts   int             // of open replicas, those that have answered the node of late or do not now
-	Silent       map[string]bool // endpoints that do not answer this node; the value says whether it is a first host
-	Answering    []string        // endpoints that have just answered other nodes
-	Alone        bool            // there is no other node
-	Indirect     bool            // nodes receive each other's reports through leaders
-	SilentTo     map[string]int  // how many other nodes each endpoint does not answer, where all ask it
-	Quorum       int             // of them whose word makes the silence count
-	Lost         map[string]bool // endpoints that the nodes which watch them report as lost
-	OthersSilent int             // endpoints that do not answer the other node with the fewest such; 0 if that is not known
+	FirstHosts   int                  // of open replicas, those that have answered the node of late or do not now
+	Endpoints    int                  // all of which that holds
+	Silent       map[string]bool      // endpoints that do not answer this node; the value says whether it is a first host
+	Answering    map[string]time.Time // endpoints that have just answered other nodes, and when
+	Alone        bool                 // there is no other node
+	Indirect     bool                 // nodes receive each other's reports through leaders
+	SilentTo     map[string]int       // how many other nodes each endpoint does not answer, where all ask it
+	Quorum       int                  // of them whose word makes the silence count
+	Lost         map[string]bool      // endpoints that the nodes which watch them report as lost
+	OthersSilent int                  // endpoints that do not answer the other node with the fewest such; 0 if that is not known
+
+	FailedAt   map[string]time.Time // when the latest probe was sent that a silent endpoint has not answered
+	AnsweredAt time.Time            // when an endpoint last answered this node; zero if that is not known
 }
 
 // Tracker holds what a node has concluded about its own links. It belongs to one
@@ -47,14 +55,18 @@
 	doubtful     bool
 	suspect      bool
 	cutOff       bool
+	cutOffSince  time.Time // when it last counted as cut off by what others said
 	view         View
 	silentSince  map[string]time.Time
-	refutedUntil map[string]time.Time // of endpoints that answer others but not this node
+	claimedAt    map[string]time.Time // silent endpoints that have answered others since, and when: the first answer that is not verified, or the last
+	refutedUntil map[string]time.Time // of silent endpoints that others say answer them
+
+	unreachedUntil map[string]time.Time // those of them that answer others but not this node
 }
 
 // NewTracker returns a tracker of a node that is not cut off.
 func NewTracker(policy Policy) *Tracker {
-	return &Tracker{policy: policy, silentSince: map[string]time.Time{}, refutedUntil: map[string]time.Time{}}
+	return &Tracker{policy: policy, silentSince: map[string]time.Time{}, claimedAt: map[string]time.Time{}, refutedUntil: map[string]time.Time{}, unreachedUntil: map[string]time.Time{}}
 }
 
 // Update applies a view. It reports whether the node has just begun to suspect its links.
@@ -62,13 +74,28 @@
 	tracker.view = view
 	tracker.updateSilent(now)
 	tracker.updateRefuted(now)
-	silent, refuted := tracker.countFirstHosts()
+	tracker.updateUnreached(now)
+	silent, unreached := tracker.countFirstHosts()
+	most := tracker.reaches(len(tracker.unreachedUntil), tracker.policy.CutOffShare, view.Endpoints)
 	tracker.updateDoubt(silent >= tracker.policy.DoubtFrom && 2*view.OthersSilent < silent, now)
 	began = tracker.updateSuspicion(view, silent, now)
-	tracker.cutOff = tracker.reaches(refuted, tracker.policy.CutOffShare, view.FirstHosts)
+	tracker.updateCutOff(most || tracker.reaches(unreached, tracker.policy.CutOffShare, view.FirstHosts), now)
 	return began
 }
 
+// updateCutOff applies whether most replicas, or most endpoints if few of them serve, answer other
+// nodes but not this one. It does not
+// end because replicas have failed meanwhile, or others have stopped saying so: an
+// endpoint has to answer this node.
+func (tracker *Tracker) updateCutOff(reason bool, now time.Time) {
+	switch {
+	case reason:
+		tracker.cutOff, tracker.cutOffSince = true, now
+	case tracker.view.Alone, tracker.view.AnsweredAt.After(tracker.cutOffSince):
+		tracker.cutOff = false
+	}
+}
+
 // updateSilent records since when endpoints have been silent.
 func (tracker *Tracker) updateSilent(now time.Time) {
 	since := make(map[string]time.Time, len(tracker.view.Silent))
@@ -83,7 +110,7 @@
 // updateRefuted applies what the other nodes say of the silent endpoints.
 func (tracker *Tracker) updateRefuted(now time.Time) {
 	view := tracker.view
-	for _, id := range view.Answering {
+	for id := range view.Answering {
 		if _, silent := view.Silent[id]; silent {
 			tracker.refutedUntil[id] = now.Add(tracker.policy.RefutedFor)
 		}
@@ -95,19 +122,52 @@
 	}
 }
 
+// updateUnreached applies which endpoints answer others but not this node. One may have answered
+// others before it failed, or have come back since this node asked it. So an answer to another
+// node shows that only between two of this node's probes that were not answered.
+func (tracker *Tracker) updateUnreached(now time.Time) {
+	view := tracker.view
+	for id, at := range view.Answering {
+		since, silent := tracker.silentSince[id]
+		if claimed, found := tracker.claimedAt[id]; silent && !at.Before(since) && (!found || at.After(claimed) && tracker.verified(id)) {
+			tracker.claimedAt[id] = at
+		}
+	}
+	for id, at := range tracker.claimedAt {
+		_, silent := view.Silent[id]
+		switch {
+		case !silent, now.Sub(at) >= tracker.policy.RefutedFor:
+			delete(tracker.claimedAt, id)
+		case tracker.verified(id):
+			tracker.unreachedUntil[id] = at.Add(tracker.policy.RefutedFor)
+		}
+	}
+	for id, until := range tracker.unreachedUntil {
+		if _, silent := view.Silent[id]; !silent || !now.Before(until) {
+			delete(tracker.unreachedUntil, id)
+		}
+	}
+}
+
+// verified reports whether an endpoint has not answered a probe that was sent after its answer to
+// another node.
+func (tracker *Tracker) verified(id string) bool {
+	return !tracker.view.FailedAt[id].Before(tracker.claimedAt[id])
+}
+
 // countFirstHosts returns how many first hosts are silent, and how many of these answer
 // others.
-func (tracker *Tracker) countFirstHosts() (silent, refuted int) {
+func (tracker *Tracker) countFirstHosts() (silent, unreached int) {
 	for id, isFirstHost := range tracker.view.Silent {
 		if !isFirstHost {
 			continue
 		}
 		silent++
-		if tracker.Refuted(id) {
-			refuted++
+		if _, found := tracker.unreachedUntil[id]; found {
+			unreached++
 		}
 	}
-	return silent, refuted
+	return silent, unreached
 }
 
 // updateDoubt applies whether there is a reason for doubt. It ends by itself: a node that is
@@ -169,6 +229,18 @@
 	return refuted
 }
 
+// Unverified returns the silent endpoints that have answered others since, and that this node has
+// not asked after that.
+func (tracker *Tracker) Unverified() []string {
+	var unverified []string
+	for id := range tracker.claimedAt {
+		if !tracker.verified(id) {
+			unverified = append(unverified, id)
+		}
+	}
+	return unverified
+}
+
 // Ask reports whether to list an endpoint as unresponsive to the other nodes, which then
 // probe it. A refuted one is listed again when half of RefutedFor has passed.
 func (tracker *Tracker) Ask(id string, now time.Time) bool {
@@ -178,3 +250,17 @@
 
 // CutOff reports whether most replicas answer other nodes, but not this one.
 func (tracker *Tracker) CutOff() bool { return tracker.cutOff }
+
+// Unreached returns the endpoints that answer others but not this node.
+func (tracker *Tracker) Unreached() []string {
+	return slices.Sorted(maps.Keys(tracker.unreachedUntil))
+}
+
+// SilentFor returns for how long one of the silent endpoints has been so, the longest.
+func (tracker *Tracker) SilentFor(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, since := range tracker.silentSince {
+		longest = max(longest, now.Sub(since))
+	}
+	return longest
+}
--- a/core/cutoff/tracker_test.go
+++ b/core/cutoff/tracker_test.go
@@ -17,6 +17,9 @@
 	silent, answering         int // e0, e1 and so on
 	members                   int // further silent endpoints that are not first hosts
 	othersSilent              int
+	notAsked                  bool // since others said that they answer
+	before                    bool // others got their answers before
+	answered                  bool // one of the others has answered this node
 	doubtful, suspect, cutOff bool // what follows; a suspicion or a cut is a doubt as well
 	refuted                   string
 	ask                       string // an endpoint of which the others are to be asked
@@ -28,15 +31,24 @@
 	began := time.Unix(1000, 0)
 	tracker := cutoff.NewTracker(cutoff.DefaultPolicy())
 	for _, sight := range sights {
-		view := cutoff.View{FirstHosts: 24, Silent: map[string]bool{}, OthersSilent: sight.othersSilent}
+		now := began.Add(time.Duration(sight.at) * time.Millisecond)
+		view := cutoff.View{FirstHosts: 24, Endpoints: 48, Silent: map[string]bool{}, OthersSilent: sight.othersSilent, FailedAt: map[string]time.Time{}, Answering: map[string]time.Time{}}
 		for i := range sight.silent {
 			view.Silent[fmt.Sprint("e", i)] = true
+			if view.FailedAt[fmt.Sprint("e", i)] = now; sight.notAsked {
+				view.FailedAt[fmt.Sprint("e", i)] = began
+			}
+		}
+		if sight.answered {
+			view.AnsweredAt = now
 		}
 		for i := range sight.members {
 			view.Silent[fmt.Sprint("m", i)] = false
 		}
 		for i := range sight.answering {
-			view.Answering = append(view.Answering, fmt.Sprint("e", i))
+			if view.Answering[fmt.Sprint("e", i)] = now; sight.before {
+				view.Answering[fmt.Sprint("e", i)] = began.Add(-time.Second)
+			}
 		}
 		tracker.Update(view, began.Add(time.Duration(sight.at)*time.Millisecond))
 		assert.Equal(t, tracker.Suspect(), sight.suspect, "suspect at %d ms", sight.at)
@@ -68,9 +80,29 @@
 			{at: 3000, silent: 24, cutOff: true},
 			{at: 3200, silent: 24, cutOff: true, ask: "e1"},
 			{at: 4500, silent: 24, cutOff: true},
-			{at: 4700, silent: 24},
+			{at: 4700, silent: 24, cutOff: true},
 			{at: 4800, silent: 24, answering: 24, cutOff: true},
-			{at: 9000, silent: 1},
+			{at: 9000, silent: 1, cutOff: true},
+			{at: 9100, silent: 1, answered: true},
+		}},
+		{"cut off from all, which fail then", []seen{
+			{at: 0, silent: 24, suspect: true},
+			{at: 600, silent: 24, answering: 24, suspect: true, cutOff: true},
+			{at: 4700, silent: 24, cutOff: true},
+			{at: 4800, silent: 0, cutOff: true},
+			{at: 4900, silent: 24, cutOff: true, suspect: true},
+			{at: 5000, silent: 20, answered: true, suspect: true},
+		}},
+		{"endpoints that have failed, and are back before this node asks them again", []seen{
+			{at: 0, silent: 16, othersSilent: 16},
+			{at: 700, silent: 16, answering: 14, othersSilent: 2, notAsked: true, suspect: true},
+			{at: 800, silent: 16, answering: 16, notAsked: true, suspect: true},
+			{at: 900, silent: 0},
+		}},
+		{"endpoints that have failed, and answered others before", []seen{
+			{at: 0, silent: 16, suspect: true},
+			{at: 300, silent: 16, answering: 16, before: true, suspect: true},
+			{at: 600, silent: 16, answering: 16, before: true, suspect: true},
 		}},
 		{"endpoints that have failed together", []seen{
 			{at: 0, silent: 9, suspect: true},
@@ -112,13 +144,13 @@
 		{"no other node", cutoff.View{Alone: true}, 0},
 		{"most others say so", cutoff.View{SilentTo: map[string]int{"e": 3}, Quorum: 3}, 0},
 		{"some others say so", cutoff.View{SilentTo: map[string]int{"e": 2}, Quorum: 3}, policy.ConfirmAfter},
-		{"it answers another node", cutoff.View{SilentTo: map[string]int{"e": 3}, Quorum: 3, Answering: []string{"e"}}, -1},
+		{"it answers another node", cutoff.View{SilentTo: map[string]int{"e": 3}, Quorum: 3, Answering: map[string]time.Time{"e": began}}, -1},
 		{"in zones", cutoff.View{Indirect: true, SilentTo: map[string]int{"e": 3}, Quorum: 2}, policy.ConfirmIndirectAfter},
 		{"in zones, its watcher says so", cutoff.View{Indirect: true, Quorum: 2, Lost: map[string]bool{"e": true}}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			tracker := cutoff.NewTracker(policy)
-			test.view.Silent, test.view.FirstHosts = map[string]bool{"e": true}, 24
+			test.view.Silent, test.view.FirstHosts, test.view.FailedAt = map[string]bool{"e": true}, 24, map[string]time.Time{"e": began}
 			for at := time.Duration(0); at <= 2*time.Second; at += 100 * time.Millisecond {
 				tracker.Update(test.view, began.Add(at))
 				assert.Equal(t, tracker.Concludes("e", began.Add(at)), test.after >= 0 && at >= test.after, "at %s", at)
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -72,6 +72,7 @@
 	lastClockOffset  time.Duration // bootClockOffset at the last tick
 	lateness         *delay.Tracker
 	cutoff           *cutoff.Tracker
+	nextLinkProbeAt  time.Time // while this node is cut off
 	draining         bool
 	snapshotStale    bool // the snapshot must be rebuilt
 }
--- a/io/edge/cutoff.go
+++ b/io/edge/cutoff.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	answeringFor  = 2 * time.Second // for which an answer shows that an endpoint answers this node
-	heardFor      = 5 * time.Second // for which a first host that has answered counts among those that this node has to do with
-	maxLinkProbes = 64              // that a node sends when it begins to suspect its links
+	answeringFor    = 2 * time.Second // for which an answer shows that an endpoint answers this node
+	heardFor        = 5 * time.Second // for which a first host that has answered counts among those that this node has to do with
+	maxLinkProbes   = 64              // that a node sends when it begins to suspect its links
+	maxAnswerProbes = 8               // that a node which is cut off sends each second
 )
 
 // judgeLinks decides whether this node is cut off from the endpoints that do not answer it.
@@ -25,8 +26,11 @@
 	if control.cutoff.Update(control.linkView(now), now) {
 		control.probeLinks(now)
 	}
+	control.verifyClaims(now)
+	control.lookForAnswer(now)
 	if cutOff := control.cutoff.CutOff(); cutOff != wasCutOff {
-		event.Log(control.log, event.CutOffChanged, zap.Bool("cut-off", cutOff), zap.Int("unresponsive", len(control.endpoints.unresponsive)), zap.Int("nodes", len(control.Peers().List)))
+		event.Log(control.log, event.CutOffChanged, zap.Bool("cut-off", cutOff), zap.Int("unresponsive", len(control.endpoints.unresponsive)), zap.Int("nodes", len(control.Peers().List)),
+			zap.Strings("unreached", control.cutoff.Unreached()), zap.Duration("silent-for", control.cutoff.SilentFor(now)))
 	}
 }
 
@@ -34,7 +38,14 @@
 // that do not answer it.
 func (control *Control) linkView(now time.Time) cutoff.View {
 	endpoints := &control.endpoints
-	view := cutoff.View{Silent: map[string]bool{}}
+	view := cutoff.View{Silent: map[string]bool{}, FailedAt: endpoints.failedAt, Alone: control.peers.count() == 1}
+	if control.cutoff.CutOff() {
+		for id := range endpoints.byID {
+			if answeredAt := control.answeredAt(id); answeredAt.After(view.AnsweredAt) {
+				view.AnsweredAt = answeredAt
+			}
+		}
+	}
 	for id := range endpoints.unresponsive {
 		if _, elsewhere := endpoints.lostElsewhere[id]; !elsewhere {
 			view.Silent[id] = servesReplica(endpoints.byID[id])
@@ -48,18 +59,26 @@
 	}
 	for id, endpoint := range endpoints.byID {
 		_, silent := view.Silent[id]
-		if servesReplica(endpoint) && (silent || now.Sub(control.answeredAt(id)) < heardFor) {
+		if !silent && now.Sub(control.answeredAt(id)) >= heardFor {
+			continue
+		}
+		view.Endpoints++
+		if servesReplica(endpoint) {
 			view.FirstHosts++
 		}
 	}
-	view.Alone, view.Indirect, view.SilentTo, view.OthersSilent = control.peers.count() == 1, !control.peers.role.Mesh, map[string]int{}, -1
-	view.Lost = map[string]bool{}
+	view.Indirect, view.SilentTo, view.OthersSilent = !control.peers.role.Mesh, map[string]int{}, -1
+	view.Lost, view.Answering = map[string]bool{}, map[string]time.Time{}
 	nodes := 0
 	for name, peer := range control.peers.nodes {
 		if !peer.fresh(now) {
 			continue
 		}
-		view.Answering = append(view.Answering, peer.digest.Answering...)
+		for id, at := range peer.digest.AnsweredAt {
+			if at.After(view.Answering[id]) {
+				view.Answering[id] = at
+			}
+		}
 		for _, id := range peer.digest.Lost {
 			view.Lost[id] = true
 		}
@@ -78,6 +97,34 @@
 	return view
 }
 
+// verifyClaims asks the silent endpoints of which others say that they answer.
+func (control *Control) verifyClaims(now time.Time) {
+	unverified := control.cutoff.Unverified()
+	for _, id := range unverified[:min(len(unverified), maxLinkProbes)] {
+		delete(control.endpoints.probedAt, id) // what others say is worth a probe at once
+		control.probe(id, now)
+	}
+}
+
+// lookForAnswer has a node that is cut off ask some endpoints from time to time, also those that it
+// does not hold for silent, so that it finds out when it reaches them again.
+func (control *Control) lookForAnswer(now time.Time) {
+	if !control.cutoff.CutOff() || now.Before(control.nextLinkProbeAt) {
+		return
+	}
+	control.nextLinkProbeAt = now.Add(reprobeInterval)
+	probes := 0
+	for id := range control.endpoints.byID {
+		if probes == maxAnswerProbes {
+			return
+		}
+		if !control.isPlain(id) {
+			control.probe(id, now)
+			probes++
+		}
+	}
+}
+
 // echoes reports whether the digests of another node repeat what this one has told it.
 func (control *Control) echoes(name string) bool {
 	role := control.peers.role
@@ -154,8 +201,8 @@
 }
 
 // answering returns the endpoints that other nodes report as unresponsive, and that have
-// answered this node since.
-func (control *Control) answering(now time.Time) []string {
+// answered this node since, and when they did.
+func (control *Control) answering(now time.Time) map[string]time.Time {
 	endpoints := &control.endpoints
 	since := map[string]time.Time{}
 	for _, peer := range control.peers.nodes {
@@ -169,10 +216,10 @@
 		}
 	}
 	endpoints.silentElsewhere = since
-	var answering []string
+	answering := map[string]time.Time{}
 	for id, since := range since {
 		if answeredAt := control.answeredAt(id); !endpoints.isUnresponsive(id) && !answeredAt.Before(since) && now.Sub(answeredAt) < answeringFor {
-			answering = append(answering, id)
+			answering[id] = answeredAt
 		}
 	}
 	return answering
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -42,6 +42,7 @@
 	probedAt         map[string]time.Time      // when the last probe was sent
 	probing          map[string]bool           // a probe is pending
 	answeredAt       map[string]time.Time      // when the last probe was sent that the endpoint has answered
+	failedAt         map[string]time.Time      // when the last probe was sent that the endpoint has not answered
 	silentElsewhere  map[string]time.Time      // endpoints that do not answer other nodes, and since when these have said so
 	loads            map[string]*reach.Load
 	linkChecks       map[string]time.Time // endpoints without an engine that this node does not reach, and when to check them next
@@ -51,7 +52,7 @@
 	return endpoints{
 		removals: map[string]rows.Version{}, removed: map[string]fleet.Endpoint{},
 		byID: map[string]fleet.Endpoint{}, rows: map[string]platform.Entry{}, missingUntil: map[string]time.Time{},
-		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, lostElsewhere: map[string]time.Time{}, suspectedUntil: map[string]time.Time{}, lateProbes: map[string]int{}, pausingUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, answeredAt: map[string]time.Time{}, silentElsewhere: map[string]time.Time{}, loads: map[string]*reach.Load{}, linkChecks: map[string]time.Time{},
+		leaving: map[string]time.Time{}, unresponsive: map[string]time.Time{}, lostElsewhere: map[string]time.Time{}, suspectedUntil: map[string]time.Time{}, lateProbes: map[string]int{}, pausingUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, updatedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}, probing: map[string]bool{}, answeredAt: map[string]time.Time{}, failedAt: map[string]time.Time{}, silentElsewhere: map[string]time.Time{}, loads: map[string]*reach.Load{}, linkChecks: map[string]time.Time{},
 	}
 }
 
@@ -256,6 +257,7 @@
 	delete(endpoints.updatedAt, id)
 	delete(endpoints.reportedAt, id)
 	delete(endpoints.answeredAt, id)
+	delete(endpoints.failedAt, id)
 	control.snapshotStale = true
 }
 
--- a/io/edge/links.go
+++ b/io/edge/links.go
@@ -28,6 +28,7 @@
 // linkChecked is the outcome of a check of an unreachable endpoint.
 type linkChecked struct {
 	endpoint  string
+	sentAt    time.Time
 	reachable bool
 }
 
@@ -68,22 +69,23 @@
 			delete(control.endpoints.linkChecks, id)
 		case !now.Before(dueAt):
 			control.endpoints.linkChecks[id] = now.Add(linkCheckInterval)
-			go func() { control.enqueue(control.checkLink(endpoint, service.HealthPath)) }()
+			go func() { control.enqueue(control.checkLink(endpoint, service.HealthPath, now)) }()
 		}
 	}
 }
 
 // checkLink asks an endpoint for its health on a new connection. One that accepts it is
 // reachable, whether or not it answers in time.
-func (control *Control) checkLink(endpoint fleet.Endpoint, path string) linkChecked {
+func (control *Control) checkLink(endpoint fleet.Endpoint, path string, now time.Time) linkChecked {
 	err := control.engineClient.CheckHealth(control.ctx, endpoint, path, linkCheckTimeout)
-	return linkChecked{endpoint: endpoint.ID, reachable: !errors.IsAny(err, pool.ErrUnsent, platform.ErrEnded) || errors.Is(err, pool.ErrNoRoom)}
+	return linkChecked{endpoint: endpoint.ID, sentAt: now, reachable: !errors.IsAny(err, pool.ErrUnsent, platform.ErrEnded) || errors.Is(err, pool.ErrNoRoom)}
 }
 
 func (control *Control) handleLinkChecked(checked linkChecked, now time.Time) {
 	load := control.endpoints.load(checked.endpoint)
 	if !checked.reachable {
 		load.MarkUnreachable(now.Add(unreachableFor))
+		control.endpoints.failedAt[checked.endpoint] = checked.sentAt
 		return
 	}
 	load.MarkUnreachable(time.Time{})
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -224,7 +226,8 @@
 		digest.Demand[model] = int64(total)
 	}
 	digest.Unresponsive, digest.Lost = control.unresponsiveLists(time.Now())
-	digest.Answering, digest.Asked = control.answering(time.Now()), control.asked(time.Now())
+	digest.AnsweredAt, digest.Asked = control.answering(time.Now()), control.asked(time.Now())
+	digest.Answering = slices.Sorted(maps.Keys(digest.AnsweredAt))
 	if control.cutoff.CutOff() {
 		digest.CutOff = []string{control.settings.Node}
 	}
@@ -300,6 +303,7 @@
 func (control *Control) handlePeerDigest(received digestReceived, now time.Time) {
 	digest := received.digest
 	digest.Crashes, digest.Limits = digest.Crashes.ReceivedAt(now), gossip.LimitsReceivedAt(digest.Limits, now)
+	digest.AnsweredAt = digest.AnswersReceivedAt(now, answeringFor)
 	peer := control.peers.nodes[digest.Node]
 	if peer == nil {
 		return // its row has not been read yet
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -110,6 +110,7 @@
 	if !wasUnresponsive && control.repeatLateProbe(result, now) {
 		return
 	}
+	endpoints.failedAt[result.id] = result.sentAt
 	switch {
 	case !result.connected:
 		delete(endpoints.pausingUntil, result.id)
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -18,6 +18,7 @@
 	digest.Unresponsive, digest.Lost, digest.Leaving = slices.Clone(digest.Unresponsive), slices.Clone(digest.Lost), slices.Clone(digest.Leaving)
 	digest.Crashes, digest.Limits = digest.Crashes.copy(), slices.Clone(digest.Limits)
 	digest.Answering, digest.Asked, digest.CutOff = slices.Clone(digest.Answering), slices.Clone(digest.Asked), slices.Clone(digest.CutOff)
+	digest.AnsweredAt = maps.Clone(digest.AnsweredAt)
 	digest.Usable = cloneCounts(digest.Usable)
 	digest.Requests = maps.Clone(digest.Requests)
 	if digest.Requests == nil {
@@ -49,6 +50,7 @@
 	digest.Unresponsive = addIDs(digest.Unresponsive, other.Unresponsive)
 	digest.Lost = addIDs(digest.Lost, other.Lost)
 	digest.Answering = addIDs(digest.Answering, other.Answering)
+	digest.AnsweredAt = addAnswers(digest.AnsweredAt, other.AnsweredAt)
 	digest.CutOff = addIDs(digest.CutOff, other.CutOff)
 	for _, leaving := range other.Leaving {
 		if !slices.Contains(digest.Leaving, leaving) {
@@ -112,7 +114,7 @@
 			digest.Ages[table] = int64(now.Sub(confirmedAt))
 		}
 	}
-	digest.Crashes, digest.Limits = digest.Crashes.withAges(now), limitsWithAges(digest.Limits, now)
+	digest.Crashes, digest.Limits, digest.AnswerAges = digest.Crashes.withAges(now), limitsWithAges(digest.Limits, now), answerAges(digest.AnsweredAt, now)
 	return digest
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -27,32 +27,34 @@
 
 // Digest is the state that nodes exchange many times a second.
 type Digest struct {
-	Node             string           `cbor:"1,keyasint"`
-	Zone             string           `cbor:"9,keyasint"`
-	Versions         []rows.Version   `cbor:"2,keyasint"`            // of the tables that nodes fetch from each other, in a fixed order; that of the configuration is the operators'
-	InFlight         map[string]int   `cbor:"3,keyasint,omitempty"`  // requests by endpoint
-	PendingTokens    map[string]int   `cbor:"7,keyasint,omitempty"`  // tokens of prompts whose answer has not begun, by endpoint
-	Demand           map[string]int64 `cbor:"8,keyasint,omitempty"`  // nanoseconds of estimated host time by model since the start
-	Unresponsive     []string         `cbor:"4,keyasint,omitempty"`  // endpoints that do not answer this node, or may not
-	Lost             []string         `cbor:"23,keyasint,omitempty"` // endpoints that the node watches for the others, and that do not answer it
-	Leaving          []Leaving        `cbor:"19,keyasint,omitempty"` // endpoints that have said in an answer that they leave
-	HadRequests      bool             `cbor:"5,keyasint,omitempty"`  // a request has arrived since the start, at this node or at one whose digest it has
-	StoreUnreachable bool             `cbor:"10,keyasint,omitempty"` // the platform's store does not answer this node
-	StoreReplyAge    int64            `cbor:"14,keyasint,omitempty"` // nanoseconds since the store last answered this node
-	Fence            int64            `cbor:"11,keyasint,omitempty"` // fencing number of the placement lease whose holder reports PlanCount and Quarantined
-	PlanCount        int64            `cbor:"12,keyasint,omitempty"` // planning passes that the holder has made under this fencing number
-	Quarantined      []string         `cbor:"13,keyasint,omitempty"` // endpoints whose previous first host may still serve, so that they may not join another replica
-	Complete         rows.Version     `cbor:"16,keyasint,omitempty"` // the store's version up to which the node's copy of the endpoints has every change
-	Compacted        rows.Version     `cbor:"17,keyasint,omitempty"` // that copy has removals up to this version that the node can't list
-	Ages             []int64          `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
-	ConfirmedAt      []time.Time      `cbor:"-"`                     // the same as times of the node's own clock
-	Crashes          Crashes          `cbor:"20,keyasint,omitempty"`
-	Limits           []EndpointLimit  `cbor:"21,keyasint,omitempty"` // what endpoints stated to this node
-	Requests         map[string]int64 `cbor:"22,keyasint,omitempty"` // requests received since the start, by service
-	Answering        []string         `cbor:"25,keyasint,omitempty"` // endpoints that other nodes list as Unresponsive, and that have just answered this node
-	Asked            []string         `cbor:"27,keyasint,omitempty"` // endpoints that the node watches for the others and finds silent, and that some of these are to probe
-	CutOff           []string         `cbor:"26,keyasint,omitempty"` // nodes that endpoints do not answer, though they answer others
-	Usable           map[string]int   `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
+	Node             string               `cbor:"1,keyasint"`
+	Zone             string               `cbor:"9,keyasint"`
+	Versions         []rows.Version       `cbor:"2,keyasint"`            // of the tables that nodes fetch from each other, in a fixed order; that of the configuration is the operators'
+	InFlight         map[string]int       `cbor:"3,keyasint,omitempty"`  // requests by endpoint
+	PendingTokens    map[string]int       `cbor:"7,keyasint,omitempty"`  // tokens of prompts whose answer has not begun, by endpoint
+	Demand           map[string]int64     `cbor:"8,keyasint,omitempty"`  // nanoseconds of estimated host time by model since the start
+	Unresponsive     []string             `cbor:"4,keyasint,omitempty"`  // endpoints that do not answer this node, or may not
+	Lost             []string             `cbor:"23,keyasint,omitempty"` // endpoints that the node watches for the others, and that do not answer it
+	Leaving          []Leaving            `cbor:"19,keyasint,omitempty"` // endpoints that have said in an answer that they leave
+	HadRequests      bool                 `cbor:"5,keyasint,omitempty"`  // a request has arrived since the start, at this node or at one whose digest it has
+	StoreUnreachable bool                 `cbor:"10,keyasint,omitempty"` // the platform's store does not answer this node
+	StoreReplyAge    int64                `cbor:"14,keyasint,omitempty"` // nanoseconds since the store last answered this node
+	Fence            int64                `cbor:"11,keyasint,omitempty"` // fencing number of the placement lease whose holder reports PlanCount and Quarantined
+	PlanCount        int64                `cbor:"12,keyasint,omitempty"` // planning passes that the holder has made under this fencing number
+	Quarantined      []string             `cbor:"13,keyasint,omitempty"` // endpoints whose previous first host may still serve, so that they may not join another replica
+	Complete         rows.Version         `cbor:"16,keyasint,omitempty"` // the store's version up to which the node's copy of the endpoints has every change
+	Compacted        rows.Version         `cbor:"17,keyasint,omitempty"` // that copy has removals up to this version that the node can't list
+	Ages             []int64              `cbor:"15,keyasint,omitempty"` // nanoseconds since the node's copies of the tables in Versions were known to be complete; -1 if they never were
+	ConfirmedAt      []time.Time          `cbor:"-"`                     // the same as times of the node's own clock
+	Crashes          Crashes              `cbor:"20,keyasint,omitempty"`
+	Limits           []EndpointLimit      `cbor:"21,keyasint,omitempty"` // what endpoints stated to this node
+	Requests         map[string]int64     `cbor:"22,keyasint,omitempty"` // requests received since the start, by service
+	Answering        []string             `cbor:"25,keyasint,omitempty"` // endpoints that other nodes list as Unresponsive, and that have just answered this node
+	AnswerAges       map[string]int64     `cbor:"28,keyasint,omitempty"` // nanoseconds since those answers
+	AnsweredAt       map[string]time.Time `cbor:"-"`                     // the same as times of the node's own clock
+	Asked            []string             `cbor:"27,keyasint,omitempty"` // endpoints that the node watches for the others and finds silent, and that some of these are to probe
+	CutOff           []string             `cbor:"26,keyasint,omitempty"` // nodes that endpoints do not answer, though they answer others
+	Usable           map[string]int       `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
 }
 
 // Leaving names an endpoint that has said in an answer that it leaves.
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -199,5 +199,9 @@
 break_one "bytes that are no answer kept like answers" core/buffer/ledger.go 'claim.answer != other.answer' 'false' ./core/buffer TestLedgerEndsWhatWeighsLeast
 break_one "answers without end that are not counted" io/entry/heldbytes.go 'bytes <= uncountedBytes' 'true' ./platform/fakes 'TestAnswersWithoutEndFillMemory|TestSlowBodiesFillMemory'
 
+break_one "a node that is cut off until others stop saying so" core/cutoff/tracker.go 'case tracker.view.Alone, tracker.view.AnsweredAt.After(tracker.cutOffSince):' 'default:' ./core/cutoff TestNodeTakesEndpointsForSilent
+break_one "answers to others that count though the endpoint was not asked again" core/cutoff/tracker.go 'return !tracker.view.FailedAt[id].Before(tracker.claimedAt[id])' 'return true' ./core/cutoff TestNodeTakesEndpointsForSilent
+break_one "answers to others before the silence that count" core/cutoff/tracker.go 'silent && !at.Before(since) && ' 'silent && !at.Before(since.Add(-time.Hour)) && ' ./core/cutoff TestNodeTakesEndpointsForSilent
+
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
