--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -25,7 +25,7 @@
 	complete      bool          // the stream is whole, by more than the end of its connection
 	resumeAfter   string        // id of the last event that the caller has received
 	pendingTokens int           // of the prompt, until the answer begins
-	eventCount    int           // complete events that the endpoint has sent
+	eventCount    atomic.Int64  // complete events that the endpoint has sent
 	forwarding    atomic.Bool   // an event is being written to the caller, so the endpoint is not asked for more
 	exchange      *pool.Exchange
 	reader        *eventReader
@@ -114,7 +114,7 @@
 
 // recordEvent records an event of a stream, which ends the endpoint's silence.
 func (attempt *attempt) recordEvent(policy Policy) {
-	attempt.eventCount++
+	attempt.eventCount.Add(1)
 	attempt.answerBegins()
 	attempt.goneAt.Store(0)
 	attempt.probe.Reset(policy.ProbeAfter)
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -224,7 +224,7 @@
 	}
 	if errors.IsAny(err, errTakenOver, errGone, errSilent) {
 		event.Log(request.server.log, event.AttemptSilent, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
-			zap.Int("events", attempt.eventCount), zap.Duration("took", now.Sub(attempt.sentAt)), zap.Error(err))
+			zap.Int64("events", attempt.eventCount.Load()), zap.Duration("took", now.Sub(attempt.sentAt)), zap.Error(err))
 	}
 	if errors.Is(err, pool.ErrUnsent) {
 		if !unneeded && request.r.Context().Err() == nil {
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -109,7 +109,7 @@
 	request.broken.Store(true)
 	candidate, now := attempt.candidate, time.Now()
 	event.Log(request.server.log, event.AttemptBroken, zap.String("request", request.header.RequestID), zap.String("endpoint", candidate.ID),
-		zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Int("events", attempt.eventCount), zap.Error(err))
+		zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Int64("events", attempt.eventCount.Load()), zap.Error(err))
 	broken := AttemptBroken{Incarnation: incarnationOf(candidate), Inputs: request.inputs, At: now}
 	if attempt.answer != nil {
 		broken.BegunAt = attempt.answer.BegunAt
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -149,7 +149,7 @@
 	second.done = make(chan struct{})
 	handover.second = second
 	event.Log(request.server.log, event.AttemptHandover, zap.String("request", request.header.RequestID), zap.String("endpoint", silent.candidate.ID), zap.String("other", candidate.ID),
-		zap.Int("events", silent.eventCount), zap.Bool("lost", silent.reportedLost()), zap.Duration("age", time.Since(silent.sentAt)))
+		zap.Int64("events", silent.eventCount.Load()), zap.Bool("lost", silent.reportedLost()), zap.Duration("age", time.Since(silent.sentAt)))
 	go func() {
 		defer close(second.done)
 		handover.handleOutcome(second, handover.attend(second))
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -117,14 +117,14 @@
 // at all, then the endpoint has ended rather than the stream.
 func (request *request) readEvent(attempt *attempt) {
 	attempt.readErr = attempt.reader.next()
-	if errors.Is(attempt.readErr, io.EOF) && attempt.eventCount == 0 && attempt.exchange.EndsWithConnection() {
+	if errors.Is(attempt.readErr, io.EOF) && attempt.eventCount.Load() == 0 && attempt.exchange.EndsWithConnection() {
 		attempt.readErr = io.ErrUnexpectedEOF
 	}
 	if attempt.readErr != nil {
 		return
 	}
 	attempt.recordEvent(request.server.policy)
-	if attempt.eventCount == 1 {
+	if attempt.eventCount.Load() == 1 {
 		request.beginAnswer(attempt)
 	}
 }
