--- a/core/cutoff/doc.go
+++ b/core/cutoff/doc.go
@@ -9,4 +9,8 @@
 // they have failed together, or the node's links have: for a short time the node draws no
 // conclusion. Another node asks the 9, gets answers and says so. They answer others, so
 // this node is cut off from them. Had they failed, no node would get an answer.
+//
+// What a node and the others see is compared with its times: an endpoint that answered
+// others before it failed, or after it came back, contradicts nothing. It has to answer
+// another one between two of this node's probes that were not answered.
 package cutoff
--- a/core/cutoff/tracker.go
+++ b/core/cutoff/tracker.go
@@ -32,7 +32,7 @@
 // View is what a node knows at one time.
 type View struct {
 	FirstHosts   int                  // of open replicas, those that have answered the node of late or do not now
-	Endpoints    int                  // all of which that holds
+	Endpoints    int                  // that have answered the node of late or do not now, first hosts and others
 	Silent       map[string]bool      // endpoints that do not answer this node; the value says whether it is a first host
 	Answering    map[string]time.Time // endpoints that have just answered other nodes, and when
 	Alone        bool                 // there is no other node
@@ -58,7 +58,7 @@
 	cutOffSince  time.Time // when it last counted as cut off by what others said
 	view         View
 	silentSince  map[string]time.Time
-	claimedAt    map[string]time.Time // silent endpoints that have answered others since, and when: the first answer that is not verified, or the last
+	claimedAt    map[string]time.Time // silent endpoints that have answered others since, and when; see verified
 	refutedUntil map[string]time.Time // of silent endpoints that others say answer them
 
 	unreachedUntil map[string]time.Time // those of them that answer others but not this node
@@ -83,10 +83,9 @@
 	return began
 }
 
-// updateCutOff applies whether most replicas, or most endpoints if few of them serve, answer other
-// nodes but not this one. It does not
-// end because replicas have failed meanwhile, or others have stopped saying so: an
-// endpoint has to answer this node.
+// updateCutOff applies whether most replicas, or most endpoints, answer other nodes but not this
+// one. It does not end because replicas have failed meanwhile, or others have stopped
+// saying so: an endpoint has to answer this node.
 func (tracker *Tracker) updateCutOff(reason bool, now time.Time) {
 	switch {
 	case reason:
