614 tells what each statement that a request has not run came with

Change: 614 has the status, the ids, the receipt, the header, whether the connection was new, and how many bytes stood behind the answer. No decision changes.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -153,6 +153,7 @@
 		exchange.Close()
 		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the answer is another request's"), pool.ErrIncompleteResponse))
 	case responseheader.NotExecuted:
+		request.logNotRun(attempt, exchange, "")
 		exchange.Release()
 		request.handleNotExecuted(candidate, responseheader, status)
 		return notExecuted{header: responseheader}
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -127,10 +127,12 @@
 	if _, err := exchange.ReadBody(maxUnsignedBytes); err != nil {
 		return request.handleFailure(attempt, causeOf(attempt.ctx, err))
 	}
-	exchange.Release()
 	if outcome != peerRejected {
+		exchange.Release()
 		return incomplete{cause: errPeerFailed}
 	}
+	request.logNotRun(attempt, exchange, outcome)
+	exchange.Release()
 	now := time.Now()
 	attempt.candidate.Load.Avoid(now.Add(request.server.policy.FullBackoff))
 	request.peerRetryAt.Store(now.Add(platform.ReadResponseHeader(exchange.Response).RetryAfter.Delay).UnixNano())
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -83,6 +83,7 @@
 	AttemptHandover       = Event{611, "request sent to another endpoint beside a silent one", zap.InfoLevel}
 	RequestGivenUp        = Event{612, "request given up before its endpoint had received all of it", zap.InfoLevel}
 	BytesRefused          = Event{613, "answers or bodies ended, as this node holds too many bytes for others", zap.WarnLevel}
+	AttemptNotRun         = Event{614, "endpoint or other node states that it has not run a request", zap.InfoLevel}
 )
 
 // All returns every event in the order of the numbers.
@@ -95,7 +96,7 @@
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun,
 	}
 }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -321,6 +321,9 @@
 	return exchange.Response.ContentLength < 0 && len(exchange.Response.TransferEncoding) == 0
 }
 
+// Unread returns how many bytes have come on the connection beyond what was read of the response.
+func (exchange *Exchange) Unread() int { return exchange.connection.reader.Buffered() }
+
 // Dials returns the number of connections opened so far.
 func (pool *Pool) Dials() int64 {
 	pool.mutex.Lock()
