An endpoint's header between nodes has a request run again

Callers saw: a request that may run once ran at each endpoint in turn (3 times at 3 endpoints, 4 times through another node) and was then answered 503, which says that it has not run. Cause: the outcome that a node reports to another one was read from every answer, also an endpoint's, before the request's id was compared. An outcome bore no id either, so that one of another request would have been believed. Ruled out: callers' headers of that name, which are dropped on the way to endpoints. Change: only another node has an outcome to report, and it bears the id of the request. An outcome without it, as nodes of the build before send it, proves nothing: the request may have run.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -149,7 +149,7 @@
 	candidate := attempt.candidate
 	status := exchange.Response.StatusCode
 	switch {
-	case request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID:
+	case !request.belongsTo(responseheader):
 		exchange.Close()
 		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the answer is another request's"), pool.ErrIncompleteResponse))
 	case responseheader.NotExecuted:
@@ -173,6 +173,11 @@
 	return answered{response: exchange.Response, body: body, header: responseheader}
 }
 
+// belongsTo reports whether the request is the one that an answer bears the ID of, or has none.
+func (request *request) belongsTo(responseheader platform.ResponseHeader) bool {
+	return request.header.RequestID == "" || responseheader.RequestID == request.header.RequestID
+}
+
 // claimsNotExecuted reports whether a status by itself means that the request has
 // not run. An endpoint that has not run it sets a header as well.
 func claimsNotExecuted(status int) bool {
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -22,6 +22,7 @@
 // the first node counts the attempts, also those whose outcome it never learns.
 
 // Headers between nodes. Those of a caller or an endpoint with these names are dropped.
+// An outcome also bears the ID of its request.
 const (
 	peerHeaderPrefix  = "Hickorybend-Peer-"
 	headerPeerKey     = peerHeaderPrefix + "Key"     // authenticates nodes to each other
@@ -118,12 +119,17 @@
 }
 
 // readPeerOutcome returns the result of an attempt at another node that has no endpoint's
-// answer, or nil if it has one.
+// answer, or nil if it has one. An endpoint has no outcome to report, whatever its headers
+// are.
 func (request *request) readPeerOutcome(attempt *attempt, exchange *pool.Exchange) result {
 	outcome := exchange.Response.Header.Get(headerPeerOutcome)
-	if outcome == "" {
+	if outcome == "" || !attempt.candidate.IsPeer {
 		return nil
 	}
+	if !request.belongsTo(platform.ReadResponseHeader(exchange.Response)) {
+		exchange.Close()
+		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the node's outcome is another request's"), pool.ErrIncompleteResponse))
+	}
 	if _, err := exchange.ReadBody(maxUnsignedBytes); err != nil {
 		return request.handleFailure(attempt, causeOf(attempt.ctx, err))
 	}
@@ -141,13 +147,15 @@
 
 // markPeerOutcome tells the node that has sent the request on whether it may have run.
 func (request *request) markPeerOutcome() {
-	switch {
-	case request.from == "":
-	case request.mayHaveRun:
-		request.w.Header().Set(headerPeerOutcome, peerFailed)
-	default:
-		request.w.Header().Set(headerPeerOutcome, peerRejected)
+	if request.from == "" {
+		return
+	}
+	outcome := peerRejected
+	if request.mayHaveRun {
+		outcome = peerFailed
 	}
+	request.w.Header().Set(headerPeerOutcome, outcome)
+	platform.SetRequestID(request.w.Header(), request.header.RequestID)
 }
 
 // count counts the request toward the limits and budgets of this node, unless that has been
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -65,12 +65,12 @@
 // admit checks the request and reads its body, before it is sent anywhere. If the
 // request can't be served, admit answers it and returns false.
 func (request *request) admit() bool {
+	request.header = platform.ReadRequestHeader(request.r.Header)
 	if request.snapshot == nil || request.snapshot.Index == nil {
 		request.reject("no configuration known yet", request.server.routing.MinRetryDelay)
 		return false
 	}
 	index := request.snapshot.Index
-	request.header = platform.ReadRequestHeader(request.r.Header)
 	route, found := index.Route(request.r.Host, request.r.URL.EscapedPath())
 	if !found {
 		request.fail(http.StatusNotFound, "no route for this host and path")
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -99,7 +99,7 @@
 	if exchange.Response.StatusCode != http.StatusOK {
 		return request.readAnswer(attempt, exchange, responseheader)
 	}
-	if request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID || !responseheader.Receipt || responseheader.Encoded {
+	if !request.belongsTo(responseheader) || !responseheader.Receipt || responseheader.Encoded {
 		exchange.Close()
 		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the stream is another request's or bears no receipt"), pool.ErrIncompleteResponse))
 	}
