--- a/io/pool/endless_test.go
+++ b/io/pool/endless_test.go
@@ -56,6 +56,7 @@
 		{"header line", head + "X: ", "x"},
 		{"header lines", head, "X-Filler: y\r\n"},
 		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"other interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 		{"chunk header", chunked + "4;", "x"},
 		{"chunk extensions", chunked, "1;extension=" + strings.Repeat("x", 200) + "\r\ny\r\n"},
 		{"chunks", chunked, "4\r\nbody\r\n"},
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -227,8 +227,10 @@
 	pool.onReset(reset)
 }
 
-// roundTrip writes the request and reads the response headers. It skips interim
-// responses with status 100.
+var errProtocolSwitched = errors.New("pool: the endpoint has switched to another protocol")
+
+// roundTrip writes the request and reads the headers of the final response. It skips interim
+// responses, whatever they say.
 func (connection *connection) roundTrip(request Request) (*http.Response, error) {
 	httpRequest, err := request.httpRequest()
 	if err != nil {
@@ -244,8 +246,11 @@
 	defer func() { connection.head.limited = false }()
 	for {
 		response, err := http.ReadResponse(connection.reader, httpRequest)
-		if err != nil || response.StatusCode != http.StatusContinue {
+		switch {
+		case err != nil || response.StatusCode >= http.StatusOK:
 			return response, err
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errProtocolSwitched // nobody has asked for it
 		}
 	}
 }
