An answer that contradicts its "not executed" has a request run again

Callers saw: a request that may run once ran at each endpoint in turn (2 to 4 times) and was answered 503. Cause: the header "not executed", and status 421, were believed alone, whatever else the answer said: success or an error with the endpoint's receipt, a status with which endpoints do not reject, two request ids, an encoding, an answer right behind it. Ruled out: rejections whose body breaks off, of another request, or without id, which counted as not known before too. Change: the statement counts only if all of the answer agrees with it: status 400, 421, 429 or 503, the value 1, the request's id alone, no receipt, no encoding, nothing behind it; and another node makes it by its outcome only.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -96,7 +96,7 @@
 	if outcome := request.readPeerOutcome(attempt, exchange); outcome != nil {
 		return outcome
 	}
-	responseheader := request.readHeader(attempt.candidate, exchange)
+	responseheader := request.readHeader(attempt, exchange)
 	return request.readAnswer(attempt, exchange, responseheader)
 }
 
@@ -120,8 +120,12 @@
 // readHeader decodes the headers of an answer, and applies what the endpoint says of
 // itself in them before the body has come: that it leaves, is to get no request for a
 // while, or takes only so many.
-func (request *request) readHeader(candidate *reach.Candidate, exchange *pool.Exchange) platform.ResponseHeader {
+func (request *request) readHeader(attempt *attempt, exchange *pool.Exchange) platform.ResponseHeader {
+	candidate := attempt.candidate
 	responseheader := platform.ReadResponseHeader(exchange.Response)
+	if responseheader.Contradictory {
+		request.ignoreNotRun(attempt, exchange)
+	}
 	if candidate.IsPeer {
 		return responseheader // that node has applied it, and tells the others
 	}
@@ -147,13 +151,17 @@
 // one that may have run. An encoding that was not requested counts as incomplete.
 func (request *request) classify(attempt *attempt, exchange *pool.Exchange, responseheader platform.ResponseHeader, body []byte) result {
 	candidate := attempt.candidate
+	if responseheader.NotExecuted && (candidate.IsPeer || exchange.HasUnread()) { // another node states it by an outcome
+		responseheader.NotExecuted = false
+		request.ignoreNotRun(attempt, exchange)
+	}
 	status := exchange.Response.StatusCode
 	switch {
 	case !request.belongsTo(responseheader):
 		exchange.Close()
 		return request.handleFailure(attempt, errors.Mark(errors.New("entry: the answer is another request's"), pool.ErrIncompleteResponse))
 	case responseheader.NotExecuted:
-		request.logNotRun(attempt, exchange, "")
+		request.logNotRun(event.AttemptNotRun, attempt, exchange)
 		exchange.Release()
 		request.handleNotExecuted(candidate, responseheader, status)
 		return notExecuted{header: responseheader}
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hickorybend/core/reach"
+	"hickorybend/io/event"
 	"hickorybend/io/pool"
 	"hickorybend/platform"
 )
@@ -137,7 +138,7 @@
 		exchange.Release()
 		return incomplete{cause: errPeerFailed}
 	}
-	request.logNotRun(attempt, exchange, outcome)
+	request.logNotRun(event.AttemptNotRun, attempt, exchange)
 	exchange.Release()
 	now := time.Now()
 	attempt.candidate.Load.Avoid(now.Add(request.server.policy.FullBackoff))
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -95,7 +95,7 @@
 	if outcome := request.readPeerOutcome(attempt, exchange); outcome != nil {
 		return outcome
 	}
-	responseheader := request.readHeader(attempt.candidate, exchange)
+	responseheader := request.readHeader(attempt, exchange)
 	if exchange.Response.StatusCode != http.StatusOK {
 		return request.readAnswer(attempt, exchange, responseheader)
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -326,8 +326,12 @@
 	return exchange.Response.ContentLength < 0 && len(exchange.Response.TransferEncoding) == 0
 }
 
-// Unread returns how many bytes have come on the connection beyond what was read of the response.
-func (exchange *Exchange) Unread() int { return exchange.connection.reader.Buffered() }
+// HasUnread reports whether bytes have come on the connection beyond what was read of the
+// response. After a complete response they belong to no request.
+func (exchange *Exchange) HasUnread() bool {
+	count, err := peek(exchange.connection.conn)
+	return exchange.connection.reader.Buffered() > 0 || err == nil && count > 0
+}
 
 // Dials returns the number of connections opened so far.
 func (pool *Pool) Dials() int64 {
