Callers are told "not run" by an endpoint's bare 503

Callers saw: 503, 429 or 408, which promise that a request has not run, for a request that may be repeated and had run. Cause: a status of an endpoint without its "not executed" counted as no answer only for requests that may run once; others were passed on after the last attempt. Change: it is no answer for any request: the caller gets 502 after the last attempt.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -165,7 +165,7 @@
 		exchange.Release()
 		request.handleNotExecuted(candidate, responseheader, status)
 		return notExecuted{header: responseheader}
-	case responseheader.Encoded, status < http.StatusMultipleChoices && !responseheader.Receipt, claimsNotExecuted(status) && !site.Retryable(request.route.Kind):
+	case responseheader.Encoded, status < http.StatusMultipleChoices && !responseheader.Receipt, claimsNotExecuted(status):
 		exchange.Close()
 		return request.handleFailure(attempt, errors.Mark(errors.Newf("entry: status %d without the endpoint's word", status), pool.ErrIncompleteResponse))
 	}
