--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -72,9 +72,11 @@
 // WrongEndpoint says that another endpoint has the address.
 type WrongEndpoint struct{}
 
-// Unknown says that no reply came; the command may still take effect.
+// Unknown says that no reply came, or one that tells nothing; the command may still take
+// effect.
 type Unknown struct {
-	Cause error
+	Cause    error
+	Answered bool // by something, so that a next command would be answered as fast
 }
 
 func (Accepted) reply()       {}
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -154,7 +154,10 @@
 func (planner *Planner) Resolve(now time.Time, command Command, reply Reply) {
 	record := planner.recordOf(command.Endpoint)
 	record.pending = false
-	if _, unknown := reply.(Unknown); unknown {
+	if unknown, isUnknown := reply.(Unknown); isUnknown {
+		if unknown.Answered {
+			record.retryAt = now.Add(planner.policy.RejectedRetry)
+		}
 		planner.noteUnknownOpen(now, command.Operation)
 		return
 	}
