An engine's error counts as "not run" on the project's own interface

Callers saw, if every replica answered 500 to a completion: "No replica took the request", which says that it has not run. Cause: any status but 200 counted as a rejection. Change: an engine rejects with 409 or 429, as docs/ENGINE.md has it; anything else may have run. Measured, on the code before: 6 of 8 cases of TestEnginesErrorPassesForRejection fail.

--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -34,7 +34,8 @@
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBufferBytes) }}
 
 // Generate starts a stream. After ErrUnreached and ErrRejected the engine has not
-// started the request, after ErrIncompleteResponse it may have.
+// started the request, after ErrIncompleteResponse it may have. An engine rejects a request
+// with status 409 or 429; no other status tells that it has not run.
 func (client *Client) Generate(ctx context.Context, generaterequest GenerateRequest) (*Stream, error) {
 	address := "http://" + generaterequest.Address + generaterequest.Path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(generaterequest.Body))
@@ -50,9 +51,14 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "engine: starting a stream"), ErrIncompleteResponse)
 	}
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict, http.StatusTooManyRequests:
 		_ = response.Body.Close()
 		return nil, errors.Wrapf(ErrRejected, "status %d", response.StatusCode)
+	default:
+		_ = response.Body.Close()
+		return nil, errors.Wrapf(ErrIncompleteResponse, "status %d", response.StatusCode)
 	}
 	reader := readerPool.Get().(*bufio.Reader)
 	reader.Reset(response.Body)
