A stopping node cuts requests that have come and are not with a handler

Cause, by sockets: what is in flight was counted from the handler on, and http.Server.Shutdown takes a kept connection for idle until the next head has been read. It closes it under a request whose bytes are in the kernel or in the server's buffer, and resets connections that stand in the backlog. On a busy node with little processor that window is wide. Ruled out: the estimates of the grace, since nothing was in flight; requests that cross the close, which nobody has read. Change: io/drain looks at each connection itself: a handler, bytes read since the last answer, bytes in the kernel, a new connection. It closes a connection only if there is none of these, under a lock that the server's reads take too, so that no request is handled after that. The backlog is accepted first. The drain of a node does so for callers and for other nodes.

--- /dev/null
+++ b/io/drain/connection.go
@@ -0,0 +1,71 @@
+package drain
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"hickorybend/io/pool"
+)
+
+// connection is a server's connection to a client.
+type connection struct {
+	*net.TCPConn
+	listener *Listener
+	openedAt time.Time
+
+	mutex    sync.Mutex
+	handled  bool // the server has begun a request
+	used     bool // a byte has been read
+	received bool // a byte has been read since the last one was written
+	ending   bool // what comes from now on is not read
+}
+
+// Read reads from the client.
+func (connection *connection) Read(buffer []byte) (int, error) {
+	count, err := connection.TCPConn.Read(buffer)
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.ending {
+		return 0, io.EOF // a request that crosses the close must not be handled
+	}
+	if count > 0 {
+		connection.used, connection.received = true, true
+	}
+	return count, err
+}
+
+// Write writes to the client.
+func (connection *connection) Write(buffer []byte) (int, error) {
+	connection.mutex.Lock()
+	connection.received = false
+	connection.mutex.Unlock()
+	return connection.TCPConn.Write(buffer)
+}
+
+// Close closes the connection.
+func (connection *connection) Close() error {
+	connection.listener.forget(connection)
+	return connection.TCPConn.Close()
+}
+
+func (connection *connection) setState(state http.ConnState) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.handled = state == http.StateActive
+}
+
+// endIfIdle closes the connection unless a request is in progress on it, or part of one has
+// come, or the first one is to be expected. It reports whether it has.
+func (connection *connection) endIfIdle(now time.Time) bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.handled || connection.received || pool.HasUnread(connection.TCPConn) || !connection.used && now.Sub(connection.openedAt) < firstRequest {
+		return false
+	}
+	connection.ending = true
+	_ = connection.TCPConn.Close()
+	return true
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -16,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"hickorybend/core/retry"
+	"hickorybend/io/drain"
 	"hickorybend/io/entry"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
@@ -86,23 +86,29 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(params.Settings.MemoryMB) * (1 << 20)))
 	callers := &http.Server{
 		Handler: params.Server, ReadHeaderTimeout: params.Settings.HeaderTimeout, IdleTimeout: callersIdleTimeout, MaxHeaderBytes: params.Settings.HeaderBytes,
-		ConnContext: entry.ConnContext,
+		ConnContext: entry.ConnContext, ConnState: drain.ConnState,
 	}
 	ready := &http.Server{Handler: readinessHandler(params.Control), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout}
-	peers := &http.Server{Handler: internalHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, ConnContext: entry.ConnContext}
+	peers := &http.Server{Handler: internalHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, ConnContext: entry.ConnContext, ConnState: drain.ConnState}
+	var callersListener, peersListener *drain.Listener
 	ctx, cancel := context.WithCancel(context.Background())
 	params.Control.ctx = ctx
 	params.Control.initClock(time.Now())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			for _, binding := range []struct {
-				server  *http.Server
-				address string
-			}{{callers, params.Settings.CallersAddress}, {ready, params.Settings.ReadyAddress}, {peers, params.Settings.PeersAddress}} {
-				if err := listen(binding.server, binding.address, params); err != nil {
+				server   *http.Server
+				address  string
+				listener **drain.Listener
+			}{{callers, params.Settings.CallersAddress, &callersListener}, {ready, params.Settings.ReadyAddress, nil}, {peers, params.Settings.PeersAddress, &peersListener}} {
+				listener, err := listen(binding.server, binding.address, params)
+				if err != nil {
 					cancel()
 					return err
 				}
+				if binding.listener != nil {
+					*binding.listener = listener
+				}
 			}
 			go params.Control.Run(ctx)
 			go sweepConnections(ctx, params)
@@ -112,7 +118,7 @@
 			return nil
 		},
 		OnStop: func(context.Context) error {
-			drain(params, callers)
+			drainNode(params, callers, callersListener, peersListener)
 			cancel()
 			_ = ready.Close()
 			_ = peers.Close()
@@ -122,10 +128,10 @@
 	})
 }
 
-func listen(server *http.Server, address string, params params) error {
-	listener, err := net.Listen("tcp", address)
+func listen(server *http.Server, address string, params params) (*drain.Listener, error) {
+	listener, err := drain.Listen(address)
 	if err != nil {
-		return errors.Mark(errors.Wrapf(err, "edge: listening on %s", address), ErrListen)
+		return nil, errors.Mark(errors.Wrapf(err, "edge: listening on %s", address), ErrListen)
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -133,7 +139,7 @@
 			_ = params.Shutdowner.Shutdown(fx.ExitCode(1))
 		}
 	}()
-	return nil
+	return listener, nil
 }
 
 // readinessHandler returns the handler of readiness checks by the platform's load
@@ -219,11 +225,11 @@
 	drainPollInterval = 50 * time.Millisecond
 )
 
-// drain shuts the node down without cutting requests off. The node reports that
+// drainNode shuts the node down without cutting requests off. The node reports that
 // it is not ready and keeps serving for the drain delay, each answer the last on
-// its connection. Then the requests in flight finish, and the process exits
-// before the platform would kill it.
-func drain(params params, callers *http.Server) {
+// its connection. Then the requests in flight finish, with those that have come but are not
+// with a handler yet, and the process exits before the platform would kill it.
+func drainNode(params params, callers *http.Server, callersListener, peersListener *drain.Listener) {
 	start := time.Now()
 	event.Log(params.Log, event.NodeDraining, zap.Int64("open", params.Server.InFlight()))
 	deadline := start.Add(params.Settings.Grace - killMargin)
@@ -236,8 +242,10 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		event.Log(params.Log, event.DrainTimedOut, zap.Int64("open", params.Server.InFlight()), zap.Error(err))
+	left := callersListener.Drain(ctx)
+	left += peersListener.Drain(ctx)
+	if err := callers.Shutdown(ctx); err != nil || left > 0 {
+		event.Log(params.Log, event.DrainTimedOut, zap.Int64("open", params.Server.InFlight()), zap.Int("connections", left), zap.Error(err))
 	}
 	select {
 	case <-leaseReleased:
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -329,8 +329,7 @@
 // HasUnread reports whether bytes have come on the connection beyond what was read of the
 // response. After a complete response they belong to no request.
 func (exchange *Exchange) HasUnread() bool {
-	count, err := peek(exchange.connection.conn)
-	return exchange.connection.reader.Buffered() > 0 || err == nil && count > 0
+	return exchange.connection.reader.Buffered() > 0 || HasUnread(exchange.connection.conn)
 }
 
 // Dials returns the number of connections opened so far.
@@ -500,6 +499,12 @@
 	return err == nil && count == 0 || errors.Is(err, unix.ECONNRESET)
 }
 
+// HasUnread reports whether bytes have come on a connection that nobody has read yet.
+func HasUnread(conn net.Conn) bool {
+	count, err := peek(conn)
+	return err == nil && count > 0
+}
+
 // peek returns how many bytes of a connection can be read at once, one at most, and none at its
 // end. The error is EAGAIN if there is neither a byte nor the end.
 func peek(conn net.Conn) (count int, err error) {
