The soak's endpoints contradict themselves about what they have run

Runners answer all requests of some seconds in one of eight ways that say "not run" after the run and contradict that. Drawn apart, so each seed keeps its other faults.

--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -495,15 +495,15 @@
 }
 
 // TestSeedsKeepTheirFaults guards against seeds that draw other faults than before: a
-// seed that once had a finding is a regression case. Faults of drawSilences were added
-// later.
+// seed that once had a finding is a regression case. Faults of drawSilences and
+// drawContradictions were added later.
 func TestSeedsKeepTheirFaults(t *testing.T) {
 	scale := Scale{Nodes: 3, ModelRunners: 12, PlainRunners: 3, Callers: 12, Duration: 15 * time.Second}
 	hash := sha256.New()
 	for seed := range uint64(500) {
-		silences := drawSilences(seed, scale)
+		added := append(drawSilences(seed, scale), drawContradictions(seed, scale)...)
 		earlier := slices.DeleteFunc(GenerateSchedule(seed, scale), func(injection Injection) bool {
-			return slices.ContainsFunc(silences, func(silence Injection) bool { return reflect.DeepEqual(silence, injection) })
+			return slices.ContainsFunc(added, func(later Injection) bool { return reflect.DeepEqual(later, injection) })
 		})
 		fmt.Fprintf(hash, "%+v\n", earlier)
 	}
@@ -525,6 +525,6 @@
 		}
 	}
 	assert.Assert(t, kinds[RunnersPaused{First: 3, Count: 1}] && kinds[RunnersPaused{First: 3, Count: 6}] && kinds[CrashingRequests{}] && kinds[ConfigStorm{Count: 8}])
-	assert.Assert(t, kinds[RunnerBusy{Runner: 3, RetryAfter: 3 * time.Second}] && kinds[RunnerLimited{Runner: 3, PerSecond: 2}])
+	assert.Assert(t, kinds[RunnerBusy{Runner: 3, RetryAfter: 3 * time.Second}] && kinds[RunnerLimited{Runner: 3, PerSecond: 2}] && kinds[RunnerContradicts{Runner: 3, Script: 2}])
 	assert.Assert(t, kinds[StoreWentBack{Changes: 7}] && kinds[StoreOutage{}] && kinds[RouteDropped{}] && kinds[RunnerDrained{Runner: 0}])
 }
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"hickorybend/platform/fakes"
 )
 
 // Fault is a fault that the soak injects: one of the types below.
@@ -113,6 +115,10 @@
 // timeouts, weights and teams.
 type ConfigStorm struct{ Count int }
 
+// RunnerContradicts has a runner answer all requests, after it has run them, in a way that says
+// that they have not run and contradicts that. Script is an index of fakes.Contradictions.
+type RunnerContradicts struct{ Runner, Script int }
+
 func (NodesKilled) fault()         {}
 func (NodePaused) fault()          {}
 func (NodeRestarted) fault()       {}
@@ -138,6 +144,7 @@
 func (RunnerLimited) fault()       {}
 func (CrashingRequests) fault()    {}
 func (ConfigStorm) fault()         {}
+func (RunnerContradicts) fault()   {}
 
 // Injection is a fault with its time and duration.
 type Injection struct {
@@ -185,6 +192,7 @@
 	}
 	schedule = append(schedule, drawLosses(seed, scale)...)
 	schedule = append(schedule, drawSilences(seed, scale)...)
+	schedule = append(schedule, drawContradictions(seed, scale)...)
 	slices.SortStableFunc(schedule, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	return schedule
 }
@@ -257,6 +265,21 @@
 	return schedule
 }
 
+const meanContradictionInterval = 2500 * time.Millisecond // mean of the random time between two
+
+// drawContradictions draws when runners contradict themselves, apart from the other faults.
+func drawContradictions(seed uint64, scale Scale) []Injection {
+	random := rand.New(rand.NewPCG(^seed, ^seed))
+	var schedule []Injection
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanContradictionInterval)) }
+	for at := next(); at < scale.Duration; at += next() {
+		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		fault := RunnerContradicts{Runner: random.IntN(scale.ModelRunners + scale.PlainRunners), Script: random.IntN(len(fakes.Contradictions()))}
+		schedule = append(schedule, Injection{At: at, Duration: duration, Fault: fault})
+	}
+	return schedule
+}
+
 const faultKinds = 24 // cases of drawFault; frequent faults have two
 
 var modes = []Mode{ModeSlow, ModeBlackhole, ModeBlockUpstream, ModeBlockDownstream, ModeReset}
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -52,7 +52,7 @@
 		go cluster.drainRunner(cluster.slots[fault.Runner])
 	case RunnerUnlisted:
 		cluster.unlist(cluster.slots[fault.Runner], injection.Duration)
-	case RunnersPaused, RunnerBusy, RunnerLimited, CrashingRequests, ConfigStorm:
+	case RunnersPaused, RunnerBusy, RunnerLimited, CrashingRequests, ConfigStorm, RunnerContradicts:
 		cluster.injectSilence(injection)
 	default:
 		cluster.injectStoreFault(injection)
--- a/io/soak/silence.go
+++ b/io/soak/silence.go
@@ -22,6 +22,8 @@
 	case RunnerLimited:
 		value, none := strconv.Itoa(fault.PerSecond), ""
 		go cluster.behaveFor(cluster.slots[fault.Runner], injection.Duration, fakes.Behavior{Limit: &value}, fakes.Behavior{Limit: &none})
+	case RunnerContradicts:
+		go cluster.contradictFor(cluster.slots[fault.Runner], injection.Duration, fakes.Contradictions()[fault.Script])
 	case CrashingRequests:
 		go cluster.sendCrashingRequests(injection.Duration)
 	case ConfigStorm:
@@ -46,6 +48,14 @@
 	}
 }
 
+// contradictFor has a slot's runner write a script in place of its answers for a duration.
+func (cluster *cluster) contradictFor(slot *slot, duration time.Duration, script string) {
+	name, _ := slot.current()
+	endFault, none := cluster.timeline.beginFault(runnerComponent(name), time.Now()), ""
+	cluster.behaveFor(slot, duration, fakes.Behavior{Script: &script}, fakes.Behavior{Script: &none})
+	endFault(time.Now())
+}
+
 // sendCrashingRequests sends streams on which runners crash to all nodes in turn.
 func (cluster *cluster) sendCrashingRequests(duration time.Duration) {
 	began := time.Now()
