--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -52,8 +52,8 @@
 break_one "a holder report applied to endpoints freed after it" core/fleet/ready.go 'since.Before(holderreport.ReceivedAt.Add(-planner.policy.MaxReportAge))' 'since.Before(holderreport.ReceivedAt.Add(planner.policy.MaxCommandDelay))' ./core/fleet TestHolderChangesWhileMembersWait
 break_one "model shares decided by the first requests alone" core/fleet/demand.go 'priorWork := float64(hosts) * priorTime.Seconds()' 'priorWork := 0.001' ./core/fleet TestFirstRequestsCloseNothing
 break_one "weight loads without a rate limit" core/fleet/stage.go 'for pass.mayStartLoad() && pass.startBestLoad' 'for pass.startBestLoad' ./core/fleet TestLoadsArePaced
-break_one "a 503 without the not-executed header read as not run" io/entry/buffered.go 'claimsNotExecuted(status) && !site.Retryable(request.route.Kind)' 'false' ./platform/fakes TestAtMostOnceUnderFaults
-break_one "a response of another request passed on" io/entry/buffered.go 'case request.header.RequestID != "" && responseheader.RequestID != request.header.RequestID:' 'case false:' ./platform/fakes TestAtMostOnceUnderFaults
+break_one "a 503 without the not-executed header read as not run" io/entry/buffered.go '&& !responseheader.Receipt, claimsNotExecuted(status):' '&& !responseheader.Receipt:' ./platform/fakes TestAtMostOnceUnderFaults
+break_one "a response of another request passed on" io/entry/buffered.go 'case !request.belongsTo(responseheader):' 'case false:' ./platform/fakes TestAtMostOnceUnderFaults
 break_one "a gap in the events of a stream that is not detected" io/entry/stream.go 'current == previous+1 {' 'true {' ./platform/fakes TestStreamResumesOnOtherReplica
 break_one "the caller's API key passed on to the endpoint" platform/headers.go 'header.Del("Authorization")' '' ./platform TestSetForwardHeader
 break_one "a node that waits for others, or for its poll, to learn of a change" io/edge/refresh.go 'reader.Due(copies.policies[table], copies.watermarks[table], now)' 'false && reader.Due(copies.policies[table], copies.watermarks[table], now)' ./io/edge TestNodeReadsWhatNobodyDelivers
@@ -141,7 +141,16 @@
 break_one "requests cut at the end of the grace" io/entry/request.go 'defer context.AfterFunc(request.server.stopping, cancel)()' '' ./platform/fakes TestLateRequestsCutAtEndOfGrace
 break_one "a node that serves only what it reaches" core/reach/peer.go 'peer.Usable[key] > reached' 'peer.Usable[key] > reached && false' ./platform/fakes TestCallersOfCutOffNodesNotServed
 break_one "a request that nodes pass around" io/entry/peer.go 'request.from == "" && request.peersTried' 'request.peersTried' ./platform/fakes TestRequestSentAround
-break_one "another node's failure read as not run" io/entry/peer.go 'case request.mayHaveRun:' 'case false:' ./platform/fakes TestAtMostOnceThroughOtherNode
+break_one "another node's failure read as not run" io/entry/peer.go 'if request.mayHaveRun {' 'if false {' ./platform/fakes TestAtMostOnceThroughOtherNode
+break_one "an endpoint's header between nodes believed" io/entry/peer.go 'outcome == "" || !attempt.candidate.IsPeer' 'outcome == ""' ./platform/fakes TestEndpointsHeaderPassesForNodesOutcome
+break_one "another node's outcome of another request believed" io/entry/peer.go 'if !request.belongsTo(platform.ReadResponseHeader(exchange.Response)) {' 'if false {' ./io/entry TestOutcomeOfAnotherRequest
+break_one "an interim answer taken for the final one" io/pool/pool.go 'response.StatusCode >= http.StatusOK:' 'response.StatusCode != http.StatusContinue:' ./platform/fakes TestInterimAnswerPassesForRejection
+break_one "a contradicted rejection believed" platform/headers.go 'responseheader.NotExecuted = responseheader.agreesNotRun(response)' 'responseheader.NotExecuted = true' ./platform/fakes TestContradictionPassesForRejection
+break_one "a rejection with an answer behind it believed" io/entry/buffered.go '(candidate.IsPeer || exchange.HasUnread())' 'candidate.IsPeer' ./platform/fakes TestContradictionPassesForRejection
+break_one "an answer with two request ids believed" platform/headers.go '> 1 {' '> 100 {' ./platform/fakes TestContradictionPassesForRejection
+break_one "a command's error read as a rejection" platform/engine.go 'case http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed:' 'case http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed, http.StatusInternalServerError:' ./platform TestCommandsErrorPassesForRejection
+break_one "a connection closed under a request that has come" io/drain/connection.go 'connection.received.Load() || ' '' ./io/drain TestRequestThatHasComeIsCutByDrain
+break_one "a backlog reset by a drain" io/drain/listener.go 'case !accepted:' 'case true:' ./io/drain TestBacklogIsCutByDrain
 break_one "another node that makes all attempts" io/entry/request.go 'if request.from != "" {
 		return 1' 'if false {
 		return 1' ./platform/fakes TestTooManyEndpointsThroughOtherNodes
