The project's own interface cuts requests at the end of a planned stop alike

The twin of the fault in the platform's nodes: http.Server.Shutdown closes kept connections under requests that have come. Change: callers' connections end by io/drain there too. No test of this interface failed before; the tests of io/drain hold for both.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,6 +18,7 @@
 	"hickorybend/core/rows"
 	"hickorybend/io/blobs"
 	"hickorybend/io/conf"
+	"hickorybend/io/drain"
 	"hickorybend/io/engine"
 	"hickorybend/io/event"
 	"hickorybend/io/front"
@@ -127,20 +128,23 @@
 // with it.
 func run(lifecycle fx.Lifecycle, params params) {
 	callerServer := &http.Server{
-		Handler: params.Front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: params.Front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: drain.ConnState,
 	}
 	controlServer := &http.Server{
 		Handler: controlHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, TLSConfig: params.ControlTLS.config,
 	}
+	var callers *drain.Listener
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			if err := listen(callerServer, params.Settings.CallersAddress, nil, params); err != nil {
+			var err error
+			if callers, err = drain.Listen(params.Settings.CallersAddress); err != nil {
 				cancel()
-				return err
+				return errors.Mark(errors.Wrapf(err, "node: listening on %s", params.Settings.CallersAddress), ErrListen)
 			}
-			if err := listen(controlServer, params.Settings.ControlAddress, params.ControlTLS.config, params); err != nil {
+			serve(callerServer, callers, params)
+			if err := listenControl(controlServer, params); err != nil {
 				cancel()
 				return err
 			}
@@ -153,7 +157,7 @@
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
-			drain(stopCtx, params, callerServer)
+			drainNode(stopCtx, params, callerServer, callers)
 			_ = controlServer.Close()
 			cancel()
 			<-stopped
@@ -163,35 +167,42 @@
 	})
 }
 
-func listen(server *http.Server, address string, tlsConfig *tls.Config, params params) error {
+func listenControl(server *http.Server, params params) error {
+	address := params.Settings.ControlAddress
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "node: listening on %s", address), ErrListen)
 	}
-	if tlsConfig != nil {
-		listener = tls.NewListener(listener, tlsConfig)
+	if params.ControlTLS.config != nil {
+		listener = tls.NewListener(listener, params.ControlTLS.config)
 	}
+	serve(server, listener, params)
+	return nil
+}
+
+// serve serves until the server is closed, and stops the node if that fails before.
+func serve(server *http.Server, listener net.Listener, params params) {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			event.Log(params.Log, event.NodeFailed, zap.Error(err))
 			_ = params.Shutdowner.Shutdown(fx.ExitCode(1))
 		}
 	}()
-	return nil
 }
 
-// drain prepares the node's stop without ending requests early. First the node reports
+// drainNode prepares the node's stop without ending requests early. First the node reports
 // that it is not ready and releases its leases, so that other nodes acquire them at
 // once. Then it waits for the notice time, so that the load balancer stops sending to
 // it. Then, within the drain timeout, the running requests finish and their outcomes
 // are recorded. The node's row is deleted last.
-func drain(ctx context.Context, params params, callerServer *http.Server) {
+func drainNode(ctx context.Context, params params, callerServer *http.Server, callers *drain.Listener) {
 	event.Log(params.Log, event.NodeDraining, zap.Int64("open", params.Front.InFlight()))
 	params.Front.Drain()
 	params.Control.enqueue(drainRequest{done: make(chan struct{})})
 	sleep(ctx, params.Settings.Drain.Notice)
 	ctx, cancel := context.WithTimeout(ctx, params.Settings.Drain.Timeout)
 	defer cancel()
+	callers.Drain(ctx)
 	_ = callerServer.Shutdown(ctx)
 	for params.Front.Unrecorded() > 0 && ctx.Err() == nil {
 		sleep(ctx, tickInterval)
