--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -90,7 +90,7 @@
 	}
 	ready := &http.Server{Handler: readinessHandler(params.Control), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout}
 	peers := &http.Server{Handler: internalHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, ConnContext: entry.ConnContext, ConnState: drain.ConnState}
-	var callersListener, peersListener *drain.Listener
+	var callersListener, readyListener, peersListener *drain.Listener
 	ctx, cancel := context.WithCancel(context.Background())
 	params.Control.ctx = ctx
 	params.Control.initClock(time.Now())
@@ -100,15 +100,12 @@
 				server   *http.Server
 				address  string
 				listener **drain.Listener
-			}{{callers, params.Settings.CallersAddress, &callersListener}, {ready, params.Settings.ReadyAddress, nil}, {peers, params.Settings.PeersAddress, &peersListener}} {
-				listener, err := listen(binding.server, binding.address, params)
-				if err != nil {
+			}{{callers, params.Settings.CallersAddress, &callersListener}, {ready, params.Settings.ReadyAddress, &readyListener}, {peers, params.Settings.PeersAddress, &peersListener}} {
+				var err error
+				if *binding.listener, err = listen(binding.server, binding.address, params); err != nil {
 					cancel()
 					return err
 				}
-				if binding.listener != nil {
-					*binding.listener = listener
-				}
 			}
 			go params.Control.Run(ctx)
 			go sweepConnections(ctx, params)
