--- a/io/drain/listener.go
+++ b/io/drain/listener.go
@@ -14,7 +14,7 @@
 const (
 	backlogWait  = 5 * time.Millisecond   // without a new connection, after which the backlog is empty
 	pollInterval = 10 * time.Millisecond  // between two looks at the connections
-	firstRequest = 300 * time.Millisecond // in which a new connection's first request comes; more than loss_slack_ms
+	firstRequest = 300 * time.Millisecond // in which a new connection's first request comes
 )
 
 // Listener accepts the connections of one server, and keeps track of them.
--- a/io/entry/outcome_test.go
+++ b/io/entry/outcome_test.go
@@ -50,7 +50,7 @@
 }
 
 // TestOutcomeOfAnotherRequest guards against a request that runs twice because what another
-// node says of another request is taken for this one's, or because an endpoint says it.
+// node reports of another request is treated as this one's, or because an endpoint reports it.
 func TestOutcomeOfAnotherRequest(t *testing.T) {
 	head := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
 	rejected := head + "Hickorybend-Peer-Outcome: rejected\r\n"
