A leader change no longer counts requests twice

What callers saw: while a zone of a cluster of more than 12 nodes gets another leader, nodes reject requests as "full" though endpoints have room.

Cause: a leader answers with the sum over its zone or over all nodes, and nothing in a digest says so. For the second in which the digests of the former and of the new leader are fresh, a node adds up both. Traced by a trial that printed what Choose compared: 9 to 43 requests of other nodes at each of six replicas with 8 slots, while 14 nodes sent 14 streams at a time. By the same sums the demand counters of a sender, which are totals since a start, jump when it begins to lead, or when a node of its zone comes back: all that it ever had is taken for the growth of a second (the holder of placement reads that).

Change: a digest states its scope. topo.Role.Groups picks the digests which together count each node once; of several that count the same, the highest holds. Demand is differenced for each sender and scope (topo.Growth), and sums carry growth, not totals. A digest of an older build gets the scope that it must have by the roles.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -10,7 +10,6 @@
 	"hickorybend/core/crash"
 	"hickorybend/core/cutoff"
 	"hickorybend/core/delay"
-	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/rows"
 	"hickorybend/io/entry"
@@ -95,7 +94,7 @@
 	control.limits = newLimits()
 	control.connections = newConnections()
 	control.placement = newPlacement(settings)
-	control.demand = demand{previous: map[string]map[string]int64{}, recent: fleet.NewDemand()}
+	control.demand = newDemand()
 	if engineclient != nil {
 		engineclient.OnLeaving(func(endpoint string) { control.Leaving(endpoint, time.Time{}) })
 		engineclient.OnLimit(func(endpoint string, perSecond float64) {
--- a/io/edge/demand.go
+++ b/io/edge/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hickorybend/core/fleet"
+	"hickorybend/core/topo"
 )
 
 const (
@@ -13,13 +14,45 @@
 // demand is the host time that callers have recently requested of each model, over
 // all nodes.
 type demand struct {
-	previous     map[string]map[string]int64 // counters by node and model at the last sample
+	growth       topo.Growth
+	added        topo.Counters // since the last sample, over all nodes
+	zone, all    topo.Counters // while this node led: the growth in its zone, and of all nodes
 	recent       *fleet.Demand
 	nextSampleAt time.Time
 }
 
-// updateDemand adds up how much each node's counters have grown since the last
-// sample.
+func newDemand() demand {
+	return demand{added: topo.Counters{}, zone: topo.Counters{}, all: topo.Counters{}, recent: fleet.NewDemand()}
+}
+
+// countDemand adds up how much each node's counters have grown since the last call. Where
+// the leader's sum has the growth of all nodes, that has this node's.
+func (control *Control) countDemand(groups [][]topo.Source) {
+	demand, peers := &control.demand, control.peers
+	self := topo.Source{Node: peers.self, Zone: peers.zone, Scope: topo.ScopeNode}
+	summed := len(groups) == 1 && groups[0][0].Scope == topo.ScopeAll
+	if !summed {
+		groups = append(groups[:len(groups):len(groups)], []topo.Source{self})
+	}
+	grown := demand.growth.Since(groups, func(source topo.Source) topo.Counters {
+		if source == self {
+			return control.digest.Load().Demand
+		}
+		return peers.nodes[source.Node].digest.Demand
+	})
+	for i, group := range groups {
+		demand.added.Add(grown[i])
+		if !peers.role.IsLeader || peers.role.Mesh {
+			continue
+		}
+		demand.all.Add(grown[i])
+		if group[0].Zone == peers.zone {
+			demand.zone.Add(grown[i])
+		}
+	}
+}
+
+// updateDemand records the demand since the last sample.
 func (control *Control) updateDemand(now time.Time) {
 	demand := &control.demand
 	if now.Before(demand.nextSampleAt) {
@@ -27,24 +60,9 @@
 	}
 	demand.nextSampleAt = now.Add(demandInterval)
 	increments := map[string]float64{}
-	demand.add(control.settings.Node, control.digest.Load().Demand, increments)
-	for name, peer := range control.peers.nodes {
-		demand.add(name, peer.digest.Demand, increments)
+	for model, grown := range demand.added {
+		increments[model] = time.Duration(grown).Seconds()
 	}
+	demand.added = topo.Counters{}
 	demand.recent.Add(now, increments)
 }
-
-// add adds the growth of a node's counters, in seconds, to the increments. The
-// counters may be the sum that a leader makes over its zone or all nodes. A sum
-// that shrank lacks a node that it had before, and adds nothing this time.
-func (demand *demand) add(node string, counters map[string]int64, increments map[string]float64) {
-	previous := demand.previous[node]
-	for model, total := range counters {
-		if previous != nil && total > previous[model] {
-			increments[model] += time.Duration(total - previous[model]).Seconds()
-		}
-	}
-	if counters != nil {
-		demand.previous[node] = counters
-	}
-}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -92,8 +92,10 @@
 func (control *Control) exchangeDigests(now time.Time) {
 	control.assignRole(now)
 	control.refreshDigest()
-	control.sumDigests(now)
 	peers := control.peers
+	groups := peers.sources(now)
+	control.countDemand(groups)
+	control.sumDigests(groups, now)
 	interval := gossipInterval
 	if !peers.role.Mesh && !peers.role.IsLeader {
 		interval *= time.Duration(1 + peers.role.ZoneSize/nonLeadersPerInterval)
@@ -105,7 +107,7 @@
 		}
 		control.startExchange(name, peer, now.Add(interval))
 	}
-	control.updatePeerLoads(now)
+	control.updatePeerLoads(groups)
 	if peers.role.Mesh || !now.Before(peers.nextRoutesAt) {
 		control.updateRoutes(now)
 	}
@@ -175,9 +177,29 @@
 	return *control.digest.Load()
 }
 
+// sources returns the nodes whose digests are fresh, in groups; see topo.Role.Groups.
+func (peers *peers) sources(now time.Time) [][]topo.Source {
+	sources := make([]topo.Source, 0, len(peers.nodes))
+	for name, peer := range peers.nodes {
+		if peer.fresh(now) {
+			sources = append(sources, topo.Source{Node: name, Zone: peer.zone, Scope: peer.digest.Scope})
+		}
+	}
+	return peers.role.Groups(peers.zone, sources)
+}
+
+// digestsOf returns the digests of a group of nodes.
+func (peers *peers) digestsOf(group []topo.Source) []gossip.Digest {
+	digests := make([]gossip.Digest, 0, len(group))
+	for _, source := range group {
+		digests = append(digests, peers.nodes[source.Node].digest)
+	}
+	return digests
+}
+
 // sumDigests adds up the fresh digests that a leader has: those of its zone for
 // the other leaders, and all of them for the other nodes of its zone.
-func (control *Control) sumDigests(now time.Time) {
+func (control *Control) sumDigests(groups [][]topo.Source, now time.Time) {
 	peers := control.peers
 	if peers.role.Mesh || !peers.role.IsLeader {
 		peers.zoneDigest.Store(nil)
@@ -190,11 +212,20 @@
 		if !peer.fresh(now) {
 			continue
 		}
-		clusterDigest.Add(peer.digest)
-		if peer.zone == control.settings.Zone {
-			zoneDigest.Add(peer.digest)
+		clusterDigest.AddReports(peer.digest)
+		if peer.zone == peers.zone {
+			zoneDigest.AddReports(peer.digest)
 		}
 	}
+	for _, group := range groups {
+		digests := peers.digestsOf(group)
+		clusterDigest.AddCounts(digests...)
+		if group[0].Zone == peers.zone {
+			zoneDigest.AddCounts(digests...)
+		}
+	}
+	zoneDigest.Scope, zoneDigest.Demand = topo.ScopeZone, maps.Clone(control.demand.zone)
+	clusterDigest.Scope, clusterDigest.Demand = topo.ScopeAll, maps.Clone(control.demand.all)
 	peers.zoneDigest.Store(&zoneDigest)
 	peers.clusterDigest.Store(&clusterDigest)
 }
@@ -212,7 +243,7 @@
 
 // refreshDigest builds this node's own digest.
 func (control *Control) refreshDigest() {
-	digest := &gossip.Digest{Node: control.settings.Node, Zone: control.settings.Zone, InFlight: map[string]int{}, PendingTokens: map[string]int{}, HadRequests: control.hadRequests() || control.peersHadRequests()}
+	digest := &gossip.Digest{Node: control.settings.Node, Zone: control.settings.Zone, Scope: topo.ScopeNode, InFlight: map[string]int{}, PendingTokens: map[string]int{}, HadRequests: control.hadRequests() || control.peersHadRequests()}
 	for id, load := range control.endpoints.loads {
 		if own := load.OwnInFlight(); own > 0 {
 			digest.InFlight[id] = own
@@ -323,21 +354,14 @@
 
 // updatePeerLoads adds up the other nodes' requests in flight and pending tokens at
 // each endpoint.
-func (control *Control) updatePeerLoads(now time.Time) {
-	inFlight, pendingTokens := map[string]int{}, map[string]int{}
-	for _, peer := range control.peers.nodes {
-		if !peer.fresh(now) {
-			continue
-		}
-		for id, count := range peer.digest.InFlight {
-			inFlight[id] += count
-		}
-		for id, tokens := range peer.digest.PendingTokens {
-			pendingTokens[id] += tokens
-		}
+func (control *Control) updatePeerLoads(groups [][]topo.Source) {
+	var others gossip.Digest
+	others = others.Copy()
+	for _, group := range groups {
+		others.AddCounts(control.peers.digestsOf(group)...)
 	}
 	for id, load := range control.endpoints.loads {
-		load.SetPeerLoad(inFlight[id], pendingTokens[id])
+		load.SetPeerLoad(others.InFlight[id], others.PendingTokens[id])
 	}
 }
 
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -35,18 +35,32 @@
 	return maps.Clone(counts)
 }
 
-// Add adds another node's digest to this one. The placement state is taken from the
-// newer of the two. Asked stays: it is for the nodes that get the digest themselves.
-func (digest *Digest) Add(other Digest) {
-	for id, count := range other.InFlight {
+// AddCounts adds the requests and tokens that digests count. Those of one call count the same
+// requests, so the highest of each count is added.
+func (digest *Digest) AddCounts(others ...Digest) {
+	inFlight, pendingTokens, requests := map[string]int{}, map[string]int{}, map[string]int64{}
+	for _, other := range others {
+		raise(inFlight, other.InFlight)
+		raise(pendingTokens, other.PendingTokens)
+		for service, count := range other.Requests {
+			requests[service] = max(requests[service], count)
+		}
+	}
+	for id, count := range inFlight {
 		digest.InFlight[id] += count
 	}
-	for id, tokens := range other.PendingTokens {
+	for id, tokens := range pendingTokens {
 		digest.PendingTokens[id] += tokens
 	}
-	for model, hostTime := range other.Demand {
-		digest.Demand[model] += hostTime
+	for service, count := range requests {
+		digest.Requests[service] += count
 	}
+}
+
+// AddReports adds what another node's digest reports, whatever it counts. The placement state
+// is taken from the newer of the two. Asked stays: it is for the nodes that get the digest
+// themselves.
+func (digest *Digest) AddReports(other Digest) {
 	digest.Unresponsive = addIDs(digest.Unresponsive, other.Unresponsive)
 	digest.Lost = addIDs(digest.Lost, other.Lost)
 	digest.Answering = addIDs(digest.Answering, other.Answering)
@@ -57,12 +71,7 @@
 			digest.Leaving = append(digest.Leaving, leaving)
 		}
 	}
-	for service, count := range other.Requests {
-		digest.Requests[service] += count
-	}
-	for pool, count := range other.Usable {
-		digest.Usable[pool] = max(digest.Usable[pool], count)
-	}
+	raise(digest.Usable, other.Usable)
 	digest.Crashes.add(other.Crashes)
 	digest.Limits = addLimits(digest.Limits, other.Limits)
 	digest.HadRequests = digest.HadRequests || other.HadRequests
@@ -71,6 +80,13 @@
 	}
 }
 
+// raise raises counts to those of others.
+func raise(counts, others map[string]int) {
+	for key, count := range others {
+		counts[key] = max(counts[key], count)
+	}
+}
+
 // addIDs adds the IDs that a list lacks.
 func addIDs(ids, others []string) []string {
 	for _, id := range others {
--- a/io/gossip/fuzz_test.go
+++ b/io/gossip/fuzz_test.go
@@ -29,9 +29,11 @@
 	now := time.Unix(1000, 0)
 	digest.Crashes, digest.Limits = digest.Crashes.ReceivedAt(now), gossip.LimitsReceivedAt(digest.Limits, now)
 	summinglocal.sum = summinglocal.sum.Copy()
-	summinglocal.sum.Add(digest)
+	summinglocal.sum.AddCounts(digest)
+	summinglocal.sum.AddReports(digest)
 	own := digest.Copy()
-	own.Add(summinglocal.sum)
+	own.AddCounts(summinglocal.sum, digest)
+	own.AddReports(summinglocal.sum)
 	reply := own.Copy()
 	reply.Subtract(digest)
 	for table := range len(digest.Ages) + 1 {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hickorybend/core/rows"
+	"hickorybend/core/topo"
 	"hickorybend/io/wire"
 )
 
@@ -29,10 +30,11 @@
 type Digest struct {
 	Node             string               `cbor:"1,keyasint"`
 	Zone             string               `cbor:"9,keyasint"`
+	Scope            topo.Scope           `cbor:"29,keyasint,omitempty"` // whose requests are counted
 	Versions         []rows.Version       `cbor:"2,keyasint"`            // of the tables that nodes fetch from each other, in a fixed order; that of the configuration is the operators'
 	InFlight         map[string]int       `cbor:"3,keyasint,omitempty"`  // requests by endpoint
 	PendingTokens    map[string]int       `cbor:"7,keyasint,omitempty"`  // tokens of prompts whose answer has not begun, by endpoint
-	Demand           map[string]int64     `cbor:"8,keyasint,omitempty"`  // nanoseconds of estimated host time by model since the start
+	Demand           map[string]int64     `cbor:"8,keyasint,omitempty"`  // nanoseconds of estimated host time by model since a start of the node, or in a sum since it first led; see topo.Growth
 	Unresponsive     []string             `cbor:"4,keyasint,omitempty"`  // endpoints that do not answer this node, or may not
 	Lost             []string             `cbor:"23,keyasint,omitempty"` // endpoints that the node watches for the others, and that do not answer it
 	Leaving          []Leaving            `cbor:"19,keyasint,omitempty"` // endpoints that have said in an answer that they leave
