Membership: nodes that are gone count no more, and their rows are removed

Cause: a node writes its row at the start, nothing removes it, and each consumer counts rows.

Change: core/member decides which nodes are alive, suspected or gone, by exchanges that this node has tried itself (refused, never answered, silent while a majority answers, silent for long), or by the word of the node that does. What is gone is kept apart from io/edge's peers, so that shares, limits, budgets, roles, routes and digests have members only. Several that don't answer are tried beside one another, 16 in a round. The node that places removes rows of those that have been gone for 30 s, two a second, under a condition on the store's version of the row; none while the store is away or within a minute after it came back from an older copy. A stopping node withdraws its row; one whose row was removed writes it again. Removed rows leave the copies after five minutes, full reads drop what they lack. A majority for placing without the store still counts nodes that are gone. Rows with an odd address are named in an event.

Ruled out as enough: passing over nodes whose last exchange failed (a node that is no leader exchanges with few others, and has never tried the rest).

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -182,7 +182,7 @@
 	case digestReceived:
 		control.handlePeerDigest(typed, now)
 	case peerUnresponsive:
-		control.peers.markExchangeFailed(typed.node, now)
+		control.peers.markExchangeFailed(typed.node, typed.refused, now)
 	case endpointSuspected:
 		control.probeReplica(typed.endpoint, now)
 	case endpointUnreachable:
@@ -226,6 +226,8 @@
 		control.handleLeaseResult(typed, now)
 	case drainRequest:
 		control.handleDrain(typed, now)
+	case withdrawRequest:
+		control.withdrawNodeRow(typed)
 	}
 }
 
@@ -244,7 +246,7 @@
 	case tableEndpoints:
 		control.handleEndpoints(change, now)
 	case tableNodes:
-		control.handleNodes(change)
+		control.handleNodes(change, now)
 	case tableLease:
 		control.handleLease(change, now)
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -246,6 +246,13 @@
 	}
 	select {
 	case <-leaseReleased:
+	case <-ctx.Done():
+		return // the others find out by themselves
+	}
+	withdrawn := make(chan struct{})
+	params.Control.enqueue(withdrawRequest{done: withdrawn})
+	select {
+	case <-withdrawn:
 	case <-ctx.Done():
 	}
 }
--- a/io/edge/message.go
+++ b/io/edge/message.go
@@ -48,7 +48,8 @@
 
 // peerUnresponsive reports that another node did not answer an exchange.
 type peerUnresponsive struct {
-	node string
+	node    string
+	refused bool // its host refused the connection
 }
 
 // endpointSuspected names an endpoint that may be unresponsive.
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorybend/core/member"
 	"hickorybend/core/reach"
 	"hickorybend/core/rows"
 	"hickorybend/core/topo"
@@ -36,8 +39,14 @@
 	zone               string
 	key                string // authenticates nodes to each other
 	http               *http.Client
-	nodes              map[string]*peer          // by name
+	nodes              map[string]*peer          // the members, by name
+	gone               map[string]*peer          // those whose row is still there
+	members            *member.Members           // decides which they are
 	rows               map[string]platform.Entry // of the nodes table, as stored
+	removed            map[string]removal        // rows that were removed from it of late
+	compacted          rows.Version              // removals up to this version are not kept any more
+	settledSince       time.Time                 // since when the store has answered, and not gone back
+	withdrawn          bool                      // this node stops and has withdrawn its row
 	version            rows.Version              // of the newest row, and not below those of the latest era
 	rowWritten         bool                      // this node's row is in the store
 	rowEra             int64                     // the store's era in which it was written
@@ -62,26 +71,28 @@
 	digest             gossip.Digest
 	digestReceivedAt   time.Time
 	nextExchangeAt     time.Time
-	exchanging         bool // an exchange is pending
-	lastExchangeFailed bool // it did not answer the last exchange and has sent no digest since
+	exchanging         bool            // an exchange is pending
+	lastExchangeFailed bool            // it did not answer the last exchange and has sent no digest since
+	saysGone           map[string]bool // nodes that are gone according to it
 }
 
 func newPeers(settings Settings) *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	peers := &peers{
-		self: settings.Node, zone: settings.Zone, key: settings.PeerKey, nodes: map[string]*peer{}, rows: map[string]platform.Entry{},
+		self: settings.Node, zone: settings.Zone, key: settings.PeerKey, nodes: map[string]*peer{}, gone: map[string]*peer{}, members: member.New(member.DefaultPolicy()), rows: map[string]platform.Entry{}, removed: map[string]removal{},
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxPeerHeadBytes, DisableCompression: true}},
 	}
 	peers.routes.Store(&reach.Peers{})
 	return peers
 }
 
-// count returns the number of nodes, including this one.
+// count returns the number of members, including this node.
 func (peers *peers) count() int { return len(peers.nodes) + 1 }
 
 // markExchangeFailed records that a node did not answer an exchange.
-func (peers *peers) markExchangeFailed(node string, now time.Time) {
-	if peer := peers.nodes[node]; peer != nil {
+func (peers *peers) markExchangeFailed(node string, refused bool, now time.Time) {
+	peers.members.Failed(node, refused, now)
+	if peer := peers.peer(node); peer != nil {
 		peer.exchanging = false
 		peer.lastExchangeFailed = true
 		peer.nextExchangeAt = now.Add(downRetryInterval)
@@ -91,6 +102,7 @@
 // exchangeDigests exchanges digests with the nodes that are due.
 func (control *Control) exchangeDigests(now time.Time) {
 	control.assignRole(now)
+	control.judgeMembers(now)
 	control.refreshDigest()
 	peers := control.peers
 	groups := peers.sources(now)
@@ -101,8 +113,8 @@
 		interval *= time.Duration(1 + peers.role.ZoneSize/nonLeadersPerInterval)
 	}
 	for _, name := range peers.role.Peers {
-		peer := peers.nodes[name]
-		if peer.exchanging || now.Before(peer.nextExchangeAt) {
+		peer := peers.peer(name)
+		if peer == nil || peer.exchanging || now.Before(peer.nextExchangeAt) {
 			continue
 		}
 		control.startExchange(name, peer, now.Add(interval))
@@ -119,7 +131,16 @@
 func (control *Control) startExchange(name string, peer *peer, nextAt time.Time) {
 	peer.exchanging = true
 	peer.nextExchangeAt = nextAt
-	go control.exchange(name, peer.client, control.outgoingDigest(peer.zone))
+	go control.exchange(name, peer.client, withoutKnown(control.outgoingDigest(peer.zone), peer.digest))
+}
+
+// withoutKnown leaves out of a digest which nodes are gone, if its receiver holds the same for
+// gone by its own last digest.
+func withoutKnown(digest, receivers gossip.Digest) gossip.Digest {
+	if digest.GoneSum == receivers.GoneSum {
+		digest.Gone = nil
+	}
+	return digest
 }
 
 // assignRole computes this node's role in the topology.
@@ -235,7 +256,7 @@
 	askedAt := time.Now()
 	reply, err := client.Exchange(control.ctx, digest.WithAges(askedAt))
 	if err != nil {
-		control.enqueue(peerUnresponsive{node: name})
+		control.enqueue(peerUnresponsive{node: name, refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
 	control.enqueue(digestReceived{digest: reply, askedAt: askedAt})
@@ -262,6 +283,8 @@
 	if control.cutoff.CutOff() {
 		digest.CutOff = []string{control.settings.Node}
 	}
+	digest.Gone = control.peers.members.Gone()
+	digest.GoneSum = gossip.SumOf(digest.Gone)
 	digest.Leaving = control.endpoints.leavingList()
 	digest.Crashes = control.crashDigest(time.Now())
 	digest.Limits, digest.Requests = control.limitDigest(), control.localRequests()
@@ -305,11 +328,11 @@
 	control.enqueue(digestReceived{digest: digest})
 	clusterDigest := control.peers.clusterDigest.Load()
 	if clusterDigest == nil || digest.Zone != control.settings.Zone {
-		return control.outgoingDigest(digest.Zone).WithAges(time.Now())
+		return withoutKnown(control.outgoingDigest(digest.Zone).WithAges(time.Now()), digest)
 	}
 	reply := clusterDigest.Copy()
 	reply.Subtract(digest)
-	return reply.WithAges(time.Now())
+	return withoutKnown(reply.WithAges(time.Now()), digest)
 }
 
 // Table returns the changes in a table after a version, for another node.
@@ -335,10 +358,13 @@
 	digest := received.digest
 	digest.Crashes, digest.Limits = digest.Crashes.ReceivedAt(now), gossip.LimitsReceivedAt(digest.Limits, now)
 	digest.AnsweredAt = digest.AnswersReceivedAt(now, answeringFor)
-	peer := control.peers.nodes[digest.Node]
+	peer := control.peers.peer(digest.Node)
 	if peer == nil {
 		return // its row has not been read yet
 	}
+	control.peers.members.Heard(digest.Node, now)
+	control.applyMembership()
+	control.peers.learnGone(peer, digest)
 	peer.digest = digest
 	peer.digestReceivedAt = now
 	peer.exchanging = false
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -222,9 +222,13 @@
 
 // majorityWithoutStore reports whether this node and the peers with fresh digests
 // are a majority, and the store answers none of these peers. In a mesh all nodes
-// count, otherwise only the zones' leaders.
+// count, otherwise only the zones' leaders. Nodes that are gone count as long as their rows are
+// there: those that a part of the cluster cannot reach may place.
 func (peers *peers) majorityWithoutStore(now time.Time) bool {
 	partners, reachable := 0, 0
+	if peers.role.Mesh {
+		partners = len(peers.gone)
+	}
 	for name, peer := range peers.nodes {
 		if !peers.role.Mesh && !slices.Contains(peers.role.Leaders, name) {
 			continue
--- a/io/edge/seeds.go
+++ b/io/edge/seeds.go
@@ -54,10 +54,20 @@
 
 // publishNodeTable publishes the rows of the nodes table for peers: those that
 // start during a store outage, and those to which a leader reports changes.
-func (control *Control) publishNodeTable() {
-	table := &gossip.Table{Version: control.peers.version}
-	for _, row := range control.peers.rows {
-		table.Entries = append(table.Entries, gossip.Entry{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
+func (control *Control) publishNodeTable(now time.Time) {
+	peers := control.peers
+	for name, removal := range peers.removed {
+		if now.Sub(removal.at) >= removedRowTTL {
+			peers.compacted = max(peers.compacted, removal.version)
+			delete(peers.removed, name)
+		}
+	}
+	table := &gossip.Table{Version: peers.version, CompactedVersion: peers.compacted}
+	for _, row := range peers.rows {
+		table.Entries = append(table.Entries, gossip.Entry{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	for name, removal := range peers.removed {
+		table.Entries = append(table.Entries, gossip.Entry{Key: name, Version: removal.version, Removed: true})
 	}
 	control.publishedTables[tableNodes].Store(table)
 }
--- a/io/edge/suspend.go
+++ b/io/edge/suspend.go
@@ -40,6 +40,7 @@
 	control.placement.claim.Invalidate()
 	control.placement.isLatestHolder = false
 	control.copies.suspend(suspended)
+	control.peers.members.Suspend()
 }
 
 // bootClockOffset returns how far CLOCK_BOOTTIME, which counts suspensions, is
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -34,7 +34,11 @@
 	CopyStale             = Event{208, "copy of a table is out of date", zap.WarnLevel}
 	CopyFresh             = Event{209, "copy of a table is up to date again", zap.InfoLevel}
 	StoreWentBack         = Event{210, "table service came back from an older copy", zap.WarnLevel}
-	NodeRowLost           = Event{211, "row of this node is lost and written again", zap.WarnLevel}
+	NodeRowLost           = Event{211, "row of this node is lost or removed, and written again", zap.WarnLevel}
+	MemberChanged         = Event{212, "state of another node changed", zap.WarnLevel}
+	NodeRowRemoved        = Event{213, "row of a node that is gone removed", zap.InfoLevel}
+	NodeRowWithdrawn      = Event{214, "row of this stopping node withdrawn", zap.InfoLevel}
+	NodeRowOdd            = Event{215, "row of a node is no member's", zap.WarnLevel}
 	LeaseAcquired         = Event{301, "lease acquired", zap.InfoLevel}
 	LeaseLost             = Event{302, "lease lost", zap.WarnLevel}
 	LeaseReleased         = Event{303, "lease released", zap.InfoLevel}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"hickorybend/core/rows"
@@ -55,10 +56,21 @@
 	AnswerAges       map[string]int64     `cbor:"28,keyasint,omitempty"` // nanoseconds since those answers
 	AnsweredAt       map[string]time.Time `cbor:"-"`                     // the same as times of the node's own clock
 	Asked            []string             `cbor:"27,keyasint,omitempty"` // endpoints that the node watches for the others and finds silent, and that some of these are to probe
+	Gone             []string             `cbor:"30,keyasint,omitempty"` // nodes that are gone, unless the receiver has said that it holds the same for gone
+	GoneSum          uint64               `cbor:"31,keyasint,omitempty"` // SumOf them
 	CutOff           []string             `cbor:"26,keyasint,omitempty"` // nodes that endpoints do not answer, though they answer others
 	Usable           map[string]int       `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
 }
 
+// SumOf returns a fingerprint of names, whatever their order.
+func SumOf(names []string) uint64 {
+	sum := uint64(0)
+	for _, name := range names {
+		sum ^= xxhash.Sum64String(name)
+	}
+	return sum
+}
+
 // Leaving names an endpoint that has said in an answer that it leaves.
 type Leaving struct {
 	Endpoint  string `cbor:"1,keyasint"`
