--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -78,7 +78,7 @@
 	return member.WordMember
 }
 
-// learnGone keeps which nodes another one says are gone. It leaves out the list if this node has
+// learnGone keeps which nodes another one says are gone. Its digest has no list if this node has
 // said the same.
 func (peers *peers) learnGone(peer *peer, digest gossip.Digest) {
 	if digest.GoneSum != 0 && len(digest.Gone) == 0 {
@@ -103,10 +103,11 @@
 func (control *Control) applyMembership() {
 	peers := control.peers
 	for _, change := range peers.members.Changes() {
-		if change.From == member.StateGone || change.To == member.StateGone {
-			event.Log(control.log, event.MemberChanged, zap.String("node", change.Name), zap.String("from", string(change.From)), zap.String("to", string(change.To)),
-				zap.String("evidence", string(change.Evidence)), zap.Duration("age", change.Age), zap.Int("failures", change.Failures))
+		if change.From != member.StateGone && change.To != member.StateGone {
+			continue
 		}
+		event.Log(control.log, event.MemberChanged, zap.String("node", change.Name), zap.String("from", string(change.From)), zap.String("to", string(change.To)),
+			zap.String("evidence", string(change.Evidence)), zap.Duration("age", change.Age), zap.Int("failures", change.Failures))
 		peers.sort(change.Name)
 		control.snapshotStale = true
 	}
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -213,10 +213,10 @@
 break_one "answers to others before the silence that count" core/cutoff/tracker.go 'silent && !at.Before(since) && ' 'silent && !at.Before(since.Add(-time.Hour)) && ' ./core/cutoff TestNodeTakesEndpointsForSilent
 
 break_one "sums of two leaders that are added up" core/topo/scope.go 'return [][]Source{all}' 'return [][]Source{all[:1], all[1:]}' ./core/topo TestSumsOfTwoLeadersCountedTwice
-break_one "a total of a source that was silent taken for growth" core/topo/growth.go 'growth.previous = make(map[Source]Counters, len(previous))' 'growth.previous = maps.Clone(previous)
-	if growth.previous == nil {
-		growth.previous = map[Source]Counters{}
-	}' ./core/topo TestReturnTakenForGrowth
+break_one "a total of a source that was silent taken for growth" core/topo/growth.go 'grown := make([]Counters, len(groups))' 'for source, counters := range previous {
+		growth.previous[source] = counters
+	}
+	grown := make([]Counters, len(groups))' ./core/topo TestReturnTakenForGrowth
 break_one "a cut-off node that holds all others for gone" core/member/members.go 'return 2*heard > known' 'return true' ./core/member TestGoneNodesStayMembers
 break_one "a node held for gone by what it missed while this one was frozen" core/member/members.go 'case unheard, member.failures < policy.MinFailures:' 'case unheard:' ./core/member TestGoneNodesStayMembers
 break_one "a row removed while the store has just come back" core/member/members.go '|| now.Sub(settledSince) < members.policy.SettledFor' '' ./core/member TestRowsAreRemovedTooSoon
