--- a/core/member/members.go
+++ b/core/member/members.go
@@ -129,7 +129,7 @@
 // Update applies the evidence. watched reports whether this node exchanges digests with a
 // member itself, and told what one says that does.
 func (members *Members) Update(watched func(name string) bool, told func(name string) Word, now time.Time) {
-	majority := members.hearMajority(now)
+	majority := members.hearMajority(watched, now)
 	for name, member := range members.byName {
 		if now.Sub(member.heardAt) < members.policy.SuspectAfter {
 			continue // alive by its answer
@@ -154,8 +154,9 @@
 		return ""
 	}
 	failing := now.Sub(member.failedSince)
-	switch unheard := member.heardAt.IsZero(); {
-	case unheard && now.Sub(member.knownAt) >= policy.UnheardFor:
+	known := now.Sub(member.knownAt)
+	switch unheard := member.heardAt.IsZero() && known < policy.UnheardUntil; {
+	case unheard && known >= policy.UnheardFor:
 		return EvidenceUnheard
 	case unheard, member.failures < policy.MinFailures:
 		return ""
@@ -171,16 +172,19 @@
 
 // hearMajority reports whether more than half of the members that have ever answered and are not
 // gone, this node included, have answered just now. Where fewer do, this node may be the one that
-// lost its links.
-func (members *Members) hearMajority(now time.Time) bool {
+// lost its links. Members that this node does not watch count only if they have answered.
+func (members *Members) hearMajority(watched func(name string) bool, now time.Time) bool {
 	heard, known := 1, 1
-	for _, member := range members.byName {
+	for name, member := range members.byName {
 		if member.State == StateGone || member.heardAt.IsZero() {
 			continue
 		}
-		known++
-		if now.Sub(member.heardAt) < members.policy.SuspectAfter {
+		switch {
+		case now.Sub(member.heardAt) < members.policy.SuspectAfter:
 			heard++
+			known++
+		case watched(name):
+			known++
 		}
 	}
 	return 2*heard > known
--- a/core/member/members_test.go
+++ b/core/member/members_test.go
@@ -107,11 +107,37 @@
 			}
 			node.members.Update(always, nothingTold, node.now)
 		}, nil},
+		{"gone, and never tried before", func(node *node) {
+			node.watched = func(string) bool { return false }
+			node.stop(false, "a")
+			node.run(time.Minute)
+			node.watched = always
+			node.run(7 * time.Second)
+		}, []string{"a"}},
+		{"silent beside many that this node watches no more", func(node *node) {
+			node.run(time.Second)
+			node.watched = func(name string) bool { return name == "a" || name == "b" }
+			node.stop(false, "b", "c", "d")
+			node.run(7 * time.Second)
+		}, []string{"b"}},
+		{"the same in a larger zone", func(node *node) {
+			node.run(time.Second)
+			node.watched = func(name string) bool { return name != "d" }
+			node.stop(false, "c", "d")
+			node.run(7 * time.Second)
+		}, []string{"c"}},
 		{"rows of nodes that are gone for good", func(node *node) {
 			node.members.Put("old", false, node.now)
 			node.refuses["old"] = true
 			node.run(4 * time.Second)
 		}, []string{"old"}},
+		{"frozen for 3 s, and never tried before", func(node *node) {
+			node.watched = func(string) bool { return false }
+			node.stop(false, "a")
+			node.run(time.Minute)
+			node.watched = always
+			node.run(3 * time.Second)
+		}, nil},
 		{"a row written again", func(node *node) {
 			node.run(time.Second)
 			node.stop(true, "b")
--- a/core/member/policy.go
+++ b/core/member/policy.go
@@ -7,8 +7,9 @@
 type Policy struct {
 	SuspectAfter     time.Duration // without an answer, a node is suspected
 	RefusedFor       time.Duration // for which its host has refused connections
-	UnheardFor       time.Duration // for which a node has failed to answer that never has since this one knows its row
-	SilentFor        time.Duration // the same of one that has, if a majority of these answers
+	UnheardFor       time.Duration // for which this one has known the row of a node that never answered
+	UnheardUntil     time.Duration // after which that is no evidence any more: nobody may have tried it, as another node watches it
+	SilentFor        time.Duration // for which any other has failed to answer, if a majority of those that ever answered does
 	SilentForAnybody time.Duration // the same if no majority does
 	MinFailures      int           // exchanges in a row that must have failed, except of a node that never answered
 	RetryInterval    time.Duration // between two exchanges with a node that does not answer
@@ -22,7 +23,7 @@
 // DefaultPolicy suits nodes that exchange digests ten times a second.
 func DefaultPolicy() Policy {
 	return Policy{
-		SuspectAfter: time.Second, RefusedFor: 1500 * time.Millisecond, UnheardFor: 2500 * time.Millisecond, SilentFor: 4 * time.Second, SilentForAnybody: 30 * time.Second,
+		SuspectAfter: time.Second, RefusedFor: 1500 * time.Millisecond, UnheardFor: 2500 * time.Millisecond, UnheardUntil: 5 * time.Second, SilentFor: 4 * time.Second, SilentForAnybody: 30 * time.Second,
 		MinFailures: 3, RetryInterval: time.Second, RetryGone: 5 * time.Second, RetriesPerRound: 16,
 		RemoveAfter: 30 * time.Second, RemoveInterval: 500 * time.Millisecond, SettledFor: 60 * time.Second,
 	}
