--- a/core/member/members.go
+++ b/core/member/members.go
@@ -50,7 +50,7 @@
 	Name     string
 	From, To State
 	Evidence Evidence
-	Age      time.Duration // since the member's last answer or, if it never answered, since its row is known
+	HeardAt  time.Time // of the member's last answer or, if it never answered, when its row became known
 	Failures int
 }
 
@@ -194,11 +194,11 @@
 	if member.State == state {
 		return
 	}
-	age := now.Sub(member.knownAt)
-	if !member.heardAt.IsZero() {
-		age = now.Sub(member.heardAt)
+	heardAt := member.heardAt
+	if heardAt.IsZero() {
+		heardAt = member.knownAt
 	}
-	members.changes = append(members.changes, Change{Name: member.Name, From: member.State, To: state, Evidence: evidence, Age: age, Failures: member.failures})
+	members.changes = append(members.changes, Change{Name: member.Name, From: member.State, To: state, Evidence: evidence, HeardAt: heardAt, Failures: member.failures})
 	member.State, member.Since = state, now
 }
 
--- a/core/member/sim_test.go
+++ b/core/member/sim_test.go
@@ -22,9 +22,9 @@
 	simMaxMesh = 12
 )
 
-// simCluster plays the views of the nodes that watch others and remove rows: all of a mesh, or else
+// cluster plays the views of the nodes that watch others and remove rows: all of a mesh, or else
 // the leader of each zone and one node that takes their word.
-type simCluster struct {
+type cluster struct {
 	random    *rand.Rand
 	now       time.Time
 	zones     int
@@ -48,8 +48,8 @@
 	found     map[string]bool // that some node has held for gone
 }
 
-func newSimCluster(nodes int, seed uint64) *simCluster {
-	cluster := &simCluster{
+func newCluster(nodes int, seed uint64) *cluster {
+	cluster := &cluster{
 		random: rand.New(rand.NewPCG(seed, 3)), now: start, zones: simZones, alive: map[string]time.Time{}, diedAt: map[string]time.Time{}, refuses: map[string]bool{},
 		rows: map[string]bool{}, frozen: map[string]time.Time{}, numbers: map[string]int{}, views: map[string]*member.Members{}, heldWrong: map[string]bool{}, found: map[string]bool{},
 	}
@@ -62,12 +62,12 @@
 	return cluster
 }
 
-func (cluster *simCluster) zoneOf(name string) int {
+func (cluster *cluster) zoneOf(name string) int {
 	return cluster.numbers[name] % cluster.zones
 }
 
 // join starts a node that has never run before.
-func (cluster *simCluster) join() {
+func (cluster *cluster) join() {
 	name := fmt.Sprintf("node-%05d", cluster.next)
 	cluster.numbers[name] = cluster.next
 	cluster.next++
@@ -79,13 +79,13 @@
 }
 
 // die ends a node for good. Its host answers nothing, or refuses connections.
-func (cluster *simCluster) die(name string) {
+func (cluster *cluster) die(name string) {
 	delete(cluster.alive, name)
 	cluster.diedAt[name], cluster.refuses[name] = cluster.now, cluster.random.IntN(2) == 0
 }
 
 // living returns the living nodes in order.
-func (cluster *simCluster) living() []string {
+func (cluster *cluster) living() []string {
 	names := make([]string, 0, len(cluster.alive))
 	for name := range cluster.alive {
 		names = append(names, name)
@@ -95,7 +95,7 @@
 }
 
 // watchers returns the living nodes that watch others, and whether they watch only their zone.
-func (cluster *simCluster) watchers() map[string]bool {
+func (cluster *cluster) watchers() map[string]bool {
 	watchers, leaders := map[string]bool{}, map[int]bool{}
 	for _, name := range cluster.living() {
 		if zone := cluster.zoneOf(name); cluster.zones == 1 || !leaders[zone] {
@@ -107,7 +107,7 @@
 
 // view returns what a node knows; one that begins to watch has known the rows since it started, or
 // since they were written.
-func (cluster *simCluster) view(name string) *member.Members {
+func (cluster *cluster) view(name string) *member.Members {
 	view := cluster.views[name]
 	if view == nil {
 		view = member.New(member.DefaultPolicy())
@@ -126,7 +126,7 @@
 }
 
 // reaches reports whether an exchange between two nodes succeeds.
-func (cluster *simCluster) reaches(from, to string) bool {
+func (cluster *cluster) reaches(from, to string) bool {
 	_, lives := cluster.alive[to]
 	split := cluster.apart > 0 && (cluster.zoneOf(from) < cluster.apart) != (cluster.zoneOf(to) < cluster.apart)
 	draw := xxhash.Sum64String(fmt.Sprint(from, to, cluster.now.UnixNano())) // the same in whatever order members are asked
@@ -134,7 +134,7 @@
 }
 
 // step plays a moment at all watchers and at the node that places.
-func (cluster *simCluster) step(settledSince time.Time) {
+func (cluster *cluster) step(settledSince time.Time) {
 	cluster.now = cluster.now.Add(simStep)
 	watchers := cluster.watchers()
 	for name := range cluster.views {
@@ -166,7 +166,7 @@
 }
 
 // watch plays a watcher's exchanges: with the nodes of its zone, and of zones nobody of which lives.
-func (cluster *simCluster) watch(name string) {
+func (cluster *cluster) watch(name string) {
 	view, zone := cluster.view(name), cluster.zoneOf(name)
 	watched := func(other string) bool {
 		return cluster.zoneOf(other) == zone || cluster.watcherOf[cluster.zoneOf(other)] == ""
@@ -186,7 +186,7 @@
 }
 
 // word returns what the watcher of another zone says of a node.
-func (cluster *simCluster) word(asks, of string) member.Word {
+func (cluster *cluster) word(asks, of string) member.Word {
 	zone := cluster.zoneOf(of)
 	watcher, says := cluster.watcherOf[zone], cluster.says[zone]
 	switch {
@@ -199,7 +199,7 @@
 }
 
 // count records how long it took to find nodes gone, and living ones that are held for gone.
-func (cluster *simCluster) count(view *member.Members) {
+func (cluster *cluster) count(view *member.Members) {
 	for _, change := range view.Changes() {
 		if change.To != member.StateGone {
 			continue
@@ -219,7 +219,7 @@
 }
 
 // remove plays the node that places.
-func (cluster *simCluster) remove(placer string, settledSince time.Time) {
+func (cluster *cluster) remove(placer string, settledSince time.Time) {
 	name, found := cluster.view(placer).Removal(settledSince, cluster.now)
 	if !found {
 		return
@@ -237,7 +237,7 @@
 }
 
 // run plays some time, with one node replaced each so often.
-func (cluster *simCluster) run(duration, replaceEvery time.Duration) {
+func (cluster *cluster) run(duration, replaceEvery time.Duration) {
 	nextAt := cluster.now.Add(replaceEvery)
 	for end := cluster.now.Add(duration); cluster.now.Before(end); {
 		if replaceEvery > 0 && !cluster.now.Before(nextAt) {
@@ -274,7 +274,7 @@
 			if size <= simMaxMesh {
 				every = 10 * time.Second
 			}
-			cluster := newSimCluster(size, uint64(size))
+			cluster := newCluster(size, uint64(size))
 			cluster.run(5*time.Second, 0)
 			cluster.run(hour, every)
 			churned, commits, found := cluster.now.Sub(start), cluster.commits, cluster.detected
--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -21,7 +21,7 @@
 	peers := control.peers
 	watched := func(name string) bool { return control.watchesNode(name, now) }
 	peers.members.Update(watched, func(name string) member.Word { return control.toldOf(name, now) }, now)
-	control.applyMembership()
+	control.applyMembership(now)
 	for _, state := range []member.State{member.StateAlive, member.StateSuspected, member.StateGone} {
 		control.meter.Gauge("members_"+string(state), float64(peers.members.Count(state)))
 	}
@@ -100,14 +100,14 @@
 
 // applyMembership logs the changes of members' states, and keeps those that are gone apart: a
 // node that is gone has no role, share or request.
-func (control *Control) applyMembership() {
+func (control *Control) applyMembership(now time.Time) {
 	peers := control.peers
 	for _, change := range peers.members.Changes() {
 		if change.From != member.StateGone && change.To != member.StateGone {
 			continue
 		}
 		event.Log(control.log, event.MemberChanged, zap.String("node", change.Name), zap.String("from", string(change.From)), zap.String("to", string(change.To)),
-			zap.String("evidence", string(change.Evidence)), zap.Duration("age", change.Age), zap.Int("failures", change.Failures))
+			zap.String("evidence", string(change.Evidence)), zap.Duration("age", now.Sub(change.HeardAt)), zap.Int("failures", change.Failures))
 		peers.sort(change.Name)
 		control.snapshotStale = true
 	}
--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -137,7 +137,7 @@
 		return
 	}
 	peers.members.Put(name, rewritten, now)
-	control.applyMembership()
+	control.applyMembership(now)
 	if known := peers.peer(name); known != nil && known.address == wire.Address && known.zone == wire.Zone && known.processor == wire.Processor {
 		return
 	}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -363,7 +363,7 @@
 		return // its row has not been read yet
 	}
 	control.peers.members.Heard(digest.Node, now)
-	control.applyMembership()
+	control.applyMembership(now)
 	control.peers.learnGone(peer, digest)
 	peer.digest = digest
 	peer.digestReceivedAt = now
