--- a/core/member/members_test.go
+++ b/core/member/members_test.go
@@ -126,6 +126,17 @@
 			node.stop(false, "c", "d")
 			node.run(7 * time.Second)
 		}, []string{"c"}},
+		{"this node is frozen while another one restarts", func(node *node) {
+			node.run(time.Second)
+			node.stop(true, "b")
+			node.run(1500 * time.Millisecond)
+			node.now = node.now.Add(time.Minute)
+			node.members.Failed("b", true, node.now)
+			for _, name := range []string{"a", "c", "d"} {
+				node.members.Heard(name, node.now)
+			}
+			node.members.Update(always, nothingTold, node.now)
+		}, nil},
 		{"rows of nodes that are gone for good", func(node *node) {
 			node.members.Put("old", false, node.now)
 			node.refuses["old"] = true
