--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for building, running and checking the project.
 
-.PHONY: build run run-muscat smoke test check bench month sizes slopes soak faults faults-short faults-upgrade faults-breaks fuzz breaks experiment clean
+.PHONY: build run run-muscat smoke test check bench month sizes members slopes soak faults faults-short faults-upgrade faults-breaks fuzz breaks experiment clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -38,6 +38,10 @@
 sizes:
 	HICKORYBEND_SIZES=1 go test ./core/fleet -run TestDayBySize -v
 
+# Simulates an hour of nodes that come and go, at three sizes, for docs/CAPACITY.md.
+members:
+	HICKORYBEND_MEMBERS=1 go test ./core/member -run TestMembershipAtScale -v -timeout 20m
+
 # Measures the costs from which docs/CAPACITY.md is computed.
 slopes:
 	HICKORYBEND_SLOPES=1 go test ./io/node -run TestSlopes -v
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -95,7 +95,7 @@
 func All() []Event {
 	return []Event{
 		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LogLinesDropped, SettingsReread, ReadinessChanged, DrainTimedOut, HostSuspended,
-		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh, StoreWentBack, NodeRowLost,
+		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh, StoreWentBack, NodeRowLost, MemberChanged, NodeRowRemoved, NodeRowWithdrawn, NodeRowOdd,
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
