--- a/core/member/members.go
+++ b/core/member/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -59,6 +60,7 @@
 	policy   Policy
 	byName   map[string]*Member
 	changes  []Change
+	gone     []string  // those that are, in order; nil if it has to be made again
 	removeAt time.Time // when the next row may be removed
 }
 
@@ -80,7 +82,10 @@
 }
 
 // Drop forgets the member of a row that was removed.
-func (members *Members) Drop(name string) { delete(members.byName, name) }
+func (members *Members) Drop(name string) {
+	delete(members.byName, name)
+	members.gone = nil
+}
 
 // Heard records an answer or a digest of a member.
 func (members *Members) Heard(name string, now time.Time) {
@@ -127,12 +132,16 @@
 )
 
 // Update applies the evidence. watched reports whether this node exchanges digests with a
-// member itself, and told what one says that does.
+// member itself, and told what one says that does; told is nil if nobody says of any that it is gone.
 func (members *Members) Update(watched func(name string) bool, told func(name string) Word, now time.Time) {
-	majority := members.hearMajority(watched, now)
+	quiet := told == nil
+	if quiet {
+		told = func(string) Word { return WordNone }
+	}
+	majority := sync.OnceValue(func() bool { return members.hearMajority(watched, now) })
 	for name, member := range members.byName {
-		if now.Sub(member.heardAt) < members.policy.SuspectAfter {
-			continue // alive by its answer
+		if now.Sub(member.heardAt) < members.policy.SuspectAfter || quiet && member.State == StateAlive && member.failures == 0 {
+			continue // alive by its answer, or nothing is known against it
 		}
 		watches := watched(name)
 		switch evidence := members.policy.evidence(member, majority, now); {
@@ -149,7 +158,7 @@
 }
 
 // evidence returns why a member is gone by what this node itself has tried, or "".
-func (policy Policy) evidence(member *Member, majority bool, now time.Time) Evidence {
+func (policy Policy) evidence(member *Member, majority func() bool, now time.Time) Evidence {
 	if member.failures == 0 {
 		return ""
 	}
@@ -162,7 +171,7 @@
 		return ""
 	case member.refused && failing >= policy.RefusedFor:
 		return EvidenceRefused
-	case majority && failing >= policy.SilentFor:
+	case failing >= policy.SilentFor && majority():
 		return EvidenceSilent
 	case failing >= policy.SilentForAnybody:
 		return EvidenceLong
@@ -199,7 +208,7 @@
 		heardAt = member.knownAt
 	}
 	members.changes = append(members.changes, Change{Name: member.Name, From: member.State, To: state, Evidence: evidence, HeardAt: heardAt, Failures: member.failures})
-	member.State, member.Since = state, now
+	member.State, member.Since, members.gone = state, now, nil
 }
 
 // Changes returns the changes of states since the last call.
@@ -215,16 +224,19 @@
 	return member == nil || member.State == StateGone
 }
 
-// Gone returns the names of those that are gone, in order.
+// Gone returns the names of those that are gone, in order. They are not to be changed.
 func (members *Members) Gone() []string {
-	var names []string
+	if members.gone != nil {
+		return members.gone
+	}
+	members.gone = []string{}
 	for name, member := range members.byName {
 		if member.State == StateGone {
-			names = append(names, name)
+			members.gone = append(members.gone, name)
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.Sort(members.gone)
+	return members.gone
 }
 
 // Count returns the number of members with a state.
--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -15,22 +15,57 @@
 // precede those of the living.
 const startupTime = 10 * time.Second
 
+const memberReportInterval = time.Second // between two updates of the gauges
+
 // judgeMembers decides which other nodes are gone, tries those that do not answer, and has
 // the node that places remove a row.
 func (control *Control) judgeMembers(now time.Time) {
 	peers := control.peers
 	watched := func(name string) bool { return control.watchesNode(name, now) }
-	peers.members.Update(watched, func(name string) member.Word { return control.toldOf(name, now) }, now)
+	var told func(name string) member.Word
+	if len(peers.gone) > 0 || peers.saySomeGone() {
+		told = func(name string) member.Word { return control.toldOf(name, now) }
+	}
+	peers.members.Update(watched, told, now)
 	control.applyMembership(now)
+	control.reportMembers(now)
+	if peers.role.Mesh || peers.role.IsLeader || control.starting(now) {
+		control.tryMembers(watched, now)
+	}
+	control.removeGoneRow(now)
+}
+
+// reportMembers updates the gauges of members by state, once a second.
+func (control *Control) reportMembers(now time.Time) {
+	if now.Before(control.peers.nextReportAt) {
+		return
+	}
+	control.peers.nextReportAt = now.Add(memberReportInterval)
 	for _, state := range []member.State{member.StateAlive, member.StateSuspected, member.StateGone} {
-		control.meter.Gauge("members_"+string(state), float64(peers.members.Count(state)))
+		control.meter.Gauge("members_"+string(state), float64(control.peers.members.Count(state)))
 	}
-	for _, name := range peers.members.Due(watched, now) {
-		if peer := peers.peer(name); !peer.exchanging {
+}
+
+// tryMembers starts exchanges with watched nodes that do not answer.
+func (control *Control) tryMembers(watched func(name string) bool, now time.Time) {
+	for _, name := range control.peers.members.Due(watched, now) {
+		if peer := control.peers.peer(name); !peer.exchanging {
 			control.startExchange(name, peer, now.Add(gossipInterval))
 		}
 	}
-	control.removeGoneRow(now)
+}
+
+// starting reports whether this node has just started.
+func (control *Control) starting(now time.Time) bool { return now.Sub(control.startedAt) < startupTime }
+
+// saySomeGone reports whether any node says that others are gone.
+func (peers *peers) saySomeGone() bool {
+	for _, peer := range peers.nodes {
+		if len(peer.saysGone) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // watchesNode reports whether this node itself exchanges digests with another one, or would if
@@ -49,7 +84,7 @@
 		return peer.zone == peers.zone || leader == nil || !leader.fresh(now)
 	}
 	leader := peers.nodes[role.Leader]
-	return peer.zone == peers.zone && now.Sub(control.startedAt) < startupTime && (leader == nil || !leader.fresh(now))
+	return peer.zone == peers.zone && control.starting(now) && (leader == nil || !leader.fresh(now))
 }
 
 // toldOf returns what is said of a node by one that is to know: in a mesh by any, for a leader by
@@ -57,7 +92,7 @@
 // has just started believes any that says it is gone.
 func (control *Control) toldOf(name string, now time.Time) member.Word {
 	peers, role := control.peers, control.peers.role
-	if role.Mesh || now.Sub(control.startedAt) < startupTime {
+	if role.Mesh || control.starting(now) {
 		for _, peer := range peers.nodes {
 			if peer.fresh(now) && peer.saysGone[name] {
 				return member.WordGone
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -47,6 +47,7 @@
 	compacted          rows.Version              // removals up to this version are not kept any more
 	settledSince       time.Time                 // since when the store has answered, and not gone back
 	withdrawn          bool                      // this node stops and has withdrawn its row
+	nextReportAt       time.Time                 // when to update the gauges of members
 	version            rows.Version              // of the newest row, and not below those of the latest era
 	rowWritten         bool                      // this node's row is in the store
 	rowEra             int64                     // the store's era in which it was written
