Membership after the store came back from an older copy

- No row is removed within a minute: handleNodes compared the era after it had taken over that of the rows, so the time was not kept (a removal came after 30 s).
TestRowOfLivingNodeRemoved passed because its row was written again; with rows of another node it failed before.
- A node that is gone and whose row the store has lost stayed known for good, and the node that places tried to remove its row each 30 s.
Each node now drops such rows.
By reading; TestLostRowOfGoneNodeStays is for it.

--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -32,9 +32,21 @@
 	if peers.role.Mesh || peers.role.IsLeader || control.starting(now) {
 		control.tryMembers(watched, now)
 	}
+	control.dropLostRows(now)
 	control.removeGoneRow(now)
 }
 
+// dropLostRows drops the rows of nodes that are gone which the store has lost, since it came back from
+// an older copy. A node that lives writes its row again.
+func (control *Control) dropLostRows(now time.Time) {
+	peers := control.peers
+	for name := range peers.gone {
+		if entry := peers.rows[name]; entry.Version.Era() < peers.version.Era() {
+			control.dropNodeRow(name, entry.Version, now)
+		}
+	}
+}
+
 // reportMembers updates the gauges of members by state, once a second.
 func (control *Control) reportMembers(now time.Time) {
 	if now.Before(control.peers.nextReportAt) {
--- a/io/edge/members_test.go
+++ b/io/edge/members_test.go
@@ -105,7 +105,7 @@
 		{"this node does not place", func(control *Control, _ time.Time) { control.placement.active = false }, 0},
 		{"the store is away", func(control *Control, _ time.Time) { control.storeUnreachable.Store(true) }, 0},
 		{"the store has come back from an older copy", func(control *Control, now time.Time) {
-			receiveNodes(control, now, true, rows.NewVersion(1, 5), nodeEntry(t, "old", `{"address":"127.0.0.1:1"}`, rows.NewVersion(1, 4)))
+			receiveNodes(control, now, true, rows.NewVersion(1, 5), nodeEntry(t, "new", `{"address":"127.0.0.1:2"}`, rows.NewVersion(1, 4)))
 		}, 0},
 		{"it has written its row again", func(control *Control, now time.Time) {
 			receiveNodes(control, now, false, 20, nodeEntry(t, "old", `{"address":"127.0.0.1:1"}`, 20))
@@ -146,6 +146,20 @@
 	}
 }
 
+// TestLostRowOfGoneNodeStays guards against a node that is gone and stays known for good because the
+// store has lost its row, so that nobody can remove it.
+func TestLostRowOfGoneNodeStays(t *testing.T) {
+	now := time.Now()
+	control := newMember(t, now)
+	receiveNodes(control, now, true, rows.NewVersion(1, 5), nodeEntry(t, "new", `{"address":"127.0.0.1:2"}`, rows.NewVersion(1, 4)))
+	control.judgeMembers(now)
+	assert.Assert(t, control.peers.peer("old") != nil, "it may live, and write its row again")
+	control.judgeMembers(now.Add(3 * time.Second))
+	control.judgeMembers(now.Add(3 * time.Second))
+	assert.Assert(t, control.peers.peer("old") == nil)
+	assert.Assert(t, control.peers.peer("new") != nil)
+}
+
 // TestWhoseWordCounts checks whom a node believes that another one is gone.
 func TestWhoseWordCounts(t *testing.T) {
 	now := time.Now()
--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -36,6 +36,9 @@
 // handleNodes applies rows of the nodes table.
 func (control *Control) handleNodes(change tableChanged, now time.Time) {
 	peers := control.peers
+	if change.batch.Version.Era() > peers.version.Era() {
+		peers.settledSince = now
+	}
 	listed := map[string]bool{}
 	for _, entry := range change.batch.Entries {
 		listed[entry.Key] = true
@@ -44,9 +47,6 @@
 	if change.batch.Full {
 		control.dropUnlisted(listed, change.batch.Version, now)
 	}
-	if version := change.batch.Version; version.Era() > peers.version.Era() {
-		peers.settledSince = now
-	}
 	peers.version = max(peers.version, rows.NewVersion(change.batch.Version.Era(), 0))
 	control.publishNodeTable(now)
 	if control.nodeRowLost() {
