--- a/core/member/explore_test.go
+++ b/core/member/explore_test.go
@@ -24,7 +24,7 @@
 // storedRow is a node's row: which process wrote it, and the store's version.
 type storedRow struct{ incarnation, version int }
 
-// pendingRemoval is a removal on its way to the store.
+// pendingRemoval is a removal that the store has not received yet.
 type pendingRemoval struct {
 	node string
 	row  storedRow // that it is meant for
@@ -257,8 +257,8 @@
 	return ""
 }
 
-// exploreEvents returns the events that are tried at each point. The nodes are alike but for the
-// order of their names, by which the first one removes rows.
+// exploreEvents returns the events that are tried at each point. The nodes differ only in the
+// order of their names: the first running one removes rows.
 func exploreEvents() []string {
 	events := []string{"wait 1s", "wait 8s", "remove", "removal-arrives", "removal-is-lost", "store-goes-back"}
 	for _, name := range []string{"n0", "n2"} {
--- a/core/member/members.go
+++ b/core/member/members.go
@@ -121,12 +121,12 @@
 	}
 }
 
-// Word is what a node says that exchanges digests with a member.
+// Word is what a node reports that exchanges digests with a member.
 type Word int
 
-// The words.
+// The values of Word.
 const (
-	WordNone Word = iota // nobody says anything
+	WordNone Word = iota // there is no report
 	WordGone
 	WordMember
 )
--- a/core/member/members_test.go
+++ b/core/member/members_test.go
@@ -67,7 +67,7 @@
 }
 
 // TestGoneNodesStayMembers guards against rows that count as members for good, and against
-// living nodes that are taken for gone.
+// living nodes that are marked as gone.
 func TestGoneNodesStayMembers(t *testing.T) {
 	for _, test := range []struct {
 		name  string
--- a/core/member/sim_test.go
+++ b/core/member/sim_test.go
@@ -133,7 +133,7 @@
 	return lives && !split && !cluster.now.Before(cluster.frozen[to]) && float64(draw>>11)/(1<<53) >= simBad
 }
 
-// step plays a moment at all watchers and at the node that places.
+// step runs one time step of all watchers and of the node that places.
 func (cluster *cluster) step(settledSince time.Time) {
 	cluster.now = cluster.now.Add(simStep)
 	watchers := cluster.watchers()
--- a/core/topo/scope_test.go
+++ b/core/topo/scope_test.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// TestReturnTakenForGrowth guards against totals that are taken for growth because their
+// TestReturnTakenForGrowth guards against totals that count as growth because their
 // sender, or a node in its sum, comes back or joins.
 func TestReturnTakenForGrowth(t *testing.T) {
 	var growth topo.Growth
--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -99,9 +99,9 @@
 	return peer.zone == peers.zone && control.starting(now) && (leader == nil || !leader.fresh(now))
 }
 
-// toldOf returns what is said of a node by one that is to know: in a mesh by any, for a leader by
-// the leader of the other's zone, and otherwise by the leader of this zone. A node that
-// has just started believes any that says it is gone.
+// toldOf returns what other nodes report of a node: in a mesh any of them, for a leader the leader
+// of the other's zone, and otherwise the leader of this zone. A node that has just started
+// accepts any report that it is gone.
 func (control *Control) toldOf(name string, now time.Time) member.Word {
 	peers, role := control.peers, control.peers.role
 	if role.Mesh || control.starting(now) {
--- a/io/edge/members_test.go
+++ b/io/edge/members_test.go
@@ -160,7 +160,7 @@
 	assert.Assert(t, control.peers.peer("new") != nil)
 }
 
-// TestWhoseWordCounts checks whom a node believes that another one is gone.
+// TestWhoseWordCounts checks whose report that a node is gone is accepted.
 func TestWhoseWordCounts(t *testing.T) {
 	now := time.Now()
 	for _, test := range []struct {
