--- a/io/edge/routes.go
+++ b/io/edge/routes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hickorybend/core/reach"
+	"hickorybend/io/gossip"
 )
 
 // nodeSlots is the number of requests at another node that weighs as much as all slots of
@@ -27,7 +28,7 @@
 	anyNode := map[string]int{}
 	for _, peer := range peers.nodes {
 		if peer.fresh(now) {
-			addHighest(anyNode, peer.digest.Usable)
+			gossip.Raise(anyNode, peer.digest.Usable)
 		}
 	}
 	routes, cutOff := &reach.Peers{Preferred: control.cutoff.Doubtful()}, control.cutOffNodes(now)
@@ -49,13 +50,6 @@
 	peers.routes.Store(routes)
 }
 
-// addHighest raises counts to those of others.
-func addHighest(counts, others map[string]int) {
-	for key, count := range others {
-		counts[key] = max(counts[key], count)
-	}
-}
-
 // usable returns how many endpoints of each pool this node sends requests to. A draining
 // node takes none from others.
 func (control *Control) usable(now time.Time) map[string]int {
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -40,8 +40,8 @@
 func (digest *Digest) AddCounts(others ...Digest) {
 	inFlight, pendingTokens, requests := map[string]int{}, map[string]int{}, map[string]int64{}
 	for _, other := range others {
-		raise(inFlight, other.InFlight)
-		raise(pendingTokens, other.PendingTokens)
+		Raise(inFlight, other.InFlight)
+		Raise(pendingTokens, other.PendingTokens)
 		for service, count := range other.Requests {
 			requests[service] = max(requests[service], count)
 		}
@@ -71,7 +71,7 @@
 			digest.Leaving = append(digest.Leaving, leaving)
 		}
 	}
-	raise(digest.Usable, other.Usable)
+	Raise(digest.Usable, other.Usable)
 	digest.Crashes.add(other.Crashes)
 	digest.Limits = addLimits(digest.Limits, other.Limits)
 	digest.HadRequests = digest.HadRequests || other.HadRequests
@@ -80,8 +80,8 @@
 	}
 }
 
-// raise raises counts to those of others.
-func raise(counts, others map[string]int) {
+// Raise raises counts to those of others, where these are higher.
+func Raise(counts, others map[string]int) {
 	for key, count := range others {
 		counts[key] = max(counts[key], count)
 	}
