--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -114,7 +114,7 @@
 		header.Set(headerPeerCounted, "1")
 	}
 	return pool.Request{
-		Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
+		ID: request.header.RequestID, Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
 		AtMostOnce: request.atMostOnce(), NewConnection: request.needsNewConnection(), Wanted: request.callerStays,
 	}
 }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -329,7 +329,7 @@
 		Endpoint: candidate.ID, Team: request.team, Timeout: time.Until(request.deadline), Priority: priority, LastEventID: lastEventID,
 	})
 	return pool.Request{
-		Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
+		ID: request.header.RequestID, Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
 		AtMostOnce:    request.atMostOnce(),
 		NewConnection: request.needsNewConnection(),
 		Wanted:        request.callerStays,
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -80,6 +80,7 @@
 	openedAt  time.Time
 	expiresAt time.Time // when it may no longer be reused
 	safeUntil time.Time // when it may no longer be reused for a request that may run once at most
+	history   history
 }
 
 // headLimit limits the bytes of a head, which net/http reads without a limit. It
@@ -135,6 +136,7 @@
 // Request is the request to send. Target, the path with its query, is sent byte for
 // byte.
 type Request struct {
+	ID            string // which answers repeat; empty if it has none
 	Method        string
 	Target        string
 	Host          string
@@ -152,6 +154,7 @@
 type Exchange struct {
 	Response      *http.Response
 	NewConnection bool // the connection was opened for this request
+	RepeatedID    bool // the connection has carried a request with this ID before
 	pool          *Pool
 	address       string
 	connection    *connection
@@ -188,6 +191,8 @@
 		return nil, errors.Mark(errors.Mark(errors.Newf("pool: not sent to %s", address), ErrGivenUp), ErrUnsent)
 	}
 	exchange.waited = time.Since(startedAt)
+	exchange.RepeatedID = connection.history.contains(request.ID)
+	connection.history.add(request.ID)
 	exchange.stop = context.AfterFunc(ctx, func() { _ = connection.conn.SetDeadline(time.Unix(1, 0)) })
 	response, err := connection.roundTrip(request)
 	if err != nil {
