A connection carries the ID of a request once

Cause: an answer is recognized by the ID in it, and the pool sent the same ID over a connection as often as it came: a caller that repeats a refused request, directly or through another node, gets the connection that was used last, on which it was refused. A late copy of the refusal then agrees with everything: ID, status, header, no receipt, nothing behind it. The node sent the request on while the first endpoint ran it (TWICE), or answered 503 (REFUSED). A name that several sendings share was taken for proof of one of them.

Ruled out: looking at the answer (it is right in itself) and waiting (the copy comes when it likes). Closing connections after each refusal would cost one for each refusal of an overloaded endpoint, and other answers may have copies too.

Change: a connection keeps the hashes of the IDs that it has carried, at most 256 (2 KB), and is closed then; the pool gives a request no connection that has carried its ID. This holds for all kinds of requests, all answers, and requests between nodes.

--- a/io/entry/notrun.go
+++ b/io/entry/notrun.go
@@ -29,5 +29,5 @@
 	event.Log(request.server.log, logged, zap.String("request", request.header.RequestID), zap.String("endpoint", attempt.candidate.ID),
 		zap.Bool("node", attempt.candidate.IsPeer), zap.String("outcome", header.Get(headerPeerOutcome)), zap.Int("status", exchange.Response.StatusCode),
 		zap.Strings("ids", responseheader.RequestIDs), zap.Bool("receipt", responseheader.Receipt), zap.Bool("header", responseheader.SaysNotRun),
-		zap.Bool("new-connection", exchange.NewConnection), zap.Bool("repeated-id", exchange.RepeatedID), zap.Bool("unread", exchange.HasUnread()), zap.Duration("took", time.Since(attempt.sentAt)))
+		zap.Bool("new-connection", exchange.NewConnection), zap.Bool("unread", exchange.HasUnread()), zap.Duration("took", time.Since(attempt.sentAt)))
 }
--- a/io/pool/budget.go
+++ b/io/pool/budget.go
@@ -155,11 +155,12 @@
 // take takes an idle connection, or the place for one that is to be opened. It reports
 // false if neither can be had.
 func (endpoint *endpoint) take(request Request) (*connection, bool) {
-	if last := len(endpoint.idle) - 1; last >= 0 && request.mayReuse(endpoint.idle[last]) {
-		idle := endpoint.idle[last]
-		endpoint.idle = endpoint.idle[:last]
-		endpoint.addInUse(request.Own, 1)
-		return idle, true
+	for i, idle := range slices.Backward(endpoint.idle) {
+		if request.mayReuse(idle) {
+			endpoint.idle = slices.Delete(endpoint.idle, i, i+1)
+			endpoint.addInUse(request.Own, 1)
+			return idle, true
+		}
 	}
 	if endpoint.hasBudget && endpoint.open >= endpoint.budget.total() {
 		return nil, false
@@ -171,7 +172,7 @@
 
 // mayReuse reports whether the request may be sent on an idle connection.
 func (request Request) mayReuse(idle *connection) bool {
-	return !request.NewConnection && (!request.AtMostOnce || time.Now().Before(idle.safeUntil))
+	return !request.NewConnection && (!request.AtMostOnce || time.Now().Before(idle.safeUntil)) && !idle.history.contains(request.ID)
 }
 
 func (endpoint *endpoint) addInUse(own bool, change int) {
--- a/io/pool/history.go
+++ b/io/pool/history.go
@@ -5,11 +5,14 @@
 	"slices"
 )
 
-// maxHistory limits the IDs that are kept of one connection.
+// maxHistory limits the IDs of one connection to 2 KB. It is closed then, which costs one new
+// connection for each 256 requests at most.
 const maxHistory = 256
 
-// history is the IDs of the latest requests that were sent on a connection, as hashes. Requests
-// without an ID share the empty one.
+// history is the IDs of the requests that a connection has carried, as hashes.
+//
+// An endpoint may answer a request twice, and the second answer may come late. The ID in
+// it tells it from the answer to the present request only if the connection carries each ID once.
 type history struct {
 	ids []uint64
 }
@@ -19,12 +22,13 @@
 var historySeed = maphash.MakeSeed()
 
 func (history *history) add(id string) {
-	if len(history.ids) == maxHistory {
-		history.ids = slices.Delete(history.ids, 0, 1)
+	if id != "" {
+		history.ids = append(history.ids, maphash.String(historySeed, id))
 	}
-	history.ids = append(history.ids, maphash.String(historySeed, id))
 }
 
 func (history *history) contains(id string) bool {
-	return slices.Contains(history.ids, maphash.String(historySeed, id))
+	return id != "" && slices.Contains(history.ids, maphash.String(historySeed, id))
 }
+
+func (history *history) full() bool { return len(history.ids) >= maxHistory }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -136,7 +136,7 @@
 // Request is the request to send. Target, the path with its query, is sent byte for
 // byte.
 type Request struct {
-	ID            string // which answers repeat; empty if it has none
+	ID            string // which answers repeat; a connection carries each once. Empty if there is none
 	Method        string
 	Target        string
 	Host          string
@@ -154,7 +154,6 @@
 type Exchange struct {
 	Response      *http.Response
 	NewConnection bool // the connection was opened for this request
-	RepeatedID    bool // the connection has carried a request with this ID before
 	pool          *Pool
 	address       string
 	connection    *connection
@@ -191,7 +190,6 @@
 		return nil, errors.Mark(errors.Mark(errors.Newf("pool: not sent to %s", address), ErrGivenUp), ErrUnsent)
 	}
 	exchange.waited = time.Since(startedAt)
-	exchange.RepeatedID = connection.history.contains(request.ID)
 	connection.history.add(request.ID)
 	exchange.stop = context.AfterFunc(ctx, func() { _ = connection.conn.SetDeadline(time.Unix(1, 0)) })
 	response, err := connection.roundTrip(request)
@@ -287,7 +285,7 @@
 	exchange.once.Do(func() {
 		_ = exchange.Response.Body.Close()
 		timeout := idleTimeout(exchange.Response.Header)
-		if !exchange.stop() || exchange.Response.Close || exchange.connection.reader.Buffered() > 0 || exchange.EndsWithConnection() {
+		if !exchange.stop() || exchange.Response.Close || exchange.connection.reader.Buffered() > 0 || exchange.EndsWithConnection() || exchange.connection.history.full() {
 			timeout = 0
 		}
 		exchange.pool.put(exchange, timeout)
