Copies of earlier answers on a connection are skipped

Cause: an answer with another ID ended the exchange. Since a connection carries each ID once, an answer with the ID of an earlier request on it can only be a copy.

An answer with an ID that the connection has not carried ends the exchange as before, and so does a copy that ends with its connection.

--- a/io/edge/connections.go
+++ b/io/edge/connections.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// logCopy returns a function that logs and counts a copy of an earlier answer.
+func logCopy(log *zap.Logger, meter *meter.Meter) func(pool.LateCopy) {
+	return func(latecopy pool.LateCopy) {
+		meter.Count("answers_sent_twice", "")
+		event.Log(log, event.AnswerCopySkipped, zap.String("address", latecopy.Address), zap.String("request", latecopy.ID), zap.String("copy-of", latecopy.CopyID), zap.Int("status", latecopy.Status))
+	}
+}
+
 // endReductions lets this node have its full share again of the connections to endpoints
 // that have reset none for some time, logs the resets that are due, and updates the budgets
 // if they are.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -43,13 +43,15 @@
 // Module provides the node's components and runs them.
 func Module() fx.Option {
 	return fx.Module("edge",
-		fx.Provide(newStore, pool.New, platform.NewEngineClient, meter.New, NewControl, newServer),
+		fx.Provide(newStore, newPool, platform.NewEngineClient, meter.New, NewControl, newServer),
 		fx.Invoke(run),
 	)
 }
 
 func newStore(settings Settings) *platform.Store { return platform.NewStore(settings.StoreAddress) }
 
+func newPool() *pool.Pool { return pool.New(pool.WithAnswerIDs(platform.AnswerIDs)) }
+
 func newServer(settings Settings, control *Control, pool *pool.Pool, log *zap.Logger, meter *meter.Meter) *entry.Server {
 	server := entry.New(pool, control.Snapshot(),
 		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded), entry.WithLimits(control.LimitStated), entry.WithUnreachable(control.Unreachable),
@@ -64,6 +66,7 @@
 	control.setBudgets = pool.SetBudgets
 	pool.OnReset(control.ConnectionReset)
 	pool.OnGivenUp(logGivenUp(log, meter))
+	pool.OnCopy(logCopy(log, meter))
 	return server
 }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -52,6 +52,8 @@
 	counts    map[string]*Counts   // by service
 	onReset   func(Reset)
 	onGivenUp func(GivenUp)
+	onCopy    func(LateCopy)
+	answerIDs func(http.Header) []string
 	dial      Dial
 	dials     int64
 }
@@ -71,6 +73,15 @@
 	Unacknowledged int           // bytes, which the endpoint will not get
 }
 
+// LateCopy says that an answer to an earlier request on a connection has come once more, in place of
+// the one that was due.
+type LateCopy struct {
+	Address string
+	ID      string // of the request whose answer was due
+	CopyID  string // of the request that the copy answers
+	Status  int
+}
+
 // connection is a TCP connection to an endpoint with its buffers.
 type connection struct {
 	conn      net.Conn
@@ -81,6 +92,7 @@
 	expiresAt time.Time // when it may no longer be reused
 	safeUntil time.Time // when it may no longer be reused for a request that may run once at most
 	history   history
+	hasCopied bool // the endpoint has sent a copy of an earlier answer on it
 }
 
 // headLimit limits the bytes of a head, which net/http reads without a limit. It
@@ -115,10 +127,19 @@
 // WithDial sets the function that opens connections. They have to be syscall.Conns.
 func WithDial(dial Dial) Option { return func(pool *Pool) { pool.dial = dial } }
 
+// WithAnswerIDs sets the function that returns the IDs of requests that the headers of an answer bear.
+// Answers to earlier requests on a connection are skipped then.
+func WithAnswerIDs(answerIDs func(http.Header) []string) Option {
+	return func(pool *Pool) { pool.answerIDs = answerIDs }
+}
+
 // New creates an empty pool.
 func New(options ...Option) *Pool {
 	dialer := &net.Dialer{Control: TCPUserTimeout(unackedDataTimeout)}
-	pool := &Pool{endpoints: map[string]*endpoint{}, counts: map[string]*Counts{}, onReset: func(Reset) {}, onGivenUp: func(GivenUp) {}, dial: dialer.DialContext}
+	pool := &Pool{
+		endpoints: map[string]*endpoint{}, counts: map[string]*Counts{}, onReset: func(Reset) {}, onGivenUp: func(GivenUp) {},
+		onCopy: func(LateCopy) {}, answerIDs: func(http.Header) []string { return nil }, dial: dialer.DialContext,
+	}
 	for _, option := range options {
 		option(pool)
 	}
@@ -133,6 +154,10 @@
 // were on their way. It must be called before the pool is used.
 func (pool *Pool) OnGivenUp(onGivenUp func(GivenUp)) { pool.onGivenUp = onGivenUp }
 
+// OnCopy sets the function that is called for a copy of an earlier answer. It must be called before
+// the pool is used.
+func (pool *Pool) OnCopy(onCopy func(LateCopy)) { pool.onCopy = onCopy }
+
 // Request is the request to send. Target, the path with its query, is sent byte for
 // byte.
 type Request struct {
@@ -192,7 +217,7 @@
 	exchange.waited = time.Since(startedAt)
 	connection.history.add(request.ID)
 	exchange.stop = context.AfterFunc(ctx, func() { _ = connection.conn.SetDeadline(time.Unix(1, 0)) })
-	response, err := connection.roundTrip(request)
+	response, err := pool.roundTrip(address, connection, request)
 	if err != nil {
 		exchange.fail(err)
 		return nil, errors.Mark(errors.Wrapf(err, "pool: at %s", address), ErrIncompleteResponse)
@@ -233,8 +258,8 @@
 var errProtocolSwitched = errors.New("pool: the endpoint has switched to another protocol")
 
 // roundTrip writes the request and reads the headers of the final response. It skips interim
-// responses, whatever they say.
-func (connection *connection) roundTrip(request Request) (*http.Response, error) {
+// responses, whatever they say, and copies of responses to earlier requests.
+func (pool *Pool) roundTrip(address string, connection *connection, request Request) (*http.Response, error) {
 	httpRequest, err := request.httpRequest()
 	if err != nil {
 		return nil, err
@@ -250,14 +275,44 @@
 	for {
 		response, err := http.ReadResponse(connection.reader, httpRequest)
 		switch {
-		case err != nil || response.StatusCode >= http.StatusOK:
-			return response, err
+		case err != nil:
+			return nil, err
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errProtocolSwitched // nobody has asked for it
+		case response.StatusCode < http.StatusOK:
+			continue
+		}
+		copyID, isCopy := connection.findCopy(request.ID, pool.answerIDs(response.Header))
+		if !isCopy {
+			return response, nil
+		}
+		pool.onCopy(LateCopy{Address: address, ID: request.ID, CopyID: copyID, Status: response.StatusCode})
+		if err := connection.skipCopy(response); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// findCopy returns the ID in an answer if it is that of an earlier request on the connection.
+func (connection *connection) findCopy(requestID string, answerIDs []string) (string, bool) {
+	if len(answerIDs) != 1 || answerIDs[0] == requestID || !connection.history.contains(answerIDs[0]) {
+		return "", false
+	}
+	return answerIDs[0], true
+}
+
+var errCopyEndsConnection = errors.New("pool: a copy of an earlier answer ends with the connection")
+
+// skipCopy reads the body of a copy, which together with the heads is limited by maxHeadBytes.
+func (connection *connection) skipCopy(response *http.Response) error {
+	connection.hasCopied = true
+	if endsWithConnection(response) {
+		return errCopyEndsConnection
+	}
+	_, err := io.Copy(io.Discard, response.Body)
+	return errors.CombineErrors(err, response.Body.Close())
+}
+
 // ReadBody reads the complete body. If that fails, or the body is longer than the
 // limit, it closes the connection.
 func (exchange *Exchange) ReadBody(limit int64) ([]byte, error) {
@@ -285,7 +340,8 @@
 	exchange.once.Do(func() {
 		_ = exchange.Response.Body.Close()
 		timeout := idleTimeout(exchange.Response.Header)
-		if !exchange.stop() || exchange.Response.Close || exchange.connection.reader.Buffered() > 0 || exchange.EndsWithConnection() || exchange.connection.history.full() {
+		connection := exchange.connection
+		if !exchange.stop() || exchange.Response.Close || connection.reader.Buffered() > 0 || exchange.EndsWithConnection() || connection.hasCopied || connection.history.full() {
 			timeout = 0
 		}
 		exchange.pool.put(exchange, timeout)
@@ -325,8 +381,10 @@
 
 // EndsWithConnection reports whether only the end of the connection marks the end of
 // the response body.
-func (exchange *Exchange) EndsWithConnection() bool {
-	return exchange.Response.ContentLength < 0 && len(exchange.Response.TransferEncoding) == 0
+func (exchange *Exchange) EndsWithConnection() bool { return endsWithConnection(exchange.Response) }
+
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // HasUnread reports whether bytes have come on the connection beyond what was read of the
