--- a/io/pool/budget.go
+++ b/io/pool/budget.go
@@ -155,12 +155,10 @@
 // take takes an idle connection, or the place for one that is to be opened. It reports
 // false if neither can be had.
 func (endpoint *endpoint) take(request Request) (*connection, bool) {
-	for i, idle := range slices.Backward(endpoint.idle) {
-		if request.mayReuse(idle) {
-			endpoint.idle = slices.Delete(endpoint.idle, i, i+1)
-			endpoint.addInUse(request.Own, 1)
-			return idle, true
-		}
+	if i, idle := endpoint.lastWithout(request.ID); idle != nil && request.mayReuse(idle) {
+		endpoint.idle = slices.Delete(endpoint.idle, i, i+1)
+		endpoint.addInUse(request.Own, 1)
+		return idle, true
 	}
 	if endpoint.hasBudget && endpoint.open >= endpoint.budget.total() {
 		return nil, false
@@ -170,9 +168,20 @@
 	return nil, true
 }
 
+// lastWithout returns the connection that was used last of the idle ones that have not carried a
+// request's ID, with its index, or nil if there is none.
+func (endpoint *endpoint) lastWithout(id string) (int, *connection) {
+	for i, idle := range slices.Backward(endpoint.idle) {
+		if !idle.history.contains(id) {
+			return i, idle
+		}
+	}
+	return 0, nil
+}
+
 // mayReuse reports whether the request may be sent on an idle connection.
 func (request Request) mayReuse(idle *connection) bool {
-	return !request.NewConnection && (!request.AtMostOnce || time.Now().Before(idle.safeUntil)) && !idle.history.contains(request.ID)
+	return !request.NewConnection && (!request.AtMostOnce || time.Now().Before(idle.safeUntil))
 }
 
 func (endpoint *endpoint) addInUse(own bool, change int) {
