A connection carries HEAD requests only, or none

Callers saw, where an endpoint sends the copy of an answer on a connection that HEAD and other requests share: 502 for a request that ran, a wait until the deadline, or a part of an answer's body in place of the answer. Cause: the body of a copy was read with the method of the present request; before that a copy ended the exchange at its head. Ruled out: remembering the method of each ID (the copy may have the empty ID or two), giving up the skip on such connections (the answer behind it is lost again).

Cost: one more connection to an address where HEAD is mixed with other methods.

--- a/io/pool/budget.go
+++ b/io/pool/budget.go
@@ -155,7 +155,7 @@
 // take takes an idle connection, or the place for one that is to be opened. It reports
 // false if neither can be had.
 func (endpoint *endpoint) take(request Request) (*connection, bool) {
-	if i, idle := endpoint.lastWithout(request.ID); idle != nil && request.mayReuse(idle) {
+	if i, idle := endpoint.lastFor(request); idle != nil && request.mayReuse(idle) {
 		endpoint.idle = slices.Delete(endpoint.idle, i, i+1)
 		endpoint.addInUse(request.Own, 1)
 		return idle, true
@@ -168,11 +168,12 @@
 	return nil, true
 }
 
-// lastWithout returns the connection that was used last of the idle ones that have not carried a
-// request's ID, with its index, or nil if there is none.
-func (endpoint *endpoint) lastWithout(id string) (int, *connection) {
+// lastFor returns the connection that was used last of the idle ones on which a late copy of an
+// answer can be told from the answer to a request, with its index, or nil if there is none. The end of
+// a copy's body is known only if all requests on the connection have answers with bodies, or none has.
+func (endpoint *endpoint) lastFor(request Request) (int, *connection) {
 	for i, idle := range slices.Backward(endpoint.idle) {
-		if !idle.history.contains(id) {
+		if !idle.history.contains(request.ID) && idle.headOnly == request.isHead() {
 			return i, idle
 		}
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -93,6 +93,7 @@
 	safeUntil time.Time // when it may no longer be reused for a request that may run once at most
 	history   history
 	hasCopied bool // the endpoint has sent a copy of an earlier answer on it
+	headOnly  bool // it carries HEAD requests only, whose answers have no bodies
 }
 
 // headLimit limits the bytes of a head, which net/http reads without a limit. It
@@ -431,6 +432,7 @@
 	head := &headLimit{conn: conn}
 	opened := &connection{
 		conn: conn, head: head, reader: bufio.NewReaderSize(head, bufferBytes), writer: bufio.NewWriterSize(conn, bufferBytes), openedAt: time.Now(),
+		headOnly: request.isHead(),
 	}
 	if request.AtMostOnce {
 		if err := awaitReset(conn, min(resetWait+2*opened.openedAt.Sub(startedAt), resetWindow)); err != nil {
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -28,3 +28,5 @@
 	}
 	return httpRequest, nil
 }
+
+func (request Request) isHead() bool { return request.Method == http.MethodHead }
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -222,7 +222,7 @@
 break_one "a row removed while the store has just come back" core/member/members.go '|| now.Sub(settledSince) < members.policy.SettledFor' '' ./core/member TestRowsAreRemovedTooSoon
 break_one "nodes that are gone and keep their shares" io/edge/members.go 'if peers.members.IsGone(name) {' 'if false {' ./io/edge TestGoneNodeHasShares
 
-break_one "a connection that carries an ID twice" io/pool/budget.go '!idle.history.contains(id)' 'true' ./platform/fakes TestCopyOfRefusalPassesForRefusal/directly
+break_one "a connection that carries an ID twice" io/pool/budget.go '!idle.history.contains(request.ID)' 'true' ./platform/fakes TestCopyOfRefusalPassesForRefusal/directly
 break_one "a connection with more IDs than are remembered" io/pool/history.go 'len(history.ids) >= maxHistory' 'false' ./io/pool TestCopyOfAnswerBearsIDOfPresentRequest
 break_one "a copy of another request's answer taken for a failure" io/pool/pool.go '!connection.history.contains(answerIDs[0])' 'true' ./platform/fakes TestAnswerBehindCopyOfAnotherIsLost
 
