--- a/io/entry/outcome_test.go
+++ b/io/entry/outcome_test.go
@@ -38,6 +38,13 @@
 // a request that may run once, and returns its result.
 func exchangeOnce(t *testing.T, text string, isPeer bool) result {
 	t.Helper()
+	return exchangeWith(t, text, &reach.Candidate{ID: "e-1", IsPeer: isPeer, Load: &reach.Load{}})
+}
+
+// exchangeWith does so at a candidate, of which it sets the address.
+func exchangeWith(t *testing.T, text string, candidate *reach.Candidate) result {
+	t.Helper()
+	candidate.Address = answerWith(t, text)
 	server := New(pool.New(), nil)
 	request := &request{
 		server: server, r: httptest.NewRequest("POST", "/", nil), snapshot: &reach.Snapshot{}, deadline: time.Now().Add(time.Minute), service: "app",
@@ -46,7 +53,7 @@
 	request.counted.Store(true)
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer cancel(nil)
-	return request.exchange(&attempt{candidate: &reach.Candidate{ID: "e-1", Address: answerWith(t, text), IsPeer: isPeer, Load: &reach.Load{}}, ctx: ctx, cancel: cancel, sentAt: time.Now()})
+	return request.exchange(&attempt{candidate: candidate, ctx: ctx, cancel: cancel, sentAt: time.Now()})
 }
 
 // TestOutcomeOfAnotherRequest guards against a request that runs twice because what another
