An exchange that another node answers counts as failed

What was seen: members that had ended and whose address another node has, counted in shares and limits for good. Cause: the reply was taken for an answer of the node that it names, and the exchange with the one that was meant stayed pending. Ruled out: applying the digest too (its node exchanges its own).

TestNodeAtFormerAddressAnswersForAnother: 2 of 3 cases failed before, none after; go test ./io/edge ./core/member passes (x86-64). Not played with processes.

--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -260,6 +260,10 @@
 		control.enqueue(peerUnresponsive{node: name, refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
+	if reply.Node != name { // which has its address now
+		control.enqueue(peerUnresponsive{node: name, refused: true})
+		return
+	}
 	control.enqueue(digestReceived{digest: reply, askedAt: askedAt})
 }
 
