Retry-After and limits of an answer without an ID apply

An endpoint that rejects a request before it has read the ID has none to repeat, and its Retry-After and limit are as true; a copy of another request's answer bears that one's. Only an answer that bears another ID, or two, says nothing now.

--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -132,7 +132,7 @@
 	if responseheader.Leaving && candidate.Load.MarkLeaving(candidate.StartedAt) {
 		request.server.leaving(candidate.ID, candidate.StartedAt)
 	}
-	if !request.belongsTo(responseheader) {
+	if len(responseheader.RequestIDs) > 0 && !request.belongsTo(responseheader) {
 		return responseheader // it may be an old one
 	}
 	if delay := responseheader.RetryAfter.Delay; delay > 0 {
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -227,7 +227,7 @@
 break_one "a copy of another request's answer taken for a failure" io/pool/pool.go '!connection.history.contains(answerIDs[0])' 'true' ./platform/fakes TestAnswerBehindCopyOfAnotherIsLost
 break_one "HEAD and other requests on one connection" io/pool/budget.go ' && idle.headOnly == request.isHead()' '' ./io/pool TestCopyReadWithMethodOfPresentRequest
 break_one "a request sent to two entries of one address on one connection" io/pool/budget.go '!idle.history.contains(request.ID)' 'true' ./platform/fakes TestCopyOfRefusalForFormerEndpoint
-break_one "Retry-After of an answer to another request" io/entry/buffered.go 'if !request.belongsTo(responseheader) {
+break_one "Retry-After of an answer to another request" io/entry/buffered.go 'if len(responseheader.RequestIDs) > 0 && !request.belongsTo(responseheader) {
 		return responseheader' 'if false {
 		return responseheader' ./io/entry TestHeadersOfAnotherAnswerApply
 break_one "a node that answers for the one that had its address" io/edge/peers.go 'if reply.Node != name {' 'if false {' ./io/edge TestNodeAtFormerAddressAnswersForAnother
