A connection carries one request without an ID

A copy of an earlier report was taken for the next one: an endpoint that had joined a replica counted as free with the command count of now, so that it would have accepted a join elsewhere; one that had left counted as a member; a limit or "leaving" of before was applied again. And the caller of the next request on a connection that a probe, command or health check had used got the copy of that answer as "another request's": 502, though the request ran.

Cause: answers are told apart by IDs, and the pool exempted requests without one: any number of them shared a connection, and any 200 was the answer to a report.

Change: where answers bear IDs, the lack of one counts as one more ID: a connection carries one such request at most, a copy of its answer is skipped where an ID is due (616), and an answer with an ID to a request without one ends the exchange. The rule stands in io/pool, for callers' requests, probes, commands, health checks and requests between nodes; io/entry needs none of its own. One that may run once still gets a new connection.

--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -115,7 +115,7 @@
 	}
 	return pool.Request{
 		ID: request.header.RequestID, Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
-		AtMostOnce: request.atMostOnce(), NewConnection: request.needsNewConnection(), Wanted: request.callerStays,
+		AtMostOnce: request.atMostOnce(), Wanted: request.callerStays,
 	}
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -330,21 +330,13 @@
 	})
 	return pool.Request{
 		ID: request.header.RequestID, Method: request.r.Method, Target: request.r.RequestURI, Host: request.r.Host, Header: header, Body: request.body,
-		AtMostOnce:    request.atMostOnce(),
-		NewConnection: request.needsNewConnection(),
-		Wanted:        request.callerStays,
+		AtMostOnce: request.atMostOnce(), Wanted: request.callerStays,
 	}
 }
 
 // atMostOnce reports whether the request may run once at most.
 func (request *request) atMostOnce() bool { return !site.Retryable(request.route.Kind) }
 
-// needsNewConnection reports whether nothing would tell the answer to the request from a
-// late one to another request.
-func (request *request) needsNewConnection() bool {
-	return request.atMostOnce() && request.header.RequestID == ""
-}
-
 // mayAttempt reports whether the request may be sent to another endpoint now. The
 // first attempt is always allowed; each further one withdraws from the retry budget, once
 // an endpoint may have received the request.
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -53,7 +53,7 @@
 	onReset   func(Reset)
 	onGivenUp func(GivenUp)
 	onCopy    func(LateCopy)
-	answerIDs func(http.Header) []string
+	answerIDs func(http.Header) []string // nil if answers bear none
 	dial      Dial
 	dials     int64
 }
@@ -77,8 +77,8 @@
 // the one that was due.
 type LateCopy struct {
 	Address string
-	ID      string // of the request whose answer was due
-	CopyID  string // of the request that the copy answers
+	ID      string // of the request whose answer was due; empty if it has none
+	CopyID  string // of the request that the copy answers; empty if it has none
 	Status  int
 }
 
@@ -128,7 +128,8 @@
 func WithDial(dial Dial) Option { return func(pool *Pool) { pool.dial = dial } }
 
 // WithAnswerIDs sets the function that returns the IDs of requests that the headers of an answer bear.
-// Answers to earlier requests on a connection are skipped then.
+// Answers to earlier requests on a connection are skipped then, no connection carries two requests
+// without an ID, and one that may run once at most gets a new connection.
 func WithAnswerIDs(answerIDs func(http.Header) []string) Option {
 	return func(pool *Pool) { pool.answerIDs = answerIDs }
 }
@@ -138,7 +139,7 @@
 	dialer := &net.Dialer{Control: TCPUserTimeout(unackedDataTimeout)}
 	pool := &Pool{
 		endpoints: map[string]*endpoint{}, counts: map[string]*Counts{}, onReset: func(Reset) {}, onGivenUp: func(GivenUp) {},
-		onCopy: func(LateCopy) {}, answerIDs: func(http.Header) []string { return nil }, dial: dialer.DialContext,
+		onCopy: func(LateCopy) {}, dial: dialer.DialContext,
 	}
 	for _, option := range options {
 		option(pool)
@@ -205,6 +206,10 @@
 // ends the exchange at any time until the exchange is released or closed.
 func (pool *Pool) Send(ctx context.Context, address string, request Request) (*Exchange, error) {
 	startedAt := time.Now()
+	if request.ID == "" && pool.answerIDs != nil {
+		request.ID = noID
+		request.NewConnection = request.NewConnection || request.AtMostOnce
+	}
 	connection, isNew, err := pool.get(ctx, address, request)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "pool: connecting to %s", address), ErrUnsent)
@@ -282,35 +287,43 @@
 		case response.StatusCode < http.StatusOK:
 			continue
 		}
-		copyID, isCopy := connection.findCopy(request.ID, pool.answerIDs(response.Header))
-		if !isCopy {
-			return response, nil
-		}
-		pool.onCopy(LateCopy{Address: address, ID: request.ID, CopyID: copyID, Status: response.StatusCode})
-		if err := connection.skipCopy(response); err != nil {
+		switch skipped, err := pool.skipCopy(address, connection, request, response); {
+		case err != nil:
 			return nil, err
+		case !skipped:
+			return response, nil
 		}
 	}
 }
 
-// findCopy returns the ID in an answer if it is that of an earlier request on the connection.
-func (connection *connection) findCopy(requestID string, answerIDs []string) (string, bool) {
-	if len(answerIDs) != 1 || answerIDs[0] == requestID || !connection.history.contains(answerIDs[0]) {
-		return "", false
-	}
-	return answerIDs[0], true
-}
-
-var errCopyEndsConnection = errors.New("pool: a copy of an earlier answer ends with the connection")
+var (
+	errCopyEndsConnection = errors.New("pool: a copy of an earlier answer ends with the connection")
+	errOthersAnswer       = errors.New("pool: the answer bears an ID, and the request has none")
+)
 
-// skipCopy reads the body of a copy, which together with the heads is limited by maxHeadBytes.
-func (connection *connection) skipCopy(response *http.Response) error {
+// skipCopy reads the body of a copy of the answer to an earlier request, which together with the heads
+// is limited by maxHeadBytes. It reports whether the answer is one.
+func (pool *Pool) skipCopy(address string, connection *connection, request Request, response *http.Response) (bool, error) {
+	if pool.answerIDs == nil {
+		return false, nil
+	}
+	answerID := idOf(pool.answerIDs(response.Header))
+	switch {
+	case answerID == request.ID:
+		return false, nil
+	case connection.history.contains(answerID):
+	case request.ID == noID:
+		return false, errOthersAnswer
+	default:
+		return false, nil
+	}
+	pool.onCopy(LateCopy{Address: address, ID: strings.TrimPrefix(request.ID, noID), CopyID: strings.TrimPrefix(answerID, noID), Status: response.StatusCode})
 	connection.hasCopied = true
 	if endsWithConnection(response) {
-		return errCopyEndsConnection
+		return true, errCopyEndsConnection
 	}
 	_, err := io.Copy(io.Discard, response.Body)
-	return errors.CombineErrors(err, response.Body.Close())
+	return true, errors.CombineErrors(err, response.Body.Close())
 }
 
 // ReadBody reads the complete body. If that fails, or the body is longer than the
