Streams and commands of engines have a connection each

What callers could see: told "not run" (replica_refused) of a request that an engine runs, or one that two replicas run, if an engine answers an earlier request on the connection twice; a command counted as carried out though it was rejected.

Cause: net/http closes an idle connection with unsolicited bytes, but those that come after the next request was written pass for its answer. Chunks of streams bear the request's id; a rejection (409, 429) and the reply to a command name no request.

Change: streams and commands use new connections, as calls do.

TestCopyOfEnginesRejectionPasses and TestCopyPassesForEnginesReply: red before, green after.

--- a/io/engine/call.go
+++ b/io/engine/call.go
@@ -42,7 +42,7 @@
 		return Response{}, errors.Mark(errors.Wrap(err, "engine: building a call"), ErrUnreached)
 	}
 	request.Header = call.Header
-	response, err := client.calls.Do(request)
+	response, err := client.requests.Do(request)
 	if err != nil && !connected.Load() {
 		return Response{}, errors.Mark(errors.Wrap(err, "engine: connecting"), ErrUnreached)
 	}
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -16,33 +16,30 @@
 
 // Client calls endpoints.
 type Client struct {
-	streams *http.Client // streams from model engines
-	calls   *http.Client // calls to plain services
-	control *http.Client // probes and commands
+	requests *http.Client // streams, calls and commands
+	probes   *http.Client
 }
 
 const (
-	dialTimeout         = 700 * time.Millisecond
-	maxIdleStreamConns  = 512
-	maxIdleControlConns = 4
-	idleTimeout         = 60 * time.Second
-	maxStatusBytes      = 64 << 10
+	dialTimeout       = 700 * time.Millisecond
+	maxIdleProbeConns = 4
+	idleTimeout       = 60 * time.Second
+	maxStatusBytes    = 64 << 10
 )
 
 // New returns a client.
 //
-// Each call to a plain service uses a new connection. On a reused one, net/http by
-// itself sends a request with an Idempotency-Key a second time when the endpoint
+// Each request but a probe uses a new connection. A reused one may bring a copy of the answer to
+// an earlier request, and a rejection or a reply to a command names no request. Also, on a reused
+// one, net/http by itself sends a request with an Idempotency-Key a second time when the endpoint
 // closes the connection without a response, although the first may have run.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	streams := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleStreamConns, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	calls := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	control := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleControlConns, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	requests := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	probes := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleProbeConns, IdleConnTimeout: idleTimeout, DisableCompression: true}
 	return &Client{
-		streams: &http.Client{Transport: streams, CheckRedirect: returnRedirect},
-		calls:   &http.Client{Transport: calls, CheckRedirect: returnRedirect},
-		control: &http.Client{Transport: control, CheckRedirect: returnRedirect},
+		requests: &http.Client{Transport: requests, CheckRedirect: returnRedirect},
+		probes:   &http.Client{Transport: probes, CheckRedirect: returnRedirect},
 	}
 }
 
@@ -68,7 +65,7 @@
 	if err != nil {
 		return watch.Status{}, errors.Mark(errors.Wrap(err, "engine: building a probe"), ErrUnreached)
 	}
-	response, err := client.control.Do(request)
+	response, err := client.probes.Do(request)
 	if err != nil {
 		return watch.Status{}, errors.Mark(errors.Wrap(err, "engine: probing"), ErrUnreached)
 	}
@@ -129,7 +126,7 @@
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "engine: building a command"), ErrUnreached)
 	}
-	response, err := client.control.Do(request)
+	response, err := client.requests.Do(request)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "engine: sending a command"), ErrIncompleteResponse)
 	}
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -47,7 +47,7 @@
 	request.Header.Set("X-Replica", generaterequest.Replica)
 	request.Header.Set("X-Epoch", strconv.FormatInt(generaterequest.Epoch, 10))
 	request.Header.Set("X-Priority", strconv.Itoa(generaterequest.Priority))
-	response, err := client.streams.Do(request)
+	response, err := client.requests.Do(request)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "engine: starting a stream"), ErrIncompleteResponse)
 	}
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -39,6 +39,7 @@
 break_one "a call in progress that is run again" core/once/once.go 'return InProgress{}, nil' 'return Run{Claim: claimTxn(call, row, self, writeID)}, nil' ./io/front 'TestCallRunsAtMostOnce|TestRacingDuplicates'
 break_one "a call with an unknown outcome recorded as not run" io/front/once.go 'plaincall.server.recorder.close(ctx, callResult{claim: claim, state: once.StateInDoubt})' 'plaincall.server.recorder.close(ctx, callResult{claim: claim, state: once.StateNotRun})' ./io/front 'TestCallRunsAtMostOnce|TestOutcomesOfACall'
 break_one "plain calls over reused connections" io/engine/client.go 'DisableKeepAlives: true, ' '' ./io/front TestTransportDoesNotRepeatACall
+break_one "streams and commands over reused connections" io/engine/client.go 'DisableKeepAlives: true, ' '' ./io/engine 'TestCopyOfEnginesRejectionPasses|TestCopyPassesForEnginesReply'
 break_one "not run reported without a check of the key's record" io/front/server.go 'problem.adjustOutcome(r.Header.Get(headerIdempotencyKey))' '' ./io/front 'TestCallRunsAtMostOnce|TestOutcomesOfACall'
 break_one "a stream that is not resumed" io/front/generate.go 'if err == nil || !generation.shouldRetry(err, attempt) {' 'if true {' ./io/node 'TestStreamsSurviveHostFailure|TestAnswersAreComplete'
 break_one "a drain that does not wait for running streams" io/node/placer.go 'firstHost.Status.Running+firstHost.Status.Waiting > 0' 'firstHost.Status.Running < 0' ./io/node TestDrainWaitsForRunningStreams
