--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -39,6 +39,7 @@
 break_one "a call in progress that is run again" core/once/once.go 'return InProgress{}, nil' 'return Run{Claim: claimTxn(call, row, self, writeID)}, nil' ./io/front 'TestCallRunsAtMostOnce|TestRacingDuplicates'
 break_one "a call with an unknown outcome recorded as not run" io/front/once.go 'plaincall.server.recorder.close(ctx, callResult{claim: claim, state: once.StateInDoubt})' 'plaincall.server.recorder.close(ctx, callResult{claim: claim, state: once.StateNotRun})' ./io/front 'TestCallRunsAtMostOnce|TestOutcomesOfACall'
 break_one "plain calls over reused connections" io/engine/client.go 'DisableKeepAlives: true, ' '' ./io/front TestTransportDoesNotRepeatACall
+break_one "streams and commands over reused connections" io/engine/client.go 'DisableKeepAlives: true, ' '' ./io/engine 'TestCopyOfEnginesRejectionPasses|TestCopyPassesForEnginesReply'
 break_one "not run reported without a check of the key's record" io/front/server.go 'problem.adjustOutcome(r.Header.Get(headerIdempotencyKey))' '' ./io/front 'TestCallRunsAtMostOnce|TestOutcomesOfACall'
 break_one "a stream that is not resumed" io/front/generate.go 'if err == nil || !generation.shouldRetry(err, attempt) {' 'if true {' ./io/node 'TestStreamsSurviveHostFailure|TestAnswersAreComplete'
 break_one "a drain that does not wait for running streams" io/node/placer.go 'firstHost.Status.Running+firstHost.Status.Waiting > 0' 'firstHost.Status.Running < 0' ./io/node TestDrainWaitsForRunningStreams
@@ -144,6 +145,9 @@
 break_one "another node's failure read as not run" io/entry/peer.go 'if request.mayHaveRun {' 'if false {' ./platform/fakes TestAtMostOnceThroughOtherNode
 break_one "an endpoint's header between nodes believed" io/entry/peer.go 'outcome == "" || !attempt.candidate.IsPeer' 'outcome == ""' ./platform/fakes TestEndpointsHeaderPassesForNodesOutcome
 break_one "another node's outcome of another request believed" io/entry/peer.go 'if !request.belongsTo(platform.ReadResponseHeader(exchange.Response)) {' 'if false {' ./io/entry TestOutcomeOfAnotherRequest
+break_one "two requests without an id on one connection" io/pool/pool.go 'request.ID = noID' '_ = noID' ./platform TestCopyPassesForReport
+break_one "a copy without an id taken for the answer" io/pool/pool.go 'case connection.history.contains(answerID):' 'case answerID != noID && connection.history.contains(answerID):' ./platform TestAnswerBehindCopyOfOwnIsLost
+break_one "an answer with an id taken for that to a request without one" io/pool/pool.go 'case request.ID == noID:' 'case false:' ./io/pool TestAnswerWithIDPassesForOneWithout
 break_one "an interim answer taken for the final one" io/pool/pool.go 'response.StatusCode >= http.StatusOK:' 'response.StatusCode != http.StatusContinue:' ./platform/fakes TestInterimAnswerPassesForRejection
 break_one "a contradicted rejection believed" platform/headers.go 'responseheader.NotExecuted = responseheader.agreesNotRun(response)' 'responseheader.NotExecuted = true' ./platform/fakes TestContradictionPassesForRejection
 break_one "a rejection with an answer behind it believed" io/entry/buffered.go '(candidate.IsPeer || exchange.HasUnread())' 'candidate.IsPeer' ./platform/fakes TestContradictionPassesForRejection
