A node whose address another one has now is found gone

What callers saw: nothing named. Retry budgets, connections and limits are divided by such rows too, and beyond 12 nodes requests are sent on to them.

Cause: a digest names its sender. An exchange with the former name's address ended neither as failed nor as answered by that name, so the next one never began, and nothing was ever known against the row. The node itself exchanges digests with its own former names.

Ruled out: filtering a node's own address alone, since the other nodes keep the row then.

Change: a reply by another name is a failed exchange with a host that refuses. The usual evidence follows, and the row is removed as that of any node that is gone.

--- a/io/edge/message.go
+++ b/io/edge/message.go
@@ -49,7 +49,7 @@
 // peerUnresponsive reports that another node did not answer an exchange.
 type peerUnresponsive struct {
 	node    string
-	refused bool // its host refused the connection
+	refused bool // its host refused the connection, or another node answers at its address
 }
 
 // endpointSuspected names an endpoint that may be unresponsive.
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -252,7 +252,8 @@
 	peers.clusterDigest.Store(&clusterDigest)
 }
 
-// exchange sends a digest to another node and enqueues the digest in its reply.
+// exchange sends a digest to another node and enqueues the digest in its reply. Another node
+// than that one may reply, also this one itself, if the address was given away.
 func (control *Control) exchange(name string, client *gossip.Client, digest gossip.Digest) {
 	askedAt := time.Now()
 	reply, err := client.Exchange(control.ctx, digest.WithAges(askedAt))
@@ -260,6 +261,9 @@
 		control.enqueue(peerUnresponsive{node: name, refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
+	if reply.Node != name {
+		control.enqueue(peerUnresponsive{node: name, refused: true}) // its address is another node's now
+	}
 	control.enqueue(digestReceived{digest: reply, askedAt: askedAt})
 }
 
