Refused callers of the soak come again, and the checker judges each attempt

Callers of the soak sent each ID once.

Callers that get 429, 503, 408 or 421 send the request again with the same ID, 8 of 10 times, up to five times, after 4 ms to a second, over kept connections to the same node or (4 of 10) another one. These draws have a random stream of their own.

The checker keeps a record of each attempt. A run belongs to the attempt that its number names. A request that may run once runs at most once in each attempt, and at most as often as there are attempts that were not answered as not run; an attempt that was answered so has no run, before or after, also while a later attempt waits. An attempt after a refusal may run. The number of endpoints is checked for all attempts, not for the last one only.

TestCheckerAttempts is new, with 17 cases.

--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -79,8 +79,10 @@
 	return fakes.ServicePlain
 }
 
-// record is a caller's request with its executions and its outcome.
+// record is an attempt of a caller at a request with its executions and its outcome. All attempts at
+// a request have its ID.
 type record struct {
+	previous       *record // the attempt before
 	request        fakes.Request
 	kind           kind
 	node           int
@@ -113,7 +115,7 @@
 	timeline       *timeline
 	now            func() time.Time
 	events         int                  // number in each stream
-	requests       map[string]*record   // by request id
+	requests       map[string]*record   // the latest attempts by request id
 	runners        map[string]*runner   // by name
 	readyMembers   map[string]bool      // members that were ready, by readyKey
 	drainingSince  map[string]time.Time // by runner: when the store first listed it as draining
@@ -253,18 +255,13 @@
 func (checker *checker) BeginExecution(execution fakes.Execution) bool {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
-	record := checker.requests[execution.RequestID]
+	record := checker.attempt(execution.RequestID, execution.Attempt)
 	if record == nil {
 		checker.addFinding(InvariantUnchangedRequest, "%s runs %q, which no caller sent", execution.Runner, execution.RequestID)
 		return true
 	}
 	checker.checkUnchanged(record, execution)
-	if record.kind == kindAtMostOnce && len(record.executions) > 0 {
-		checker.addFinding(InvariantAtMostOnce, "%s runs %s again, after %s", execution.Runner, execution.RequestID, record.executions[0].Runner)
-	}
-	if record.notRun {
-		checker.addFinding(InvariantNotRun, "%s runs %s, which was answered as not run", execution.Runner, execution.RequestID)
-	}
+	checker.checkRuns(record, execution)
 	checker.checkReplicaReady(execution)
 	checker.checkDrainAndCancellation(record, execution)
 	checker.checkLeaving(record, execution)
@@ -348,11 +345,11 @@
 	return checker.services[service]
 }
 
-// requestSent records a request before the caller sends it.
+// requestSent records an attempt at a request before the caller sends it.
 func (checker *checker) requestSent(request fakes.Request, kind kind, node int) {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
-	checker.requests[request.ID] = &record{request: request, kind: kind, node: node, sentAt: checker.now()}
+	checker.requests[request.ID] = &record{previous: checker.requests[request.ID], request: request, kind: kind, node: node, sentAt: checker.now()}
 	traffic := checker.trafficOf(kind)
 	traffic.requests = append(traffic.requests, checker.now())
 }
@@ -382,13 +379,7 @@
 	case http.StatusOK:
 		checker.checkComplete(record, answer)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		record.notRun = true
-		if len(record.executions) > 0 {
-			checker.addFinding(InvariantNotRun, "%s: status %d, but %s ran it", id, answer.Status, record.executions[0].Runner)
-		}
-		if answer.RetryAfter <= 0 {
-			checker.addFinding(InvariantAccess, "%s: status %d without Retry-After", id, answer.Status)
-		}
+		checker.checkPromise(record, answer)
 	case http.StatusBadGateway:
 		checker.recordFailure(record, answer)
 	case http.StatusGatewayTimeout:
@@ -443,27 +434,6 @@
 	return checker.findings
 }
 
-// checkAttempts reports a request that ran at more endpoints than its kind allows.
-// Endpoints that had a fault do not count.
-func (checker *checker) checkAttempts() {
-	overLimit := 0
-	for id, record := range checker.requests {
-		runners := map[string]bool{}
-		for _, execution := range record.executions {
-			if checker.timeline.faultFree(record.sentAt, execution.beganAt, runnerComponent(execution.Runner), pauseComponent(execution.Runner)) {
-				runners[execution.Runner] = true
-			}
-		}
-		if len(runners) > record.kind.maxAttempts() {
-			overLimit++
-		}
-		if overLimit > toleratedViolations {
-			checker.addFinding(InvariantRetryBudget, "%s ran at %d endpoints that had no fault", id, len(runners))
-			return
-		}
-	}
-}
-
 // checkBudget reports a window with more retries than the budget allows for the
 // requests of this window or of the one before, whichever had more.
 func (checker *checker) checkBudget(service string, traffic *traffic) {
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -36,8 +36,16 @@
 	return request
 }
 
-func (harness *harness) execute(id, runner string) {
-	harness.BeginExecution(fakes.Execution{RequestID: id, Runner: runner, Method: "POST", Target: "/p/x", Team: fakes.Team, Body: "{}"})
+func (harness *harness) execute(id, runner string) { harness.executeAttempt(id, runner, 0) }
+
+// sendAgain sends a further attempt at a request, to another node.
+func (harness *harness) sendAgain(id string, kind kind, attempt int) {
+	request := fakes.Request{Method: "POST", Path: "/p/x", ID: id, Key: firstKey, Body: []byte("{}"), Attempt: attempt}
+	harness.requestSent(request, kind, 1)
+}
+
+func (harness *harness) executeAttempt(id, runner string, attempt int) {
+	harness.BeginExecution(fakes.Execution{RequestID: id, Runner: runner, Method: "POST", Target: "/p/x", Team: fakes.Team, Body: "{}", Attempt: attempt})
 }
 
 func (harness *harness) heartbeat(id, replica, phase string, epoch int64, members ...string) {
@@ -149,6 +157,121 @@
 	}
 }
 
+// TestCheckerAttempts guards against a checker that misses what it can tell only from all attempts
+// of a caller at one request, or that reports an attempt which may run.
+func TestCheckerAttempts(t *testing.T) {
+	rejection := fakes.Answer{Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
+	badGateway := fakes.Answer{Status: http.StatusBadGateway}
+	// again has a first attempt answered, after runs of it at runner r, and a second one sent.
+	again := func(harness *harness, kind kind, answer fakes.Answer, runs int) {
+		harness.send("a", kind)
+		for range runs {
+			harness.execute("a", "r")
+		}
+		harness.answerReceived("a", answer)
+		harness.sendAgain("a", kind, 1)
+	}
+	for _, test := range []struct {
+		name       string
+		scenario   func(harness *harness)
+		invariants []string
+	}{
+		{"runs after a refusal", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.answerReceived("a", completeAnswer("a", "r"))
+		}, nil},
+		{"runs after four refusals", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			for _, status := range []int{http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest} {
+				attempt := harness.requests["a"].request.Attempt
+				harness.answerReceived("a", fakes.Answer{Status: status, RetryAfter: time.Second})
+				harness.sendAgain("a", kindAtMostOnce, attempt+1)
+			}
+			harness.executeAttempt("a", "r", 4)
+			harness.answerReceived("a", completeAnswer("a", "r"))
+		}, nil},
+		{"runs after a refusal and is refused", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.answerReceived("a", rejection)
+		}, []string{InvariantNotRun}},
+		{"runs twice after a refusal", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.executeAttempt("a", "q", 1)
+		}, []string{InvariantAtMostOnce}},
+		{"runs twice after a refusal, idempotent", func(harness *harness) {
+			again(harness, kindIdempotent, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.executeAttempt("a", "q", 1)
+			harness.answerReceived("a", completeAnswer("a", "q"))
+		}, nil},
+		{"refused attempt runs while the next one waits", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.execute("a", "r")
+		}, []string{InvariantNotRun}},
+		{"refused attempt runs beside the next one", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "q", 1)
+			harness.execute("a", "r")
+		}, []string{InvariantAtMostOnce, InvariantNotRun}},
+		{"refused attempt runs beside the next one, idempotent", func(harness *harness) {
+			again(harness, kindIdempotent, rejection, 0)
+			harness.executeAttempt("a", "q", 1)
+			harness.execute("a", "r")
+		}, []string{InvariantNotRun}},
+		{"refused attempt has run, and so does the next one", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 1)
+			harness.executeAttempt("a", "q", 1)
+		}, []string{InvariantNotRun, InvariantAtMostOnce}},
+		{"both are refused, and one runs later", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.answerReceived("a", rejection)
+			harness.executeAttempt("a", "r", 1)
+		}, []string{InvariantNotRun}},
+		{"runs in each of two attempts without a promise", func(harness *harness) {
+			again(harness, kindAtMostOnce, badGateway, 1)
+			harness.executeAttempt("a", "q", 1)
+			harness.answerReceived("a", completeAnswer("a", "q"))
+		}, nil},
+		{"runs late in an attempt without a promise", func(harness *harness) {
+			again(harness, kindAtMostOnce, badGateway, 0)
+			harness.answerReceived("a", rejection)
+			harness.execute("a", "r")
+		}, nil},
+		{"runs twice in an attempt without a promise", func(harness *harness) {
+			again(harness, kindAtMostOnce, badGateway, 0)
+			harness.execute("a", "r")
+			harness.execute("a", "q")
+		}, []string{InvariantAtMostOnce}},
+		{"answer of the attempt before", func(harness *harness) {
+			again(harness, kindIdempotent, badGateway, 1)
+			harness.answerReceived("a", completeAnswer("a", "r"))
+		}, []string{InvariantIntactAnswers}},
+		{"attempt that no caller sent", func(harness *harness) {
+			harness.send("a", kindIdempotent)
+			harness.executeAttempt("a", "r", 1)
+		}, []string{InvariantUnchangedRequest}},
+		{"earlier attempts at too many endpoints", func(harness *harness) {
+			for attempt := range toleratedViolations + 1 {
+				harness.sendAgain("a", kindIdempotent, attempt)
+				for _, runner := range []string{"r", "q", "p"} {
+					harness.executeAttempt("a", runner, attempt)
+				}
+			}
+		}, []string{InvariantRetryBudget}},
+		{"different endpoints in each attempt", func(harness *harness) {
+			for attempt := range toleratedViolations + 1 {
+				harness.sendAgain("a", kindIdempotent, attempt)
+				harness.executeAttempt("a", fmt.Sprint("r", attempt), attempt)
+			}
+		}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) { expectFindings(t, test.scenario, test.invariants...) })
+	}
+}
+
 // TestCheckerReplicas guards against a checker that misses a request in an
 // incomplete replica, or a host that joins a replica while the first host of its
 // previous one may still serve.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -38,6 +39,11 @@
 	disconnectAfter   = 150 * time.Millisecond // from the start of the request
 	switchPercent     = 10                     // of the requests, before which the caller picks a node again
 	maxRequestPause   = 150 * time.Millisecond // between two requests of a caller
+	returnPercent     = 80                     // of the refused attempts, after which the caller sends the request again
+	maxReturns        = 5                      // further attempts of a caller at a request
+	otherNodePercent  = 40                     // of the further attempts, which go to another node
+	minReturnPause    = 4 * time.Millisecond   // between a refusal and the next attempt
+	maxReturnPause    = time.Second
 	pollInterval      = 100 * time.Millisecond
 )
 
@@ -179,15 +185,15 @@
 	var group sync.WaitGroup
 	for index := range cluster.config.Scale.Callers {
 		group.Go(func() {
-			client := &client{cluster: cluster, name: fmt.Sprintf("caller-%d", index), random: rand.New(rand.NewPCG(cluster.config.Seed, uint64(index)))}
+			client := newClient(cluster, index)
 			for ctx.Err() == nil {
 				measured := counter.measuring.Load()
-				if served, counts := client.sendRequest(); counts {
+				if served, counts := client.sendRequest(ctx); counts {
 					counter.count(served, measured)
 				}
 				sleep(ctx, time.Duration(client.random.Int64N(int64(maxRequestPause))))
 			}
-			client.caller.Disconnect()
+			client.disconnect()
 		})
 	}
 	return func() {
@@ -196,46 +202,102 @@
 	}
 }
 
-// client is a caller that keeps its connection, also to a node that is shutting
-// down.
+// client is a caller that keeps its connections, one to each node that it uses, also to
+// a node that is shutting down.
 type client struct {
 	cluster *cluster
 	name    string
 	random  *rand.Rand
-	node    int
+	returns *rand.Rand // for attempts after a refusal; apart from the other draws
+	node    int        // -1 before the first request
 	sent    int
-	caller  fakes.Caller
+	callers []*fakes.Caller // by node
 }
 
-// sendRequest sends one request. served is whether the answer was complete and OK,
-// and counts is false if the caller disconnects on purpose.
-func (client *client) sendRequest() (served, counts bool) {
-	cluster := client.cluster
-	if client.caller.Address == "" || client.random.IntN(100) < switchPercent {
+func newClient(cluster *cluster, index int) *client {
+	seed := cluster.config.Seed
+	client := &client{cluster: cluster, name: fmt.Sprintf("caller-%d", index), random: rand.New(rand.NewPCG(seed, uint64(index))), returns: rand.New(rand.NewPCG(uint64(index), ^seed)), node: -1}
+	for _, node := range cluster.nodes {
+		client.callers = append(client.callers, &fakes.Caller{Address: node.callerProxy.Address()})
+	}
+	return client
+}
+
+// sendRequest sends one request, and again while it is refused. served is whether the
+// answer was complete and OK, and counts is false if the caller disconnects on purpose.
+func (client *client) sendRequest(ctx context.Context) (served, counts bool) {
+	if client.node < 0 || client.random.IntN(100) < switchPercent {
 		client.switchNode()
 	}
 	request, kind := client.drawRequest()
 	disconnects := kind == kindStream && client.random.IntN(100) < disconnectPercent
-	cluster.checker.requestSent(request, kind, client.node)
+	answer := client.sendWhileRefused(ctx, request, kind, disconnects)
+	return answer.Err == nil && answer.Status == http.StatusOK, !disconnects
+}
+
+// sendWhileRefused sends a request, and again with the same ID while it is refused.
+func (client *client) sendWhileRefused(ctx context.Context, request fakes.Request, kind kind, disconnects bool) fakes.Answer {
+	deadline := time.Now().Add(request.Timeout)
+	answer := client.attempt(request, kind, disconnects)
+	for request.Attempt < maxReturns && isRefusal(answer) && client.returns.IntN(100) < returnPercent && ctx.Err() == nil {
+		client.awaitReturn(ctx)
+		if request.Timeout = time.Until(deadline); request.Timeout < maxReturnPause {
+			break
+		}
+		request.Attempt++
+		answer = client.attempt(request, kind, disconnects)
+	}
+	if answer.Err != nil || answer.Status >= http.StatusInternalServerError {
+		client.switchNode()
+	}
+	return answer
+}
+
+// awaitReturn waits until a refused request is sent again, and chooses the node for it.
+func (client *client) awaitReturn(ctx context.Context) {
+	factor := math.Pow(float64(maxReturnPause/minReturnPause), client.returns.Float64())
+	sleep(ctx, time.Duration(factor*float64(minReturnPause)))
+	if others := len(client.callers) - 1; others > 0 && client.returns.IntN(100) < otherNodePercent {
+		client.node = (client.node + 1 + client.returns.IntN(others)) % len(client.callers)
+	}
+}
+
+// attempt sends a request over the kept connection to the present node.
+func (client *client) attempt(request fakes.Request, kind kind, disconnects bool) fakes.Answer {
+	checker, caller := client.cluster.checker, client.callers[client.node]
+	checker.requestSent(request, kind, client.node)
 	if disconnects {
 		timer := time.AfterFunc(disconnectAfter, func() {
-			cluster.checker.callerDisconnected(request.ID)
-			client.caller.Disconnect()
+			checker.callerDisconnected(request.ID)
+			caller.Disconnect()
 		})
 		defer timer.Stop()
 	}
-	answer := client.caller.Do(request, requestTimeout)
-	cluster.checker.answerReceived(request.ID, answer)
-	if answer.Err != nil || answer.Status >= http.StatusInternalServerError {
-		client.switchNode()
+	answer := caller.Do(request, requestTimeout)
+	checker.answerReceived(request.ID, answer)
+	return answer
+}
+
+// isRefusal reports whether an answer promises that the request has not run.
+func isRefusal(answer fakes.Answer) bool {
+	switch answer.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return answer.Err == nil
+	default:
+		return false
+	}
+}
+
+func (client *client) disconnect() {
+	for _, caller := range client.callers {
+		caller.Disconnect()
 	}
-	return answer.Err == nil && answer.Status == http.StatusOK, !disconnects
 }
 
 // switchNode picks a random node from those in rotation, as the load balancer
 // would, or from all nodes if none is.
 func (client *client) switchNode() {
-	client.caller.Disconnect()
+	client.disconnect()
 	order := client.random.Perm(len(client.cluster.nodes))
 	client.node = order[0]
 	for _, index := range order {
@@ -244,15 +306,22 @@
 			break
 		}
 	}
-	client.caller.Address = client.cluster.nodes[client.node].callerProxy.Address()
 }
 
-func (client *client) drawRequest() (fakes.Request, kind) {
+// nextRequest returns a request that may run once.
+func (client *client) nextRequest() fakes.Request {
 	client.sent++
-	request := fakes.Request{ID: fmt.Sprintf("%s-%d", client.name, client.sent), Key: client.cluster.currentKey(), Method: "POST", Timeout: 8 * time.Second, Body: []byte(`{"n":` + fmt.Sprint(client.sent) + `}`)}
+	return fakes.Request{
+		ID: fmt.Sprintf("%s-%d", client.name, client.sent), Key: client.cluster.currentKey(), Method: "POST", Path: fakes.PathAtMostOnce + "slot",
+		Timeout: 8 * time.Second, Body: []byte(`{"n":` + fmt.Sprint(client.sent) + `}`),
+	}
+}
+
+func (client *client) drawRequest() (fakes.Request, kind) {
+	request := client.nextRequest()
 	switch client.random.IntN(4) {
 	case 0:
-		request.Path = fakes.PathAtMostOnce + "slot?day=" + fmt.Sprint(client.random.IntN(30))
+		request.Path += "?day=" + fmt.Sprint(client.random.IntN(30))
 		return request, kindAtMostOnce
 	case 1:
 		request.Method, request.Path, request.Body = "GET", fakes.PathIdempotent+"slot", nil
