The soak plays copies of answers, refusals by all, and nodes that are cut off

Copies of refusals excuse nothing. Copies of other answers count as a fault of the runner.

All nodes reach the runners from one address. Which node a connection comes from is read from /proc/PID/fd and /proc/PID/net/tcp, at most every 100 ms and only while a node is cut off.

--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -618,19 +618,50 @@
 }
 
 // TestSeedsKeepTheirFaults guards against seeds that draw other faults than before: a
-// seed that once had a finding is a regression case. Faults of drawSilences and
-// drawContradictions were added later.
+// seed that once had a finding is a regression case. Faults of drawSilences,
+// drawContradictions and drawCopies were added later.
 func TestSeedsKeepTheirFaults(t *testing.T) {
 	scale := Scale{Nodes: 3, ModelRunners: 12, PlainRunners: 3, Callers: 12, Duration: 15 * time.Second}
-	hash := sha256.New()
-	for seed := range uint64(500) {
-		added := append(drawSilences(seed, scale), drawContradictions(seed, scale)...)
-		earlier := slices.DeleteFunc(GenerateSchedule(seed, scale), func(injection Injection) bool {
-			return slices.ContainsFunc(added, func(later Injection) bool { return reflect.DeepEqual(later, injection) })
-		})
-		fmt.Fprintf(hash, "%+v\n", earlier)
+	hashWithout := func(draws ...func(uint64, Scale) []Injection) string {
+		hash := sha256.New()
+		for seed := range uint64(500) {
+			var added []Injection
+			for _, draw := range draws {
+				added = append(added, draw(seed, scale)...)
+			}
+			earlier := slices.DeleteFunc(GenerateSchedule(seed, scale), func(injection Injection) bool {
+				return slices.ContainsFunc(added, func(later Injection) bool { return reflect.DeepEqual(later, injection) })
+			})
+			fmt.Fprintf(hash, "%+v\n", earlier)
+		}
+		return fmt.Sprintf("%x", hash.Sum(nil)[:8])
+	}
+	assert.Equal(t, hashWithout(drawSilences, drawContradictions, drawCopies), "2d522dc85c98b093")
+	assert.Equal(t, hashWithout(drawCopies), "e5fc7c0a4ab2b137")
+}
+
+// TestCopiesAreDrawn guards against a soak that leaves out a kind of copy, or runners of which
+// copies come.
+func TestCopiesAreDrawn(t *testing.T) {
+	scale := Scale{Nodes: 3, ModelRunners: 12, PlainRunners: 3, Callers: 12, Duration: 15 * time.Second}
+	drawn := map[string]bool{}
+	for seed := range uint64(200) {
+		for _, injection := range drawCopies(seed, scale) {
+			switch fault := injection.Fault.(type) {
+			case AnswersCopied:
+				drawn[fmt.Sprintf("refusals %t, same ID %t, runners %d", fault.Duplicates.Refusals, fault.Duplicates.SameID, fault.Count)] = true
+				assert.Check(t, fault.Duplicates.Delay > 0 && fault.Duplicates.Delay < maxCopyDelay)
+			case ConnectionsKept:
+				assert.Check(t, fault.Timeout >= minKeepAlive*time.Second && fault.Timeout <= maxKeepAlive*time.Second)
+			case RunnersRefuse:
+				drawn[fmt.Sprintf("refused by runners %d", fault.Count)] = true
+				assert.Check(t, fault.RetryAfter < busyNotice)
+			case NodeCutOff:
+				drawn[fmt.Sprintf("node %d cut off", fault.Node)] = true
+			}
+		}
 	}
-	assert.Equal(t, fmt.Sprintf("%x", hash.Sum(nil)[:8]), "2d522dc85c98b093")
+	assert.Equal(t, len(drawn), 2*2*3+3+3, "%v", drawn)
 }
 
 // TestScheduleIsDeterministic checks that a seed gives the same schedule each time,
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -81,6 +81,8 @@
 	mutex        sync.Mutex
 	incarnation  int          // counts the starts
 	failedChecks atomic.Int64 // consecutive failed readiness checks
+	cuts         atomic.Int64 // that keep it from the runners
+	table        connectionTable
 }
 
 // slot holds one runner at a time. Its proxy stays when another runner replaces that
@@ -151,6 +153,7 @@
 	if err != nil {
 		return errors.Wrap(err, "soak: starting the proxy of a runner")
 	}
+	proxy.SetCut(cluster.isCut)
 	slot := &slot{index: index, service: fakes.ServicePlain, proxy: proxy}
 	if index < cluster.config.Scale.ModelRunners {
 		slot.service, slot.domain = fakes.ServiceModels, fmt.Sprintf("domain-%d", index/domainSize)
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -119,6 +120,30 @@
 // that they have not run and contradicts that. Script is an index of fakes.Contradictions.
 type RunnerContradicts struct{ Runner, Script int }
 
+// RunnersRefuse has Count runners, from First on, reject all requests with a Retry-After header that
+// is over when callers come again.
+type RunnersRefuse struct {
+	First, Count int
+	RetryAfter   time.Duration
+}
+
+// AnswersCopied has Count runners, from First on, write copies of their answers on connections that
+// are used again.
+type AnswersCopied struct {
+	First, Count int
+	Duplicates   fakes.Duplicates
+}
+
+// ConnectionsKept has Count runners, from First on, state a Keep-Alive timeout, so that nodes use
+// connections again also for requests that may run once.
+type ConnectionsKept struct {
+	First, Count int
+	Timeout      time.Duration
+}
+
+// NodeCutOff cuts a node off from all runners, but not from the store and the other nodes.
+type NodeCutOff struct{ Node int }
+
 func (NodesKilled) fault()         {}
 func (NodePaused) fault()          {}
 func (NodeRestarted) fault()       {}
@@ -145,6 +170,10 @@
 func (CrashingRequests) fault()    {}
 func (ConfigStorm) fault()         {}
 func (RunnerContradicts) fault()   {}
+func (RunnersRefuse) fault()       {}
+func (AnswersCopied) fault()       {}
+func (ConnectionsKept) fault()     {}
+func (NodeCutOff) fault()          {}
 
 // Injection is a fault with its time and duration.
 type Injection struct {
@@ -193,6 +222,7 @@
 	schedule = append(schedule, drawLosses(seed, scale)...)
 	schedule = append(schedule, drawSilences(seed, scale)...)
 	schedule = append(schedule, drawContradictions(seed, scale)...)
+	schedule = append(schedule, drawCopies(seed, scale)...)
 	slices.SortStableFunc(schedule, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	return schedule
 }
@@ -280,6 +310,78 @@
 	return schedule
 }
 
+const (
+	meanCopiesInterval = 2 * time.Second // mean of the random time between two draws of drawCopies
+	maxCopyDelay       = 100 * time.Millisecond
+	minRefusal         = 100 * time.Millisecond
+	maxRefusal         = 600 * time.Millisecond
+	minAccepted        = 200 * time.Millisecond // between two refusals of a series
+	maxAccepted        = 1200 * time.Millisecond
+	maxRefusals        = 5 // of a series
+	minRetryAfter      = 5 * time.Millisecond
+	maxRetryAfter      = 100 * time.Millisecond // less than busyNotice
+	minKeepAlive       = 2                      // seconds
+	maxKeepAlive       = 6
+	minCutOff          = 2500 * time.Millisecond // longer than a node takes to find out that it is cut off
+)
+
+// drawCopies draws when runners write copies of their answers, mostly after or while they refuse
+// everything, and often beside a node that is cut off from them. They are drawn apart from the other
+// faults.
+func drawCopies(seed uint64, scale Scale) []Injection {
+	random := rand.New(rand.NewPCG(seed, bits.Reverse64(seed)+1))
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(random.Int64N(int64(high-low)))
+	}
+	var schedule []Injection
+	add := func(at, duration time.Duration, fault Fault) {
+		schedule = append(schedule, Injection{At: at, Duration: duration, Fault: fault})
+	}
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(meanCopiesInterval)) }
+	for at := next(); at < scale.Duration; at += next() {
+		first, count := drawRunners(random, scale)
+		copies := AnswersCopied{First: first, Count: count, Duplicates: fakes.Duplicates{Refusals: random.IntN(4) > 0, SameID: random.IntN(3) > 0, Delay: between(time.Microsecond, maxCopyDelay)}}
+		kept := ConnectionsKept{First: first, Count: count, Timeout: time.Duration(minKeepAlive+random.IntN(1+maxKeepAlive-minKeepAlive)) * time.Second}
+		refused := RunnersRefuse{First: first, Count: count, RetryAfter: between(minRetryAfter, maxRetryAfter)}
+		refuses, afterwards := random.IntN(5) > 0, random.IntN(3) > 0
+		end := at
+		for range 1 + random.IntN(maxRefusals) {
+			refusal, accepted := between(minRefusal, maxRefusal), between(minAccepted, maxAccepted)
+			if end >= scale.Duration {
+				break
+			}
+			if refuses {
+				add(end, refusal, refused)
+			}
+			if afterwards {
+				add(end+refusal, accepted, copies)
+			}
+			end += refusal + accepted
+		}
+		if !afterwards {
+			add(at, end-at, copies)
+		}
+		add(at, end-at, kept)
+		if random.IntN(3) == 0 {
+			add(at, between(minCutOff, maxFaultDuration), NodeCutOff{Node: random.IntN(scale.Nodes)})
+		}
+	}
+	return schedule
+}
+
+// drawRunners draws all runners of the plain service, all runners, or one.
+func drawRunners(random *rand.Rand, scale Scale) (first, count int) {
+	runners := scale.ModelRunners + scale.PlainRunners
+	switch random.IntN(5) {
+	case 0, 1, 2:
+		return scale.ModelRunners, scale.PlainRunners
+	case 3:
+		return 0, runners
+	default:
+		return random.IntN(runners), 1
+	}
+}
+
 const faultKinds = 24 // cases of drawFault; frequent faults have two
 
 var modes = []Mode{ModeSlow, ModeBlackhole, ModeBlockUpstream, ModeBlockDownstream, ModeReset}
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -54,6 +54,8 @@
 		cluster.unlist(cluster.slots[fault.Runner], injection.Duration)
 	case RunnersPaused, RunnerBusy, RunnerLimited, CrashingRequests, ConfigStorm, RunnerContradicts:
 		cluster.injectSilence(injection)
+	case RunnersRefuse, AnswersCopied, ConnectionsKept, NodeCutOff:
+		cluster.injectCopies(injection)
 	default:
 		cluster.injectStoreFault(injection)
 	}
--- a/io/soak/proxy.go
+++ b/io/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -31,6 +32,7 @@
 	mutex    sync.Mutex
 	target   string
 	mode     Mode
+	isCut    func(net.Conn) bool // connections of clients that get no answer; nil for none
 	conns    map[net.Conn]bool
 }
 
@@ -74,6 +76,24 @@
 	}
 }
 
+// SetCut sets the function that tells which connections of clients get no answer.
+func (proxy *Proxy) SetCut(isCut func(net.Conn) bool) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.isCut = isCut
+}
+
+// ResetWhere resets the connections for which a function returns true.
+func (proxy *Proxy) ResetWhere(matches func(net.Conn) bool) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	for conn := range proxy.conns {
+		if matches(conn) {
+			reset(conn)
+		}
+	}
+}
+
 // Close stops the proxy and resets its connections.
 func (proxy *Proxy) Close() {
 	_ = proxy.listener.Close()
@@ -99,12 +119,18 @@
 
 func (proxy *Proxy) forward(client net.Conn) {
 	proxy.mutex.Lock()
-	target, mode := proxy.target, proxy.mode
+	target, mode, isCut := proxy.target, proxy.mode, proxy.isCut
 	proxy.mutex.Unlock()
 	if mode == ModeReset {
 		reset(client)
 		return
 	}
+	if isCut != nil && isCut(client) {
+		proxy.track(client)
+		_, _ = io.Copy(io.Discard, client) // until either side closes the connection
+		proxy.untrack(client)
+		return
+	}
 	server, err := net.Dial("tcp", target)
 	if err != nil {
 		reset(client)
--- a/io/soak/silence.go
+++ b/io/soak/silence.go
@@ -12,8 +12,8 @@
 func (cluster *cluster) injectSilence(injection Injection) {
 	switch fault := injection.Fault.(type) {
 	case RunnersPaused:
-		for i := range fault.Count {
-			name, process := cluster.slots[(fault.First+i)%len(cluster.slots)].current()
+		for _, slot := range cluster.slotsFrom(fault.First, fault.Count) {
+			name, process := slot.current()
 			cluster.pauseProcess(process, pauseComponent(name), injection.Duration)
 		}
 	case RunnerBusy:
@@ -23,7 +23,8 @@
 		value, none := strconv.Itoa(fault.PerSecond), ""
 		go cluster.behaveFor(cluster.slots[fault.Runner], injection.Duration, fakes.Behavior{Limit: &value}, fakes.Behavior{Limit: &none})
 	case RunnerContradicts:
-		go cluster.contradictFor(cluster.slots[fault.Runner], injection.Duration, fakes.Contradictions()[fault.Script])
+		script, none := fakes.Contradictions()[fault.Script], ""
+		go cluster.misbehaveFor(cluster.slots[fault.Runner], injection.Duration, fakes.Behavior{Script: &script}, fakes.Behavior{Script: &none})
 	case CrashingRequests:
 		go cluster.sendCrashingRequests(injection.Duration)
 	case ConfigStorm:
@@ -48,14 +49,22 @@
 	}
 }
 
-// contradictFor has a slot's runner write a script in place of its answers for a duration.
-func (cluster *cluster) contradictFor(slot *slot, duration time.Duration, script string) {
+// misbehaveFor does the same with behavior that counts as a fault of the runner.
+func (cluster *cluster) misbehaveFor(slot *slot, duration time.Duration, behavior, usual fakes.Behavior) {
 	name, _ := slot.current()
-	endFault, none := cluster.timeline.beginFault(runnerComponent(name), time.Now()), ""
-	cluster.behaveFor(slot, duration, fakes.Behavior{Script: &script}, fakes.Behavior{Script: &none})
+	endFault := cluster.timeline.beginFault(runnerComponent(name), time.Now())
+	cluster.behaveFor(slot, duration, behavior, usual)
 	endFault(time.Now())
 }
 
+// slotsFrom returns a number of slots, from one on.
+func (cluster *cluster) slotsFrom(first, count int) (slots []*slot) {
+	for i := range count {
+		slots = append(slots, cluster.slots[(first+i)%len(cluster.slots)])
+	}
+	return slots
+}
+
 // sendCrashingRequests sends streams on which runners crash to all nodes in turn.
 func (cluster *cluster) sendCrashingRequests(duration time.Duration) {
 	began := time.Now()
