A runner of the soak that was paused keeps no behavior of a fault that is over

Cause: a runner that is paused by SIGSTOP when it is told to refuse everything does not answer within a second, so that the soak took it for gone. It carried the order out when it went on, and refused everything until the end of the run.

Change: the soak tells such a runner its usual behavior, and once more after its first answer.

Ruled out: the load of the machine (it came again).

--- a/io/soak/silence.go
+++ b/io/soak/silence.go
@@ -40,12 +40,15 @@
 
 // behaveFor has a slot's runner behave in a way for a duration.
 func (cluster *cluster) behaveFor(slot *slot, duration time.Duration, behavior, usual fakes.Behavior) {
-	if fakes.SetBehavior(slot.proxy.Target(), behavior) != nil {
-		return // another fault has ended the runner, or paused it
+	if fakes.SetBehavior(slot.proxy.Target(), behavior) == nil {
+		time.Sleep(duration)
 	}
-	time.Sleep(duration)
-	for fakes.SetBehavior(slot.proxy.Target(), usual) != nil && !cluster.isClosed() {
-		time.Sleep(behaviorRetryInterval)
+	// A paused runner carries out what it was told meanwhile when it goes on, so that it is told
+	// again after its first answer.
+	for answers := 0; answers < 2 && !cluster.isClosed(); time.Sleep(behaviorRetryInterval) {
+		if fakes.SetBehavior(slot.proxy.Target(), usual) == nil {
+			answers++
+		}
 	}
 }
 
