The checker leaves out requests in progress when a node is cut off

The node's logs (event 606, "endpoints") show the way of the stream: node 2 had its runner killed and sent the request on to node 1; a runner was paused there; then node 1 was cut off from all runners, which reset the connection in the middle of the answer (node 1: "connection reset by peer" at that moment).

Cause: the checker looks for faults of the node that the caller used. The cut was recorded as a fault of node 1 only.

Change: the resets at the begin and end of a cut are a component of their own. An answer that is cut off is left out if its request was in progress then, without the margin of 3 s that other faults have.

Ruled out: a fault of the node. No other replica of the model served, so that nothing could resume the stream. Three new cases in TestCheckerPauses.

--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -469,6 +469,13 @@
 		{"answered after the pause", during(completeAnswer("a", "r"), "", "r", "m"), []string{InvariantIntactAnswers}}, // no stream
 		{"504 at the timeout of the route", during(fakes.Answer{Status: http.StatusGatewayTimeout}, "", "r", "m"), nil},
 		{"cut beside a fault of the node", during(cut, nodeComponent(0), "r", "m"), nil},
+		{"cut beside another node whose connections are reset", during(cut, cutComponent, "r", "m"), nil},
+		{"502 beside another node whose connections are reset", during(badGateway, cutComponent, "r", "m"), nil},
+		{"cut after another node's connections were reset", func(harness *harness) {
+			harness.timeline.addFault(cutComponent, harness.clock, harness.clock.Add(time.Millisecond))
+			harness.advance(time.Millisecond)
+			during(cut, "", "r", "m")(harness)
+		}, []string{InvariantPauses}},
 		{"cut while the other member does not respond", during(cut, "", "r"), nil},
 		{"502 beside a fault of another runner", func(harness *harness) {
 			harness.heartbeat("q", "", "", 0)
--- a/io/soak/copies.go
+++ b/io/soak/copies.go
@@ -66,11 +66,13 @@
 // cutOffNode begins a cut of a node's connections to all runners, or ends it. Both reset those
 // connections. In between, new ones get no answer.
 func (cluster *cluster) cutOffNode(index, change int) {
+	began := time.Now()
 	cluster.nodes[index].cuts.Add(int64(change))
 	connections := cluster.nodes[index].connections(time.Now())
 	for _, slot := range cluster.slots {
 		slot.proxy.ResetWhere(func(conn net.Conn) bool { return connections[portsOf(conn)] })
 	}
+	cluster.timeline.addFault(cutComponent, began, time.Now())
 }
 
 // isCut reports whether a connection to a runner's proxy comes from a node that is cut off.
--- a/io/soak/copies_test.go
+++ b/io/soak/copies_test.go
@@ -26,7 +26,7 @@
 	other := exec.Command("sleep", "60")
 	assert.NilError(t, other.Start())
 	defer func() { assert.Check(t, other.Process.Kill()); _ = other.Wait() }() // the error says that it was killed
-	cluster := &cluster{slots: []*slot{{proxy: proxy}}}
+	cluster := &cluster{timeline: newTimeline(), slots: []*slot{{proxy: proxy}}}
 	for _, started := range []*os.Process{{Pid: os.Getpid()}, other.Process} {
 		cluster.nodes = append(cluster.nodes, &node{process: &process{command: &exec.Cmd{Process: started}}})
 	}
--- a/io/soak/failure.go
+++ b/io/soak/failure.go
@@ -47,7 +47,8 @@
 
 // checkFailures reports answers that were cut off although the node, its callers' link
 // and the replica that ran the request had no fault. A planned restart of the node is no
-// fault here, and neither is a pause of runners.
+// fault here, and neither is a pause of runners. Requests that were in progress when a node was cut
+// off are left out: the node may have sent them on to that one.
 func (checker *checker) checkFailures() {
 	lostAnswers := 0
 	for _, failure := range checker.failures {
@@ -64,6 +65,7 @@
 		})
 		switch {
 		case len(record.executions) == 0:
+		case checker.timeline.duration(cutComponent, record.sentAt, failure.at) > 0:
 		case failure.answer.Err == nil:
 			checker.checkBadGateway(failure, paused)
 		case !checker.timeline.faultFree(record.sentAt, failure.at, components...):
--- a/io/soak/timeline.go
+++ b/io/soak/timeline.go
@@ -106,5 +106,6 @@
 
 const (
 	storeComponent   = "store"
+	cutComponent     = "connections of nodes that are cut off" // while they are reset
 	machineComponent = "machine"
 )
