--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -36,8 +36,16 @@
 	return request
 }
 
-func (harness *harness) execute(id, runner string) {
-	harness.BeginExecution(fakes.Execution{RequestID: id, Runner: runner, Method: "POST", Target: "/p/x", Team: fakes.Team, Body: "{}"})
+func (harness *harness) execute(id, runner string) { harness.executeAttempt(id, runner, 0) }
+
+// sendAgain sends a further attempt at a request, to another node.
+func (harness *harness) sendAgain(id string, kind kind, attempt int) {
+	request := fakes.Request{Method: "POST", Path: "/p/x", ID: id, Key: firstKey, Body: []byte("{}"), Attempt: attempt}
+	harness.requestSent(request, kind, 1)
+}
+
+func (harness *harness) executeAttempt(id, runner string, attempt int) {
+	harness.BeginExecution(fakes.Execution{RequestID: id, Runner: runner, Method: "POST", Target: "/p/x", Team: fakes.Team, Body: "{}", Attempt: attempt})
 }
 
 func (harness *harness) heartbeat(id, replica, phase string, epoch int64, members ...string) {
@@ -149,6 +157,121 @@
 	}
 }
 
+// TestCheckerAttempts guards against a checker that misses what it can tell only from all attempts
+// of a caller at one request, or that reports an attempt which may run.
+func TestCheckerAttempts(t *testing.T) {
+	rejection := fakes.Answer{Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
+	badGateway := fakes.Answer{Status: http.StatusBadGateway}
+	// again has a first attempt answered, after runs of it at runner r, and a second one sent.
+	again := func(harness *harness, kind kind, answer fakes.Answer, runs int) {
+		harness.send("a", kind)
+		for range runs {
+			harness.execute("a", "r")
+		}
+		harness.answerReceived("a", answer)
+		harness.sendAgain("a", kind, 1)
+	}
+	for _, test := range []struct {
+		name       string
+		scenario   func(harness *harness)
+		invariants []string
+	}{
+		{"runs after a refusal", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.answerReceived("a", completeAnswer("a", "r"))
+		}, nil},
+		{"runs after four refusals", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			for _, status := range []int{http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest} {
+				attempt := harness.requests["a"].request.Attempt
+				harness.answerReceived("a", fakes.Answer{Status: status, RetryAfter: time.Second})
+				harness.sendAgain("a", kindAtMostOnce, attempt+1)
+			}
+			harness.executeAttempt("a", "r", 4)
+			harness.answerReceived("a", completeAnswer("a", "r"))
+		}, nil},
+		{"runs after a refusal and is refused", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.answerReceived("a", rejection)
+		}, []string{InvariantNotRun}},
+		{"runs twice after a refusal", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.executeAttempt("a", "q", 1)
+		}, []string{InvariantAtMostOnce}},
+		{"runs twice after a refusal, idempotent", func(harness *harness) {
+			again(harness, kindIdempotent, rejection, 0)
+			harness.executeAttempt("a", "r", 1)
+			harness.executeAttempt("a", "q", 1)
+			harness.answerReceived("a", completeAnswer("a", "q"))
+		}, nil},
+		{"refused attempt runs while the next one waits", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.execute("a", "r")
+		}, []string{InvariantNotRun}},
+		{"refused attempt runs beside the next one", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.executeAttempt("a", "q", 1)
+			harness.execute("a", "r")
+		}, []string{InvariantAtMostOnce, InvariantNotRun}},
+		{"refused attempt runs beside the next one, idempotent", func(harness *harness) {
+			again(harness, kindIdempotent, rejection, 0)
+			harness.executeAttempt("a", "q", 1)
+			harness.execute("a", "r")
+		}, []string{InvariantNotRun}},
+		{"refused attempt has run, and so does the next one", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 1)
+			harness.executeAttempt("a", "q", 1)
+		}, []string{InvariantNotRun, InvariantAtMostOnce}},
+		{"both are refused, and one runs later", func(harness *harness) {
+			again(harness, kindAtMostOnce, rejection, 0)
+			harness.answerReceived("a", rejection)
+			harness.executeAttempt("a", "r", 1)
+		}, []string{InvariantNotRun}},
+		{"runs in each of two attempts without a promise", func(harness *harness) {
+			again(harness, kindAtMostOnce, badGateway, 1)
+			harness.executeAttempt("a", "q", 1)
+			harness.answerReceived("a", completeAnswer("a", "q"))
+		}, nil},
+		{"runs late in an attempt without a promise", func(harness *harness) {
+			again(harness, kindAtMostOnce, badGateway, 0)
+			harness.answerReceived("a", rejection)
+			harness.execute("a", "r")
+		}, nil},
+		{"runs twice in an attempt without a promise", func(harness *harness) {
+			again(harness, kindAtMostOnce, badGateway, 0)
+			harness.execute("a", "r")
+			harness.execute("a", "q")
+		}, []string{InvariantAtMostOnce}},
+		{"answer of the attempt before", func(harness *harness) {
+			again(harness, kindIdempotent, badGateway, 1)
+			harness.answerReceived("a", completeAnswer("a", "r"))
+		}, []string{InvariantIntactAnswers}},
+		{"attempt that no caller sent", func(harness *harness) {
+			harness.send("a", kindIdempotent)
+			harness.executeAttempt("a", "r", 1)
+		}, []string{InvariantUnchangedRequest}},
+		{"earlier attempts at too many endpoints", func(harness *harness) {
+			for attempt := range toleratedViolations + 1 {
+				harness.sendAgain("a", kindIdempotent, attempt)
+				for _, runner := range []string{"r", "q", "p"} {
+					harness.executeAttempt("a", runner, attempt)
+				}
+			}
+		}, []string{InvariantRetryBudget}},
+		{"different endpoints in each attempt", func(harness *harness) {
+			for attempt := range toleratedViolations + 1 {
+				harness.sendAgain("a", kindIdempotent, attempt)
+				harness.executeAttempt("a", fmt.Sprint("r", attempt), attempt)
+			}
+		}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) { expectFindings(t, test.scenario, test.invariants...) })
+	}
+}
+
 // TestCheckerReplicas guards against a checker that misses a request in an
 // incomplete replica, or a host that joins a replica while the first host of its
 // previous one may still serve.
@@ -346,6 +469,13 @@
 		{"answered after the pause", during(completeAnswer("a", "r"), "", "r", "m"), []string{InvariantIntactAnswers}}, // no stream
 		{"504 at the timeout of the route", during(fakes.Answer{Status: http.StatusGatewayTimeout}, "", "r", "m"), nil},
 		{"cut beside a fault of the node", during(cut, nodeComponent(0), "r", "m"), nil},
+		{"cut beside another node whose connections are reset", during(cut, cutComponent, "r", "m"), nil},
+		{"502 beside another node whose connections are reset", during(badGateway, cutComponent, "r", "m"), nil},
+		{"cut after another node's connections were reset", func(harness *harness) {
+			harness.timeline.addFault(cutComponent, harness.clock, harness.clock.Add(time.Millisecond))
+			harness.advance(time.Millisecond)
+			during(cut, "", "r", "m")(harness)
+		}, []string{InvariantPauses}},
 		{"cut while the other member does not respond", during(cut, "", "r"), nil},
 		{"502 beside a fault of another runner", func(harness *harness) {
 			harness.heartbeat("q", "", "", 0)
@@ -495,19 +625,50 @@
 }
 
 // TestSeedsKeepTheirFaults guards against seeds that draw other faults than before: a
-// seed that once had a finding is a regression case. Faults of drawSilences and
-// drawContradictions were added later.
+// seed that once had a finding is a regression case. Faults of drawSilences,
+// drawContradictions and drawCopies were added later.
 func TestSeedsKeepTheirFaults(t *testing.T) {
 	scale := Scale{Nodes: 3, ModelRunners: 12, PlainRunners: 3, Callers: 12, Duration: 15 * time.Second}
-	hash := sha256.New()
-	for seed := range uint64(500) {
-		added := append(drawSilences(seed, scale), drawContradictions(seed, scale)...)
-		earlier := slices.DeleteFunc(GenerateSchedule(seed, scale), func(injection Injection) bool {
-			return slices.ContainsFunc(added, func(later Injection) bool { return reflect.DeepEqual(later, injection) })
-		})
-		fmt.Fprintf(hash, "%+v\n", earlier)
+	hashWithout := func(draws ...func(uint64, Scale) []Injection) string {
+		hash := sha256.New()
+		for seed := range uint64(500) {
+			var added []Injection
+			for _, draw := range draws {
+				added = append(added, draw(seed, scale)...)
+			}
+			earlier := slices.DeleteFunc(GenerateSchedule(seed, scale), func(injection Injection) bool {
+				return slices.ContainsFunc(added, func(later Injection) bool { return reflect.DeepEqual(later, injection) })
+			})
+			fmt.Fprintf(hash, "%+v\n", earlier)
+		}
+		return fmt.Sprintf("%x", hash.Sum(nil)[:8])
+	}
+	assert.Equal(t, hashWithout(drawSilences, drawContradictions, drawCopies), "2d522dc85c98b093")
+	assert.Equal(t, hashWithout(drawCopies), "e5fc7c0a4ab2b137")
+}
+
+// TestCopiesAreDrawn guards against a soak that leaves out a kind of copy, or runners of which
+// copies come.
+func TestCopiesAreDrawn(t *testing.T) {
+	scale := Scale{Nodes: 3, ModelRunners: 12, PlainRunners: 3, Callers: 12, Duration: 15 * time.Second}
+	drawn := map[string]bool{}
+	for seed := range uint64(200) {
+		for _, injection := range drawCopies(seed, scale) {
+			switch fault := injection.Fault.(type) {
+			case AnswersCopied:
+				drawn[fmt.Sprintf("refusals %t, same ID %t, runners %d", fault.Duplicates.Refusals, fault.Duplicates.SameID, fault.Count)] = true
+				assert.Check(t, fault.Duplicates.Delay > 0 && fault.Duplicates.Delay < maxCopyDelay)
+			case ConnectionsKept:
+				assert.Check(t, fault.Timeout >= minKeepAlive*time.Second && fault.Timeout <= maxKeepAlive*time.Second)
+			case RunnersRefuse:
+				drawn[fmt.Sprintf("refused by runners %d", fault.Count)] = true
+				assert.Check(t, fault.RetryAfter < busyNotice)
+			case NodeCutOff:
+				drawn[fmt.Sprintf("node %d cut off", fault.Node)] = true
+			}
+		}
 	}
-	assert.Equal(t, fmt.Sprintf("%x", hash.Sum(nil)[:8]), "2d522dc85c98b093")
+	assert.Equal(t, len(drawn), 2*2*3+3+3, "%v", drawn)
 }
 
 // TestScheduleIsDeterministic checks that a seed gives the same schedule each time,
