TestCopyPassesForEnginesStatus fails: a probe takes a copy for the present status

A copy of an earlier status passes once, so that an engine counts as a member of a replica that it has left.

--- a/io/engine/copy_test.go
+++ b/io/engine/copy_test.go
@@ -95,3 +95,15 @@
 	assert.Assert(t, errors.Is(send(), engine.ErrRejected))
 	assert.NilError(t, send())
 }
+
+// TestCopyPassesForEnginesStatus guards against an engine that counts as a member of a replica which it
+// has left, because of a copy of an earlier status.
+func TestCopyPassesForEnginesStatus(t *testing.T) {
+	address := startCopyingEngine(t, answerOf(http.StatusOK, `{"host":"h","replica":"r","ready":true}`), answerOf(http.StatusOK, `{"host":"h"}`))
+	client := engine.New()
+	for _, want := range []string{"r", ""} {
+		status, err := client.Probe(t.Context(), address)
+		assert.NilError(t, err)
+		assert.Equal(t, status.Replica, want)
+	}
+}
