Logs say what is held against endpoints, and how late this node was

Nothing told which evidence was held against which endpoint, when it was due and when this node looked.

620 tells of a connection that could not be opened, by a request or a check: when the node looked, the limit, and how late its periodic work was at most meanwhile. 621 tells of a request that no endpoint takes: what is held against each, and until when.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -114,6 +114,11 @@
 // not draining.
 func (control *Control) Ready() bool { return control.ready.Load() }
 
+// LateBy returns by how much this node's periodic work was late at most since a time.
+func (control *Control) LateBy(since time.Time) time.Duration {
+	return control.lateness.LateBy(since, time.Now())
+}
+
 // Suspect requests a probe of an endpoint and its replica. It never blocks.
 func (control *Control) Suspect(endpoint string) {
 	select {
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -46,6 +46,8 @@
 	silentElsewhere  map[string]time.Time      // endpoints that do not answer other nodes, and since when these have said so
 	loads            map[string]*reach.Load
 	linkChecks       map[string]time.Time // endpoints without an engine that this node does not reach, and when to check them next
+	nextLinkLogAt    time.Time
+	linkLogsLeftOut  int
 }
 
 func newEndpoints() endpoints {
--- a/io/edge/links.go
+++ b/io/edge/links.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"hickorybend/core/fleet"
+	"hickorybend/io/event"
 	"hickorybend/io/pool"
 	"hickorybend/platform"
 )
@@ -18,6 +20,7 @@
 	linkCheckInterval = 500 * time.Millisecond
 	linkCheckTimeout  = 200 * time.Millisecond
 	unreachableFor    = 1500 * time.Millisecond // after a check that failed; longer than until the next one has
+	linkLogInterval   = time.Second             // between two lines about checks that failed
 )
 
 // endpointUnreachable names an endpoint to which no connection could be opened.
@@ -30,6 +33,7 @@
 	endpoint  string
 	sentAt    time.Time
 	reachable bool
+	cause     error // of a check that failed
 }
 
 func (endpointUnreachable) message() {}
@@ -78,12 +82,13 @@
 // reachable, whether or not it answers in time.
 func (control *Control) checkLink(endpoint fleet.Endpoint, path string, now time.Time) linkChecked {
 	err := control.engineClient.CheckHealth(control.ctx, endpoint, path, linkCheckTimeout)
-	return linkChecked{endpoint: endpoint.ID, sentAt: now, reachable: !errors.IsAny(err, pool.ErrUnsent, platform.ErrEnded) || errors.Is(err, pool.ErrNoRoom)}
+	return linkChecked{endpoint: endpoint.ID, sentAt: now, reachable: !errors.IsAny(err, pool.ErrUnsent, platform.ErrEnded) || errors.Is(err, pool.ErrNoRoom), cause: err}
 }
 
 func (control *Control) handleLinkChecked(checked linkChecked, now time.Time) {
 	load := control.endpoints.load(checked.endpoint)
 	if !checked.reachable {
+		control.logUnreached(checked, now)
 		load.MarkUnreachable(now.Add(unreachableFor))
 		control.endpoints.failedAt[checked.endpoint] = checked.sentAt
 		return
@@ -91,3 +96,15 @@
 	load.MarkUnreachable(time.Time{})
 	delete(control.endpoints.linkChecks, checked.endpoint)
 }
+
+// logUnreached logs a check that failed, once a second.
+func (control *Control) logUnreached(checked linkChecked, now time.Time) {
+	endpoints := &control.endpoints
+	if now.Before(endpoints.nextLinkLogAt) {
+		endpoints.linkLogsLeftOut++
+		return
+	}
+	event.Log(control.log, event.EndpointUnreached, zap.String("endpoint", checked.endpoint), zap.String("from", "check"), zap.Duration("took", now.Sub(checked.sentAt)),
+		zap.Duration("due", linkCheckTimeout), zap.Duration("late-by", control.lateness.LateBy(checked.sentAt, now)), zap.String("error", checked.cause.Error()), zap.Int("count", endpoints.linkLogsLeftOut))
+	endpoints.linkLogsLeftOut, endpoints.nextLinkLogAt = 0, now.Add(linkLogInterval)
+}
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -242,6 +242,7 @@
 	}
 	if errors.Is(err, pool.ErrUnsent) {
 		if !unneeded && request.r.Context().Err() == nil {
+			request.logUnreached(attempt, err, now)
 			candidate.Load.MarkUnreachable(now.Add(request.server.policy.UnreachableBackoff))
 			if !candidate.IsPeer {
 				request.server.unreachable(candidate.ID)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -286,11 +286,15 @@
 	if !request.endpointsLeft() {
 		return reach.Reject{Reason: reach.ReasonNoEndpoint, RetryAt: time.Now().Add(request.server.routing.MinRetryDelay)}
 	}
-	decision := reach.Choose(request.server.routing, snapshot.Services[request.service], request.routingRequest(resumed))
-	if _, rejected := decision.(reach.Reject); rejected {
+	routed := request.routingRequest(resumed)
+	decision := reach.Choose(request.server.routing, snapshot.Services[request.service], routed)
+	if reject, rejected := decision.(reach.Reject); rejected {
 		if peer := request.choosePeer(snapshot, resumed); peer != nil {
 			return reach.Send{Candidate: peer}
 		}
+		if reject.Reason == reach.ReasonNoEndpoint {
+			request.logObstacles(snapshot, routed)
+		}
 	}
 	return decision
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -27,6 +27,7 @@
 	retryPolicy   retry.Policy
 	pool          *pool.Pool
 	snapshot      *atomic.Pointer[reach.Snapshot]
+	lateBy        func(since time.Time) time.Duration // see WithLateness
 	suspect       func(endpoint string)
 	unreachable   func(endpoint string)
 	confirm       func(ctx context.Context) time.Duration // see WithConfirm
@@ -54,6 +55,11 @@
 	answerTimes *answerTimes            // of requests that are no streams
 	ledger      *buffer.Ledger          // of the bytes held for others
 	endedClaims endedClaims
+
+	// Lines about evidence against endpoints.
+	unreachedLine rareLine
+	obstaclesLine rareLine
+
 	inFlight    atomic.Int64
 	hadRequests atomic.Bool
 	seconds     sync.Mutex // held while an endpoint for a second attempt is chosen
@@ -116,7 +122,7 @@
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
-		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, suspect: func(string) {}, unreachable: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
+		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, lateBy: func(time.Time) time.Duration { return 0 }, suspect: func(string) {}, unreachable: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
 		limitStated: func(StatedLimit) {}, peers: func() *reach.Peers { return nil }, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(TrialEnded) {}, soundParts: crash.NewSoundUses(crash.PartGeneration), soundRequests: crash.NewSoundUses(crash.RequestGeneration),
 		crashPolicy: crash.DefaultPolicy(), answers: crash.NewAnswers(crash.DefaultPolicy()),
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]attempts{},
