A node that was late doesn't take endpoints for unreachable

The endpoint got no requests for 1 to 1.5 s, was listed to the other nodes, and each later check ran out in the same way. Ruled out: the kernel, and the endpoints, which refused nothing.

Now a dial goes on by another 0.5 s while the node is late, three times at most (delay.Wait). One that the request ends before, on a late node, is no failure and marks nothing: the endpoint is checked. A check that runs out on a late node is repeated with twice the time, three times at most, and the endpoint is neither marked nor listed until one stands. Probes of endpoints that are unresponsive keep the longer time, so that a late node finds out that they answer. Refusals and resets count at once, as before.

Bounds for an endpoint that accepts nothing, calm and late all the time (tests): dial 0.5 s and 2 s; check 0.2 s and 3 s, or 2.8 s after a dial that was late. Limits are unchanged.

--- a/io/edge/cutoff.go
+++ b/io/edge/cutoff.go
@@ -52,7 +52,9 @@
 		}
 	}
 	for id := range endpoints.linkChecks {
-		view.Silent[id] = false
+		if !control.linkInDoubt(id, now) {
+			view.Silent[id] = false
+		}
 	}
 	if len(view.Silent) == 0 {
 		return view
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -66,6 +66,7 @@
 	control.setBudgets = pool.SetBudgets
 	pool.OnReset(control.ConnectionReset)
 	pool.OnGivenUp(logGivenUp(log, meter))
+	pool.OnLate(func(since time.Time) bool { return control.LateBy(since) > 0 })
 	pool.OnCopy(logCopy(log, meter))
 	return server
 }
--- a/io/edge/links.go
+++ b/io/edge/links.go
@@ -26,23 +26,27 @@
 // endpointUnreachable names an endpoint to which no connection could be opened.
 type endpointUnreachable struct {
 	endpoint string
+	late     bool // this node was late meanwhile, so that it may not have seen the connection open
 }
 
 // linkChecked is the outcome of a check of an unreachable endpoint.
 type linkChecked struct {
 	endpoint  string
 	sentAt    time.Time
+	timeout   time.Duration
 	reachable bool
+	timedOut  bool  // nothing has refused the connection
 	cause     error // of a check that failed
 }
 
 func (endpointUnreachable) message() {}
 func (linkChecked) message()         {}
 
-// Unreachable reports an endpoint to which no connection could be opened. It never blocks.
-func (control *Control) Unreachable(endpoint string) {
+// Unreachable reports an endpoint to which no connection could be opened, and whether this node was late
+// meanwhile. It never blocks.
+func (control *Control) Unreachable(endpoint string, late bool) {
 	select {
-	case control.messages <- endpointUnreachable{endpoint: endpoint}:
+	case control.messages <- endpointUnreachable{endpoint: endpoint, late: late}:
 	default: // the queue is full; the next request that fails there reports it again
 	}
 }
@@ -52,10 +56,18 @@
 	if _, known := control.endpoints.linkChecks[unreachable.endpoint]; known || !control.isPlain(unreachable.endpoint) {
 		return
 	}
+	if unreachable.late {
+		control.endpoints.lateProbes[unreachable.endpoint] = 1
+	}
 	control.endpoints.linkChecks[unreachable.endpoint] = now
 	control.checkLinks(now)
 }
 
+// linkInDoubt reports whether nothing but what this node was late to see speaks against an endpoint.
+func (control *Control) linkInDoubt(id string, now time.Time) bool {
+	return control.endpoints.lateProbes[id] > 0 && !control.endpoints.load(id).Unreachable(now)
+}
+
 // isPlain reports whether an endpoint is one of a service without an engine that can be
 // asked for its health.
 func (control *Control) isPlain(id string) bool {
@@ -71,40 +83,52 @@
 		switch {
 		case !found, !configured:
 			delete(control.endpoints.linkChecks, id)
+			delete(control.endpoints.lateProbes, id)
 		case !now.Before(dueAt):
-			control.endpoints.linkChecks[id] = now.Add(linkCheckInterval)
-			go func() { control.enqueue(control.checkLink(endpoint, service.HealthPath, now)) }()
+			timeout := linkCheckTimeout << control.endpoints.lateProbes[id]
+			control.endpoints.linkChecks[id] = now.Add(linkCheckInterval + timeout - linkCheckTimeout)
+			go func() { control.enqueue(control.checkLink(endpoint, service.HealthPath, timeout, now)) }()
 		}
 	}
 }
 
 // checkLink asks an endpoint for its health on a new connection. One that accepts it is
 // reachable, whether or not it answers in time.
-func (control *Control) checkLink(endpoint fleet.Endpoint, path string, now time.Time) linkChecked {
-	err := control.engineClient.CheckHealth(control.ctx, endpoint, path, linkCheckTimeout)
-	return linkChecked{endpoint: endpoint.ID, sentAt: now, reachable: !errors.IsAny(err, pool.ErrUnsent, platform.ErrEnded) || errors.Is(err, pool.ErrNoRoom), cause: err}
+func (control *Control) checkLink(endpoint fleet.Endpoint, path string, timeout time.Duration, now time.Time) linkChecked {
+	err := control.engineClient.CheckHealth(control.ctx, endpoint, path, timeout)
+	return linkChecked{
+		endpoint: endpoint.ID, sentAt: now, timeout: timeout, reachable: !errors.IsAny(err, pool.ErrUnsent, platform.ErrEnded) || errors.Is(err, pool.ErrNoRoom),
+		timedOut: errors.Is(err, pool.ErrNotOpen), cause: err,
+	}
 }
 
 func (control *Control) handleLinkChecked(checked linkChecked, now time.Time) {
-	load := control.endpoints.load(checked.endpoint)
-	if !checked.reachable {
-		control.logUnreached(checked, now)
-		load.MarkUnreachable(now.Add(unreachableFor))
-		control.endpoints.failedAt[checked.endpoint] = checked.sentAt
+	endpoints, load := &control.endpoints, control.endpoints.load(checked.endpoint)
+	if checked.reachable {
+		load.MarkUnreachable(time.Time{})
+		delete(endpoints.linkChecks, checked.endpoint)
+		delete(endpoints.lateProbes, checked.endpoint)
+		return
+	}
+	putOff := checked.timedOut && control.extendProbe(checked.endpoint, checked.sentAt, now) && !load.Unreachable(now)
+	control.logUnreached(checked, putOff, now)
+	if putOff {
+		endpoints.linkChecks[checked.endpoint] = now
+		control.checkLinks(now)
 		return
 	}
-	load.MarkUnreachable(time.Time{})
-	delete(control.endpoints.linkChecks, checked.endpoint)
+	load.MarkUnreachable(now.Add(unreachableFor + linkCheckTimeout<<endpoints.lateProbes[checked.endpoint] - linkCheckTimeout))
+	endpoints.failedAt[checked.endpoint] = checked.sentAt
 }
 
-// logUnreached logs a check that failed, once a second.
-func (control *Control) logUnreached(checked linkChecked, now time.Time) {
+// logUnreached logs a check that failed, and whether another one is to decide what that means, once a second.
+func (control *Control) logUnreached(checked linkChecked, putOff bool, now time.Time) {
 	endpoints := &control.endpoints
 	if now.Before(endpoints.nextLinkLogAt) {
 		endpoints.linkLogsLeftOut++
 		return
 	}
 	event.Log(control.log, event.EndpointUnreached, zap.String("endpoint", checked.endpoint), zap.String("from", "check"), zap.Duration("took", now.Sub(checked.sentAt)),
-		zap.Duration("due", linkCheckTimeout), zap.Duration("late-by", control.lateness.lateBy(checked.sentAt, now)), zap.String("error", checked.cause.Error()), zap.Int("count", endpoints.linkLogsLeftOut))
+		zap.Duration("due", checked.timeout), zap.Duration("late-by", control.lateness.lateBy(checked.sentAt, now)), zap.Bool("put-off", putOff), zap.String("error", checked.cause.Error()), zap.Int("count", endpoints.linkLogsLeftOut))
 	endpoints.linkLogsLeftOut, endpoints.nextLinkLogAt = 0, now.Add(linkLogInterval)
 }
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"hickorybend/core/delay"
 	"hickorybend/core/fleet"
 	"hickorybend/io/event"
 	"hickorybend/io/pool"
@@ -15,7 +16,7 @@
 const (
 	probeTimeout             = 200 * time.Millisecond // for an endpoint's report, which takes up no request slot
 	probeAttempts            = 2
-	maxLateProbes            = 3                       // in a row, each with twice the time of the one before
+	maxLateProbes            = delay.MaxExtensions     // in a row, each with twice the time of the one before
 	probeInterval            = 350 * time.Millisecond  // minimum time between two probes of one endpoint
 	unwatchedProbeInterval   = time.Second             // the same for an endpoint that another node watches
 	reprobeInterval          = time.Second             // between two probes of an unresponsive endpoint
@@ -107,7 +108,9 @@
 		}
 		return
 	}
-	if !wasUnresponsive && control.repeatLateProbe(result, now) {
+	if control.extendProbe(result.id, result.sentAt, now) && !wasUnresponsive {
+		delete(endpoints.probedAt, result.id)
+		control.probe(result.id, now)
 		return
 	}
 	endpoints.failedAt[result.id] = result.sentAt
@@ -131,18 +134,16 @@
 	}
 }
 
-// repeatLateProbe probes an endpoint again, with more time, if it did not answer while this
-// node itself was late: the answer may have arrived, and waited here to be read. It
+// extendProbe gives the next probe or check of an endpoint more time, if the last one was not answered
+// while this node itself was late: the answer may have arrived, and waited here to be read. It
 // returns false if the missing answer stands.
-func (control *Control) repeatLateProbe(result probeResult, now time.Time) bool {
+func (control *Control) extendProbe(id string, sentAt, now time.Time) bool {
 	endpoints := &control.endpoints
-	if endpoints.lateProbes[result.id] >= maxLateProbes || !control.lateness.lateSince(result.sentAt, now) {
-		delete(endpoints.lateProbes, result.id)
+	if endpoints.lateProbes[id] >= maxLateProbes || !control.lateness.lateSince(sentAt, now) {
+		delete(endpoints.lateProbes, id)
 		return false
 	}
-	endpoints.lateProbes[result.id]++
-	delete(endpoints.probedAt, result.id)
-	control.probe(result.id, now)
+	endpoints.lateProbes[id]++
 	return true
 }
 
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for id := range endpoints.linkChecks {
-		if control.cutoff.Ask(id, now) {
+		if control.cutoff.Ask(id, now) && !control.linkInDoubt(id, now) {
 			unresponsive = append(unresponsive, id)
 		}
 	}
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -227,8 +227,11 @@
 	}
 	candidate, now := attempt.candidate, time.Now()
 	unneeded := errors.Is(context.Cause(attempt.ctx), errNotNeeded)
+	late := request.lateToSee(attempt, err)
 	if request.r.Context().Err() == nil && !unneeded {
-		candidate.Load.RecordResult(now, true, now.Sub(attempt.sentAt))
+		if !late {
+			candidate.Load.RecordResult(now, true, now.Sub(attempt.sentAt))
+		}
 		if !candidate.IsPeer {
 			request.server.suspect(candidate.ID)
 		}
@@ -242,10 +245,12 @@
 	}
 	if errors.Is(err, pool.ErrUnsent) {
 		if !unneeded && request.r.Context().Err() == nil {
-			request.logUnreached(attempt, err, now)
-			candidate.Load.MarkUnreachable(now.Add(request.server.policy.UnreachableBackoff))
+			request.logUnreached(attempt, err, late, now)
+			if !late {
+				candidate.Load.MarkUnreachable(now.Add(request.server.policy.UnreachableBackoff))
+			}
 			if !candidate.IsPeer {
-				request.server.unreachable(candidate.ID)
+				request.server.unreachable(candidate.ID, late)
 			}
 		}
 		return unsent{cause: err}
--- a/io/entry/lateness.go
+++ b/io/entry/lateness.go
@@ -4,10 +4,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"hickorybend/core/reach"
 	"hickorybend/io/event"
+	"hickorybend/io/pool"
 )
 
 const (
@@ -21,6 +23,12 @@
 	return func(server *Server) { server.lateBy = lateBy }
 }
 
+// lateToSee reports whether a connection may have failed to open in time only because this node was late.
+// The endpoint is checked then before anything is concluded; another node is not.
+func (request *request) lateToSee(attempt *attempt, err error) bool {
+	return !attempt.candidate.IsPeer && errors.Is(err, pool.ErrNotOpen) && request.server.lateBy(attempt.sentAt) > 0
+}
+
 // rareLine is a kind of log line that is written from time to time.
 type rareLine struct {
 	mutex     sync.Mutex
@@ -40,15 +48,16 @@
 	return leftOut, true
 }
 
-// logUnreached logs that no connection to the endpoint of an attempt could be opened.
-func (request *request) logUnreached(attempt *attempt, err error, now time.Time) {
+// logUnreached logs that no connection to the endpoint of an attempt could be opened, and whether a check
+// is to decide what that means.
+func (request *request) logUnreached(attempt *attempt, err error, putOff bool, now time.Time) {
 	server := request.server
 	leftOut, due := server.unreachedLine.due(now)
 	if !due {
 		return
 	}
 	event.Log(server.log, event.EndpointUnreached, zap.String("endpoint", attempt.candidate.ID), zap.String("from", "request"), zap.String("request", request.header.RequestID),
-		zap.Duration("took", now.Sub(attempt.sentAt)), zap.Duration("left", request.deadline.Sub(now)), zap.Duration("late-by", server.lateBy(attempt.sentAt)), zap.String("error", err.Error()), zap.Int("count", leftOut))
+		zap.Duration("took", now.Sub(attempt.sentAt)), zap.Duration("left", request.deadline.Sub(now)), zap.Duration("late-by", server.lateBy(attempt.sentAt)), zap.Bool("put-off", putOff), zap.String("error", err.Error()), zap.Int("count", leftOut))
 }
 
 // logObstacles logs what is held against the endpoints, none of which takes the request.
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -29,7 +29,7 @@
 	snapshot      *atomic.Pointer[reach.Snapshot]
 	lateBy        func(since time.Time) time.Duration // see WithLateness
 	suspect       func(endpoint string)
-	unreachable   func(endpoint string)
+	unreachable   func(endpoint string, late bool)
 	confirm       func(ctx context.Context) time.Duration // see WithConfirm
 	leaving       func(endpoint string, startedAt time.Time)
 	attemptBroken func(AttemptBroken)
@@ -97,8 +97,8 @@
 }
 
 // WithUnreachable sets the function that is called with the ID of an endpoint to which no
-// connection could be opened.
-func WithUnreachable(unreachable func(endpoint string)) Option {
+// connection could be opened, and whether that may be because this node was late.
+func WithUnreachable(unreachable func(endpoint string, late bool)) Option {
 	return func(server *Server) { server.unreachable = unreachable }
 }
 
@@ -122,7 +122,7 @@
 func New(pool *pool.Pool, snapshot *atomic.Pointer[reach.Snapshot], options ...Option) *Server {
 	server := &Server{
 		policy: DefaultPolicy(), routing: reach.DefaultPolicy(), pool: pool, snapshot: snapshot,
-		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, lateBy: func(time.Time) time.Duration { return 0 }, suspect: func(string) {}, unreachable: func(string) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
+		retryPolicy: retry.Policy{Ratio: 0.1, Extra: 50, Window: 10 * time.Second, UsableShare: 0.8}, lateBy: func(time.Time) time.Duration { return 0 }, suspect: func(string) {}, unreachable: func(string, bool) {}, leaving: func(string, time.Time) {}, confirm: func(context.Context) time.Duration { return 0 },
 		limitStated: func(StatedLimit) {}, peers: func() *reach.Peers { return nil }, requests: map[string]int64{}, attemptBroken: func(AttemptBroken) {}, trialEnded: func(TrialEnded) {}, soundParts: crash.NewSoundUses(crash.PartGeneration), soundRequests: crash.NewSoundUses(crash.RequestGeneration),
 		crashPolicy: crash.DefaultPolicy(), answers: crash.NewAnswers(crash.DefaultPolicy()),
 		log: zap.NewNop(), meter: meter.New(), budgets: map[string]*retry.Budget{}, attempts: map[string]attempts{},
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -53,6 +53,7 @@
 	onReset   func(Reset)
 	onGivenUp func(GivenUp)
 	onCopy    func(LateCopy)
+	late      func(since time.Time) bool
 	answerIDs func(http.Header) []string
 	dial      Dial
 	dials     int64
@@ -138,7 +139,7 @@
 	dialer := &net.Dialer{Control: TCPUserTimeout(unackedDataTimeout)}
 	pool := &Pool{
 		endpoints: map[string]*endpoint{}, counts: map[string]*Counts{}, onReset: func(Reset) {}, onGivenUp: func(GivenUp) {},
-		onCopy: func(LateCopy) {}, answerIDs: func(http.Header) []string { return nil }, dial: dialer.DialContext,
+		onCopy: func(LateCopy) {}, late: func(time.Time) bool { return false }, answerIDs: func(http.Header) []string { return nil }, dial: dialer.DialContext,
 	}
 	for _, option := range options {
 		option(pool)
@@ -417,9 +418,7 @@
 		pool.release(address, request.Own, false, func(endpoint *endpoint) { pool.retire(endpoint, idle) })
 	}
 	startedAt := time.Now()
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := pool.dial(dialCtx, "tcp", address)
+	conn, err := pool.open(ctx, address)
 	if err != nil {
 		pool.releaseFailed(address, request.Own, err)
 		return nil, false, err
