A request whose time ends while it waits for room shows no unreachable endpoint

A request or a check of this node whose context ended while it waited for a connection's place counted as one to which the endpoint had opened no connection: the endpoint got no requests for 1 to 1.5 s, though nothing had been dialed. On a late node that is likely for checks, whose 0.2 s and the 0.15 s for a place run out together.

It counts as "no room" now, as when the wait itself runs out. The test fails before.

--- a/io/pool/budget.go
+++ b/io/pool/budget.go
@@ -193,7 +193,7 @@
 	select {
 	case <-changed:
 	case <-ctx.Done():
-		err = errors.Wrap(context.Cause(ctx), "pool: waiting for room")
+		err = errors.Mark(errors.Wrap(context.Cause(ctx), "pool: waiting for room"), ErrNoRoom) // nothing was dialed
 	case <-timeout:
 		err = ErrNoRoom
 	}
--- a/io/pool/budget_test.go
+++ b/io/pool/budget_test.go
@@ -272,3 +272,18 @@
 		})
 	}
 }
+
+// TestWaitForRoomShowsEndpointUnreachable guards against a request whose time ends while it waits for a place, and
+// that counts as one to which the endpoint opened no connection.
+func TestWaitForRoomShowsEndpointUnreachable(t *testing.T) {
+	endpoint := newCountingEndpoint(t, 300*time.Millisecond)
+	connections := newLimitedPool(endpoint.address, pool.Budget{Requests: 1, Own: 1})
+	first := make(chan error, 1)
+	go func() { first <- exchange(connections, endpoint.address, "/", time.Minute, false, true) }()
+	for opened := 0; opened == 0; time.Sleep(time.Millisecond) {
+		_, _, opened = endpoint.counts()
+	}
+	err := exchange(connections, endpoint.address, "/", 50*time.Millisecond, false, true) // less than the longest wait for a place
+	assert.Assert(t, errors.Is(err, pool.ErrNoRoom) && errors.Is(err, pool.ErrUnsent), "%v", err)
+	assert.NilError(t, <-first)
+}
