A late holder keeps the lease where all nodes are late

Cause: a holder that has been late for two seconds released the lease without asking whether another node could do better. Digests now say whether a node has been late in the last second, sums whether all of theirs have. A holder keeps the lease if it has heard of others within 3 s and all of them are late. One that hears of nobody, or of a node on time (or of an earlier build), releases it as before. The new row of the table fails before.

--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -284,6 +284,7 @@
 	if control.cutoff.CutOff() {
 		digest.CutOff = []string{control.settings.Node}
 	}
+	digest.Late = control.lateness.ticks.LateFor(time.Now()) > 0
 	digest.Gone = control.peers.members.Gone()
 	digest.GoneSum = gossip.SumOf(digest.Gone)
 	digest.Leaving = control.endpoints.leavingList()
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -289,9 +289,9 @@
 
 // releaseIfUnfit releases the lease if this node has been late again and again, since a
 // holder that lags plans from what was true a while ago, or if it is cut off from the
-// endpoints. Where there are few nodes, they are as slow as this one.
+// endpoints. Where there are few nodes, or all that it hears are late, they are as slow as this one.
 func (control *Control) releaseIfUnfit(now time.Time) {
-	late := !control.peers.role.Mesh && control.lateness.ticks.LateFor(now) >= maxLateness
+	late := !control.peers.role.Mesh && control.lateness.ticks.LateFor(now) >= maxLateness && !control.othersLate(now)
 	switch {
 	case control.placement.claimPending:
 	case late:
@@ -301,6 +301,22 @@
 	}
 }
 
+// othersLate reports whether this node has heard of late from other nodes, and all of them say that they
+// are late. A node that is late itself may not have handled their latest digests.
+func (control *Control) othersLate(now time.Time) bool {
+	heard := false
+	for _, peer := range control.peers.nodes {
+		if now.Sub(peer.digestReceivedAt) >= digestTTL+maxLateness {
+			continue
+		}
+		if !peer.digest.Late {
+			return false
+		}
+		heard = true
+	}
+	return heard
+}
+
 // releaseLease releases the lease if this node holds it, for a reason, and does not acquire
 // it again before a time.
 func (control *Control) releaseLease(reason string, nextClaimAt, now time.Time) {
--- a/io/edge/watch_test.go
+++ b/io/edge/watch_test.go
@@ -178,13 +178,26 @@
 		name    string
 		between time.Duration // two runs of the periodic work
 		mesh    bool
+		late    []string // other nodes that are late as well
+		deaf    bool     // no other node is heard
 		held    bool
-	}{{"on time", tickInterval, false, true}, {"late", 3 * tickInterval, false, false}, {"late in a mesh", 3 * tickInterval, true, true}} {
+	}{
+		{"on time", tickInterval, false, nil, false, true},
+		{"late", 3 * tickInterval, false, nil, false, false},
+		{"late, and hears nobody", 3 * tickInterval, false, nil, true, false},
+		{"late in a mesh", 3 * tickInterval, true, nil, false, true},
+		{"late beside nodes on time", 3 * tickInterval, false, []string{"leader-b"}, false, false},
+		{"late as all others", 3 * tickInterval, false, []string{"leader-a", "leader-b", "node-1", "node-2", "node-3"}, false, true},
+		{"on time beside late nodes", tickInterval, false, []string{"leader-a", "leader-b", "node-1", "node-2", "node-3"}, false, true},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			control := newZoneNode(true, 1, now)
 			control.store = platform.NewStore("127.0.0.1:1")
 			control.peers.role.Mesh = test.mesh
+			for _, name := range test.late {
+				control.peers.nodes[name].digest.Late = true
+			}
 			placement := &control.placement
 			assert.NilError(t, placement.claim.Observe(placement.row, placement.fencingRow, now))
 			acquire := placement.claim.Next(now.Add(time.Second), 0, "write-1")
@@ -192,6 +205,11 @@
 				control.lateness.ticks.Tick(now.Add(elapsed))
 			}
 			now = now.Add(3 * time.Second)
+			for _, peer := range control.peers.nodes {
+				if !test.deaf {
+					peer.digestReceivedAt = now
+				}
+			}
 			placement.claim.Next(now, 0, "write-2")
 			control.handleLeaseResult(leaseResult{action: acquire, outcome: rows.Committed{}}, now)
 			control.releaseIfUnfit(now)
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -72,6 +72,7 @@
 		}
 	}
 	Raise(digest.Usable, other.Usable)
+	digest.Late = digest.Late && other.Late
 	digest.Crashes.add(other.Crashes)
 	digest.Limits = addLimits(digest.Limits, other.Limits)
 	digest.HadRequests = digest.HadRequests || other.HadRequests
