A late node finds out at once that an endpoint has ended

An endpoint whose host refuses or ends the connection has answered that question; only silence may be the node's own. Since a node now notices more often that it is late, its crashes would be found later. The new row of the test (1 probe, not 4) fails before.

--- a/io/edge/message.go
+++ b/io/edge/message.go
@@ -62,6 +62,7 @@
 	id        string
 	alive     bool // the endpoint answered
 	connected bool // it did not, but accepted a connection
+	refused   bool // it has refused or ended the connection
 	report    fleet.Endpoint
 	sentAt    time.Time
 }
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"io"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,6 +81,7 @@
 			result.alive, result.report = true, report
 			return result
 		}
+		result.refused = errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF)
 		result.connected = errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, pool.ErrUnsent)
 		if control.ctx.Err() != nil {
 			break
@@ -108,7 +111,7 @@
 		}
 		return
 	}
-	if control.extendProbe(result.id, result.sentAt, now) && !wasUnresponsive {
+	if !result.refused && control.extendProbe(result.id, result.sentAt, now) && !wasUnresponsive {
 		delete(endpoints.probedAt, result.id)
 		control.probe(result.id, now)
 		return
--- a/io/edge/watch_test.go
+++ b/io/edge/watch_test.go
@@ -136,8 +136,13 @@
 	for _, test := range []struct {
 		name    string
 		between time.Duration // two runs of the periodic work
+		refused bool          // the endpoint's host refuses the probes
 		probes  int           // that fail until the endpoint counts as unresponsive
-	}{{"on time", tickInterval, 1}, {"five times slower", 5 * tickInterval, 1 + maxLateProbes}} {
+	}{
+		{"on time", tickInterval, false, 1},
+		{"five times slower", 5 * tickInterval, false, 1 + maxLateProbes},
+		{"five times slower, and the endpoint has ended", 5 * tickInterval, true, 1},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			control := newZoneNode(true, 760/2, now)
@@ -147,7 +152,7 @@
 				sentAt := now
 				now = now.Add(test.between)
 				control.lateness.ticks.Tick(now)
-				control.handleProbeResult(probeResult{id: "a-000", sentAt: sentAt}, now)
+				control.handleProbeResult(probeResult{id: "a-000", sentAt: sentAt, refused: test.refused}, now)
 				failed++
 				assert.Assert(t, failed <= 10)
 			}
