--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -54,7 +54,7 @@
 
 func newServer(settings Settings, control *Control, pool *pool.Pool, log *zap.Logger, meter *meter.Meter) *entry.Server {
 	server := entry.New(pool, control.Snapshot(),
-		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded), entry.WithLimits(control.LimitStated), entry.WithUnreachable(control.Unreachable),
+		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded), entry.WithLimits(control.LimitStated), entry.WithUnreachable(control.Unreachable), entry.WithLateness(control.LateBy),
 		entry.WithMemory(int64(settings.MemoryMB)<<20),
 		entry.WithPeers(control.Peers, settings.Node, settings.PeerKey),
 		entry.WithRetryBudget(retry.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, UsableShare: usableBudgetShare}))
@@ -66,6 +66,7 @@
 	control.setBudgets = pool.SetBudgets
 	pool.OnReset(control.ConnectionReset)
 	pool.OnGivenUp(logGivenUp(log, meter))
+	pool.OnLate(func(since time.Time) bool { return control.LateBy(since) > 0 })
 	pool.OnCopy(logCopy(log, meter))
 	return server
 }
@@ -110,6 +111,10 @@
 					return err
 				}
 			}
+			if err := params.Control.lateness.startPulse(ctx); err != nil {
+				cancel()
+				return err
+			}
 			go params.Control.Run(ctx)
 			go sweepConnections(ctx, params)
 			go recheckSettings(ctx, params)
--- a/io/edge/watch_test.go
+++ b/io/edge/watch_test.go
@@ -136,18 +136,23 @@
 	for _, test := range []struct {
 		name    string
 		between time.Duration // two runs of the periodic work
+		refused bool          // the endpoint's host refuses the probes
 		probes  int           // that fail until the endpoint counts as unresponsive
-	}{{"on time", tickInterval, 1}, {"five times slower", 5 * tickInterval, 1 + maxLateProbes}} {
+	}{
+		{"on time", tickInterval, false, 1},
+		{"five times slower", 5 * tickInterval, false, 1 + maxLateProbes},
+		{"five times slower, and the endpoint has ended", 5 * tickInterval, true, 1},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			control := newZoneNode(true, 760/2, now)
 			failed := 0
 			for !control.endpoints.isUnresponsive("a-000") {
-				control.lateness.Tick(now)
+				control.lateness.ticks.Tick(now)
 				sentAt := now
 				now = now.Add(test.between)
-				control.lateness.Tick(now)
-				control.handleProbeResult(probeResult{id: "a-000", sentAt: sentAt}, now)
+				control.lateness.ticks.Tick(now)
+				control.handleProbeResult(probeResult{id: "a-000", sentAt: sentAt, refused: test.refused}, now)
 				failed++
 				assert.Assert(t, failed <= 10)
 			}
@@ -178,20 +183,38 @@
 		name    string
 		between time.Duration // two runs of the periodic work
 		mesh    bool
+		late    []string // other nodes that are late as well
+		deaf    bool     // no other node is heard
 		held    bool
-	}{{"on time", tickInterval, false, true}, {"late", 3 * tickInterval, false, false}, {"late in a mesh", 3 * tickInterval, true, true}} {
+	}{
+		{"on time", tickInterval, false, nil, false, true},
+		{"late", 3 * tickInterval, false, nil, false, false},
+		{"late, and hears nobody", 3 * tickInterval, false, nil, true, false},
+		{"late in a mesh", 3 * tickInterval, true, nil, false, true},
+		{"late beside nodes on time", 3 * tickInterval, false, []string{"leader-b"}, false, false},
+		{"late as all others", 3 * tickInterval, false, []string{"leader-a", "leader-b", "node-1", "node-2", "node-3"}, false, true},
+		{"on time beside late nodes", tickInterval, false, []string{"leader-a", "leader-b", "node-1", "node-2", "node-3"}, false, true},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Now()
 			control := newZoneNode(true, 1, now)
 			control.store = platform.NewStore("127.0.0.1:1")
 			control.peers.role.Mesh = test.mesh
+			for _, name := range test.late {
+				control.peers.nodes[name].digest.Late = true
+			}
 			placement := &control.placement
 			assert.NilError(t, placement.claim.Observe(placement.row, placement.fencingRow, now))
 			acquire := placement.claim.Next(now.Add(time.Second), 0, "write-1")
 			for elapsed := time.Duration(0); elapsed < 3*time.Second; elapsed += test.between {
-				control.lateness.Tick(now.Add(elapsed))
+				control.lateness.ticks.Tick(now.Add(elapsed))
 			}
 			now = now.Add(3 * time.Second)
+			for _, peer := range control.peers.nodes {
+				if !test.deaf {
+					peer.digestReceivedAt = now
+				}
+			}
 			placement.claim.Next(now, 0, "write-2")
 			control.handleLeaseResult(leaseResult{action: acquire, outcome: rows.Committed{}}, now)
 			control.releaseIfUnfit(now)
--- a/io/entry/buffered.go
+++ b/io/entry/buffered.go
@@ -107,7 +107,7 @@
 		limit = maxUnsignedBytes
 	}
 	held := request.holdAnswer(attempt, responseheader.Receipt)
-	body, err := held.read(exchange.Response.Body, limit)
+	body, err := held.read(exchange.Response.Body, limit, exchange.Response.ContentLength)
 	if err != nil {
 		held.release()
 		exchange.Close()
@@ -230,8 +230,11 @@
 	}
 	candidate, now := attempt.candidate, time.Now()
 	unneeded := errors.Is(context.Cause(attempt.ctx), errNotNeeded)
+	late := request.lateToSee(attempt, err)
 	if request.r.Context().Err() == nil && !unneeded {
-		candidate.Load.RecordResult(now, true, now.Sub(attempt.sentAt))
+		if !late {
+			candidate.Load.RecordResult(now, true, now.Sub(attempt.sentAt))
+		}
 		if !candidate.IsPeer {
 			request.server.suspect(candidate.ID)
 		}
@@ -245,9 +248,12 @@
 	}
 	if errors.Is(err, pool.ErrUnsent) {
 		if !unneeded && request.r.Context().Err() == nil {
-			candidate.Load.MarkUnreachable(now.Add(request.server.policy.UnreachableBackoff))
+			request.logUnreached(attempt, err, late, now)
+			if !late {
+				candidate.Load.MarkUnreachable(now.Add(request.server.policy.UnreachableBackoff))
+			}
 			if !candidate.IsPeer {
-				request.server.unreachable(candidate.ID)
+				request.server.unreachable(candidate.ID, late)
 			}
 		}
 		return unsent{cause: err}
