--- a/scripts/soak-breaks.sh
+++ b/scripts/soak-breaks.sh
@@ -35,6 +35,7 @@
 		return true
 	}' "at most once"
 break_one "not run reported for a request that may have run" io/entry/response.go 'case !request.mayHaveRun:' 'case true:' "not run means not run"
+break_one "a connection that carries an ID twice" io/pool/budget.go '!idle.history.contains(request.ID)' 'true' "not run means not run"
 break_one "members freed before their first host has left" core/fleet/adopt.go 'pass.send(firstHost.ID, Leave{Replica: replica.name, Epoch: replica.epoch})' 'pass.planner.release(replica)' "one replica a host"
 break_one "a replica opened before every member is ready" core/fleet/form.go 'if phase := pass.known[id].Membership.Phase; phase != PhaseReady && phase != PhaseOpen {' 'if phase := pass.known[id].Membership.Phase; phase == PhaseBroken {' "whole replicas"
 break_one "a broken stream that looks complete" io/entry/stream.go 'panic(http.ErrAbortHandler)' 'return' "whole answers"
