--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -236,5 +236,13 @@
 		return responseheader' ./io/entry TestHeadersOfAnotherAnswerApply
 break_one "a node that answers for the one that had its address" io/edge/peers.go 'if reply.Node != name {' 'if false {' ./io/edge TestNodeAtFormerAddressAnswersForAnother
 
+# The search for orders of events that break a property finds these without a test of the order.
+life=TestOneRequestsLife
+break_one "a connection that carries an ID twice" io/pool/budget.go '!idle.history.contains(id)' 'true' ./io/entry $life
+break_one "every answer taken for the request's own" io/entry/buffered.go 'return request.header.RequestID == "" || responseheader.RequestID == request.header.RequestID' 'return true' ./io/entry $life
+break_one "a rejection believed whatever contradicts it" platform/headers.go 'responseheader.NotExecuted = responseheader.agreesNotRun(response)' 'responseheader.NotExecuted = true' ./io/entry $life
+break_one "any interim answer taken for the final one" io/pool/pool.go 'case response.StatusCode < http.StatusOK:' 'case false:' ./io/entry $life
+break_one "a request sent again after an incomplete answer" io/entry/handover.go '		request.mayHaveRun = true' '' ./io/entry $life
+
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
