--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -238,11 +238,15 @@
 
 # The search for orders of events that break a property finds these without a test of the order.
 life=TestOneRequestsLife
-break_one "a connection that carries an ID twice" io/pool/budget.go '!idle.history.contains(id)' 'true' ./io/entry $life
+break_one "a connection that carries an ID twice" io/pool/budget.go '!idle.history.contains(request.ID)' 'true' ./io/entry $life
+break_one "the copy of an answer to HEAD read with a body" io/pool/budget.go ' && idle.headOnly == request.isHead()' '' ./io/entry $life
 break_one "every answer taken for the request's own" io/entry/buffered.go 'return request.header.RequestID == "" || responseheader.RequestID == request.header.RequestID' 'return true' ./io/entry $life
 break_one "a rejection believed whatever contradicts it" platform/headers.go 'responseheader.NotExecuted = responseheader.agreesNotRun(response)' 'responseheader.NotExecuted = true' ./io/entry $life
 break_one "any interim answer taken for the final one" io/pool/pool.go 'case response.StatusCode < http.StatusOK:' 'case false:' ./io/entry $life
 break_one "a request sent again after an incomplete answer" io/entry/handover.go '		request.mayHaveRun = true' '' ./io/entry $life
+break_one "a resumed stream that begins anew" platform/headers.go 'if forwardheader.LastEventID != "" {' 'if false {' ./io/entry $life
+break_one "requests that a stopping node does not end" io/entry/request.go 'defer context.AfterFunc(request.server.stopping, cancel)()' '' ./io/entry $life
+break_one "a second attempt whose outcome is not recorded" io/entry/handover.go 'handover.request.recordOutcome(second, second.result)' '' ./io/entry $life
 
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
