--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -148,7 +148,7 @@
 break_one "two requests without an id on one connection" io/pool/pool.go 'request.ID = noID' '_ = noID' ./platform TestCopyPassesForReport
 break_one "a copy without an id taken for the answer" io/pool/pool.go 'case connection.history.contains(answerID):' 'case answerID != noID && connection.history.contains(answerID):' ./platform TestAnswerBehindCopyOfOwnIsLost
 break_one "an answer with an id taken for that to a request without one" io/pool/pool.go 'case request.ID == noID:' 'case false:' ./io/pool TestAnswerWithIDPassesForOneWithout
-break_one "an interim answer taken for the final one" io/pool/pool.go 'response.StatusCode >= http.StatusOK:' 'response.StatusCode != http.StatusContinue:' ./platform/fakes TestInterimAnswerPassesForRejection
+break_one "an interim answer taken for the final one" io/pool/pool.go 'case response.StatusCode < http.StatusOK:' 'case response.StatusCode == http.StatusContinue:' ./platform/fakes TestInterimAnswerPassesForRejection
 break_one "a contradicted rejection believed" platform/headers.go 'responseheader.NotExecuted = responseheader.agreesNotRun(response)' 'responseheader.NotExecuted = true' ./platform/fakes TestContradictionPassesForRejection
 break_one "a rejection with an answer behind it believed" io/entry/buffered.go '(candidate.IsPeer || exchange.HasUnread())' 'candidate.IsPeer' ./platform/fakes TestContradictionPassesForRejection
 break_one "an answer with two request ids believed" platform/headers.go '> 1 {' '> 100 {' ./platform/fakes TestContradictionPassesForRejection
@@ -236,5 +236,17 @@
 		return responseheader' ./io/entry TestHeadersOfAnotherAnswerApply
 break_one "a node that answers for the one that had its address" io/edge/peers.go 'if reply.Node != name {' 'if false {' ./io/edge TestNodeAtFormerAddressAnswersForAnother
 
+# The search for orders of events that break a property finds these without a test of the order.
+life=TestOneRequestsLife
+break_one "a connection that carries an ID twice" io/pool/budget.go '!idle.history.contains(request.ID)' 'true' ./io/entry $life
+break_one "the copy of an answer to HEAD read with a body" io/pool/budget.go ' && idle.headOnly == request.isHead()' '' ./io/entry $life
+break_one "every answer taken for the request's own" io/entry/buffered.go 'return request.header.RequestID == "" || responseheader.RequestID == request.header.RequestID' 'return true' ./io/entry $life
+break_one "a rejection believed whatever contradicts it" platform/headers.go 'responseheader.NotExecuted = responseheader.agreesNotRun(response)' 'responseheader.NotExecuted = true' ./io/entry $life
+break_one "any interim answer taken for the final one" io/pool/pool.go 'case response.StatusCode < http.StatusOK:' 'case false:' ./io/entry $life
+break_one "a request sent again after an incomplete answer" io/entry/handover.go '		request.mayHaveRun = true' '' ./io/entry $life
+break_one "a resumed stream that begins anew" platform/headers.go 'if forwardheader.LastEventID != "" {' 'if false {' ./io/entry $life
+break_one "requests that a stopping node does not end" io/entry/request.go 'defer context.AfterFunc(request.server.stopping, cancel)()' '' ./io/entry $life
+break_one "a second attempt whose outcome is not recorded" io/entry/handover.go 'handover.request.recordOutcome(second, second.result)' '' ./io/entry $life
+
 [ "$missed" -eq 0 ] && echo "every break was noticed"
 exit "$missed"
