--- a/io/entry/foreignheader_test.go
+++ b/io/entry/foreignheader_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"hickorybend/core/reach"
+	"hickorybend/platform/fakes"
 )
 
 // TestHeadersOfAnotherAnswerApply guards against an endpoint that gets no requests, or more than its
@@ -19,10 +20,10 @@
 		headers string
 		applies bool
 	}{
-		{"of this request", "X-Hickorybend-Attempt-Id: mine\r\nX-Hickorybend-Not-Executed: 1\r\n", true},
-		{"of another request", "X-Hickorybend-Attempt-Id: another\r\nX-Hickorybend-Not-Executed: 1\r\n", false},
+		{"of this request", fakes.IDLine("mine") + fakes.NotExecutedLine, true},
+		{"of another request", fakes.IDLine("another") + fakes.NotExecutedLine, false},
 		{"that names no request, as one that rejects before it has read one", "", true},
-		{"of two requests", "X-Hickorybend-Attempt-Id: mine\r\nX-Hickorybend-Attempt-Id: another\r\n", false},
+		{"of two requests", fakes.IDLine("mine") + fakes.IDLine("another"), false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			load := &reach.Load{}
--- a/io/entry/lateness_test.go
+++ b/io/entry/lateness_test.go
@@ -14,6 +14,7 @@
 	"hickorybend/core/site"
 	"hickorybend/io/pool"
 	"hickorybend/platform"
+	"hickorybend/platform/fakes"
 )
 
 // reported is what a server reports of an endpoint.
@@ -28,7 +29,7 @@
 // which has accepted the connection, because the node itself was too late to see that.
 func TestLateNodeBlamesEndpointForSlowDial(t *testing.T) {
 	const seenAfter = 650 * time.Millisecond // longer than a connection may take to open
-	text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Hickorybend-Attempt-Id: mine\r\nX-Hickorybend-Response-Signature: r\r\n\r\nok"
+	text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + fakes.IDLine("mine") + fakes.ReceiptLine + "\r\nok"
 	for _, test := range []struct {
 		name     string
 		timeLeft time.Duration
--- a/io/entry/outcome_test.go
+++ b/io/entry/outcome_test.go
@@ -13,6 +13,7 @@
 	"hickorybend/core/site"
 	"hickorybend/io/pool"
 	"hickorybend/platform"
+	"hickorybend/platform/fakes"
 )
 
 // answerWith listens at an address, answers the first request with a text, and closes the
@@ -67,13 +68,13 @@
 		isPeer bool
 		notRun bool
 	}{
-		{"of this request", rejected + "X-Hickorybend-Attempt-Id: mine\r\n\r\n", true, true},
-		{"of another request", rejected + "X-Hickorybend-Attempt-Id: another\r\n\r\n", true, false},
+		{"of this request", rejected + fakes.IDLine("mine") + "\r\n", true, true},
+		{"of another request", rejected + fakes.IDLine("another") + "\r\n", true, false},
 		{"of no request", rejected + "\r\n", true, false},
-		{"it may have run", head + "Hickorybend-Peer-Outcome: failed\r\nX-Hickorybend-Attempt-Id: mine\r\n\r\n", true, false},
-		{"an endpoint's", rejected + "X-Hickorybend-Attempt-Id: mine\r\n\r\n", false, false},
+		{"it may have run", head + "Hickorybend-Peer-Outcome: failed\r\n" + fakes.IDLine("mine") + "\r\n", true, false},
+		{"an endpoint's", rejected + fakes.IDLine("mine") + "\r\n", false, false},
 		{"an endpoint's without id", rejected + "\r\n", false, false},
-		{"an endpoint's rejection", rejected + "X-Hickorybend-Attempt-Id: mine\r\nX-Hickorybend-Not-Executed: 1\r\n\r\n", false, true},
+		{"an endpoint's rejection", rejected + fakes.IDLine("mine") + fakes.NotExecutedLine + "\r\n", false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			outcome := exchangeOnce(t, test.text, test.isPeer)
--- a/io/entry/worldevent_test.go
+++ b/io/entry/worldevent_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hickorybend/core/site"
+	"hickorybend/platform/fakes"
 )
 
 // worldEvent is something that can happen in a world.
@@ -166,23 +167,21 @@
 }
 
 const (
-	receiptLine     = "X-Hickorybend-Response-Signature: s\r\n"
-	notExecutedLine = "X-Hickorybend-Not-Executed: 1\r\n"
-	lastChunk       = "0\r\n\r\n"
-	unknownID       = "r0"
+	lastChunk = "0\r\n\r\n"
+	unknownID = "r0"
 )
 
 func bodyFor(id string) string { return "answer to " + id + "\n" }
 
 // answerText returns an answer to the request with an ID.
 func answerText(id string, status int, lines string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Hickorybend-Attempt-Id: %s\r\n%sKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), id, lines, len(bodyFor(id)), bodyFor(id))
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%sKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), fakes.IDLine(id), lines, len(bodyFor(id)), bodyFor(id))
 }
 
 // textWithoutLength returns an answer that ends with its connection.
 func textWithoutLength(id, _ string) string {
-	return "HTTP/1.1 200 OK\r\nX-Hickorybend-Attempt-Id: " + id + "\r\n" + receiptLine + "\r\n" + bodyFor(id)
+	return "HTTP/1.1 200 OK\r\n" + fakes.IDLine(id) + fakes.ReceiptLine + "\r\n" + bodyFor(id)
 }
 
 // eventsFor returns the events of a stream after the one with an ID.
@@ -195,7 +194,7 @@
 // streamText returns a stream that answers the request with an ID. Each event is a chunk, and the last chunk is
 // empty.
 func streamText(id, after string) string {
-	text := "HTTP/1.1 200 OK\r\nX-Hickorybend-Attempt-Id: " + id + "\r\n" + receiptLine + "Keep-Alive: timeout=5\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	text := "HTTP/1.1 200 OK\r\n" + fakes.IDLine(id) + fakes.ReceiptLine + "Keep-Alive: timeout=5\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for _, event := range eventsFor(id, after) {
 		text += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 	}
@@ -209,7 +208,7 @@
 }
 
 func interimText(id string) string {
-	return "HTTP/1.1 103 Early Hints\r\nX-Hickorybend-Attempt-Id: " + id + "\r\n" + receiptLine + notExecutedLine + "\r\n"
+	return "HTTP/1.1 103 Early Hints\r\n" + fakes.IDLine(id) + fakes.ReceiptLine + fakes.NotExecutedLine + "\r\n"
 }
 
 // isPossible reports whether an endpoint can do it to a request. It can go on with a stream that it
@@ -246,7 +245,7 @@
 		return func(id, _ string) string { return answerText(id, status, lines) }
 	}
 	none := func(_, _ string) string { return "" }
-	success, refusal := answer(http.StatusOK, receiptLine), answer(http.StatusServiceUnavailable, notExecutedLine)
+	success, refusal := answer(http.StatusOK, fakes.ReceiptLine), answer(http.StatusServiceUnavailable, fakes.NotExecutedLine)
 	var actions []action
 	if _, isStream := kind.(site.Stream); isStream {
 		success = streamText
@@ -260,8 +259,8 @@
 		{name: "misdirects", text: answer(http.StatusMisdirectedRequest, ""), refuses: true},
 		{name: "refuses-twice", text: func(id, after string) string { return refusal(id, after) + refusal(id, after) }, refuses: true},
 		{name: "hints", text: func(id, _ string) string { return interimText(id) }, interim: true},
-		{name: "fails", text: answer(http.StatusInternalServerError, receiptLine), status: http.StatusInternalServerError},
-		{name: "contradicts", text: answer(http.StatusServiceUnavailable, receiptLine+notExecutedLine)},
+		{name: "fails", text: answer(http.StatusInternalServerError, fakes.ReceiptLine), status: http.StatusInternalServerError},
+		{name: "contradicts", text: answer(http.StatusServiceUnavailable, fakes.ReceiptLine+fakes.NotExecutedLine)},
 		{name: "is-unavailable", text: answer(http.StatusServiceUnavailable, "")},
 		{name: "answers-another", text: otherThan(success)},
 		{name: "refuses-another", text: otherThan(refusal)},
