The exploration records that a link breaks before it breaks it

Cause, by reading: breakLink reset the connection between the nodes and recorded the failure of the requests in progress after that. The caller's goroutine, which takes no lock to end, could get its 502 in between; the request then was in progress no more, and its 502 had no reason. The answer is right: the other node may have run the request.

Ruled out: a fault of the node. The same order, as a row of TestLives, has no finding. A trial with a pause after the reset does not end, since the pause holds the lock. No property is weaker: the requests that count are those in progress when the link breaks.

--- a/io/entry/explore_test.go
+++ b/io/entry/explore_test.go
@@ -184,6 +184,7 @@
 		{"a request has no answer when its node has stopped", scenario{nodes: 1, kind: site.AtMostOnce{}, endpoints: 1, requests: 1}, "r1-comes e1-accepts n1-stops time-passes time-passes"},
 		{"the outcome of a second attempt is not recorded", scenario{nodes: 1, kind: site.Idempotent{}, endpoints: 2, requests: 1}, "r1-comes e1-accepts time-passes e2-accepts e2-fails-r1 e1-refuses-r1"},
 		{"another node's failure is read as not run", scenario{nodes: 2, kind: site.AtMostOnce{}, endpoints: 1, requests: 1}, "r1-comes e1-rejects n2-accepts e1-accepts e1-contradicts-r1"},
+		{"a link that breaks is taken for no failure", scenario{nodes: 2, kind: site.AtMostOnce{}, endpoints: 2, requests: 1}, "r1-comes e1-accepts e1-misdirects-r1 e2-rejects n2-accepts n2-breaks"},
 		{"a request is sent after its caller has left", scenario{nodes: 1, kind: site.AtMostOnce{}, endpoints: 1, requests: 1}, "r1-comes r1-leaves-unnoticed e1-accepts"},
 	} {
 		t.Run(test.name, func(t *testing.T) { expectNoFinding(t, test.scenario, test.events) })
--- a/io/entry/world_test.go
+++ b/io/entry/world_test.go
@@ -510,13 +510,13 @@
 func (world *world) breakLink(link *memoryConn) {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
-	reset(link)
-	world.peerNotes = append(world.peerNotes, "broken"+world.clock())
 	for _, request := range world.requests {
 		if latest := request.latest(); latest.inProgress() {
-			latest.failed = true
+			latest.failed = true // before the reset, after which it can end at any time
 		}
 	}
+	reset(link)
+	world.peerNotes = append(world.peerNotes, "broken"+world.clock())
 }
 
 // finish lets the time limits of all requests pass, and checks that nothing is left.
