--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -301,8 +301,8 @@
 	}
 }
 
-// othersLate reports whether this node has heard of late from other nodes, and all of them say that they
-// are late. A node that is late itself may not have handled their latest digests.
+// othersLate reports whether the recent digests of all other nodes state that they are late, and there is one at
+// least. A node that is late itself may not have handled the latest ones.
 func (control *Control) othersLate(now time.Time) bool {
 	heard := false
 	for _, peer := range control.peers.nodes {
