--- a/core/site/config.go
+++ b/core/site/config.go
@@ -88,6 +88,15 @@
 	StepTime            time.Duration // of one decode step with an empty batch
 	StepPerSlot         time.Duration // added to each decode step for each request in the batch
 	PrefillTokensPerSec float64
+	PassSteps           int           // decode steps between two chunks of prefill
+	PassTokens          int           // prompt tokens of a chunk of prefill
+	PairTime            time.Duration // added to the prefill for a million pairs of a token and an earlier one
+	ContextTime         time.Duration // added to each decode step for each 1,000 tokens of context in the batch
+	MemoryTokens        int           // tokens of prompts and answers that a replica's memory holds
+	UsualPromptTokens   int           // mean of all requests
+	UsualAnswerTokens   int           // mean of all requests
+	FormTime            time.Duration // from the order to open a replica until it serves
+	SplitFactor         float64       // factor on the times of a replica that spans fabric domains
 }
 
 // Model is a model that replicas of ReplicaSize endpoints serve.
