--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -51,6 +51,7 @@
 	placing          atomic.Bool             // this node places replicas; see placement.active
 	isLeader         atomic.Bool             // this node reads the platform's tables for its zone
 	servedByLeader   atomic.Bool             // the zone's leader reports changes to this node
+	toldEvacuations  atomic.Bool             // that leader reports evacuated zones too; one of an earlier build does not
 	inMesh           atomic.Bool             // every node exchanges digests with every other
 	storeUnreachable atomic.Bool             // the store did not answer the last call for the configuration
 	retrying         [tableCount]atomic.Bool // the last poll of the table has failed
@@ -63,6 +64,7 @@
 	demand           demand
 	crashes          crashes
 	limits           limits
+	evacuations      evacuations
 	connections      connections
 	loggedServing    map[string]int // serving replicas of each model, as last logged
 	storeRepliedAt   time.Time      // when the store last answered
@@ -91,6 +93,7 @@
 	control.crashes = newCrashes()
 	control.cutoff = cutoff.NewTracker(cutoff.DefaultPolicy())
 	control.limits = newLimits()
+	control.evacuations.judged = map[string]bool{}
 	control.connections = newConnections()
 	control.placement = newPlacement(settings)
 	control.demand = newDemand()
@@ -109,8 +112,8 @@
 // Snapshot returns the pointer to the latest snapshot for request handling.
 func (control *Control) Snapshot() *atomic.Pointer[reach.Snapshot] { return &control.snapshot }
 
-// Ready reports whether the node has a configuration and the endpoints, and is
-// not draining.
+// Ready reports whether the node has a configuration and the endpoints, knows which zones
+// are evacuated, and is not draining.
 func (control *Control) Ready() bool { return control.ready.Load() }
 
 // LateBy returns by how much this node was late at most since a time.
@@ -209,6 +212,8 @@
 		control.handleBlocksRead(typed, now)
 	case blocksListed:
 		control.handleBlocksListed(typed, now)
+	case evacuationsListed:
+		control.handleEvacuationsListed(typed, now)
 	case blockLifted:
 		control.handleBlockLifted(typed, now)
 	case blocksWritten:
@@ -246,6 +251,7 @@
 	control.copies.arrive(change.table, now)
 	switch change.table {
 	case tableConfig:
+		control.handleEvacuationRows(change, now)
 		control.handleConfig(change, now)
 	case tableEndpoints:
 		control.handleEndpoints(change, now)
@@ -293,11 +299,12 @@
 	control.exchangeDigests(now)
 	control.shareLimits(now)
 	control.endReductions(now)
+	control.judgeEvacuations(now)
 	control.refreshCopies(now)
 	control.reportAges(now)
 	control.updateDemand(now)
 	control.runPlacement(now)
-	ready := control.config.index != nil && control.endpoints.loaded && !control.draining
+	ready := control.config.index != nil && control.endpoints.loaded && !control.draining && control.evacuationsKnown(now)
 	if control.ready.Swap(ready) != ready {
 		event.Log(control.log, event.ReadinessChanged, zap.Bool("ready", ready))
 	}
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -117,6 +117,9 @@
 		if !hasAge(table) || len(digest.Versions) <= table || control.completeVersion(table) < requiredVersion(digest, table) {
 			continue
 		}
+		if table == tableConfig && digest.Evacuations == nil && control.evacuations.state.Known() {
+			continue // a node of an earlier build does not tell which zones are evacuated
+		}
 		if table == tableEndpoints {
 			control.endpoints.completeVersion = max(control.endpoints.completeVersion, digest.Complete)
 		}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -57,6 +57,9 @@
 	if table == tableConfig && control.storeUnreachable.Load() {
 		return true // until the store answers this node again, which may then lead
 	}
+	if table == tableConfig && !control.toldEvacuations.Load() {
+		return true // the rows of evacuated zones are in that table
+	}
 	return (table == tableConfig || table == tableNodes) && !control.servedByLeader.Load()
 }
 
--- a/io/edge/formername_test.go
+++ b/io/edge/formername_test.go
@@ -27,6 +27,10 @@
 	return gossip.BlockStatusList{}, nil
 }
 
+func (namedNode) EvacuationList(context.Context) (gossip.EvacuationList, error) {
+	return gossip.EvacuationList{}, nil
+}
+
 func (namedNode) Lift(context.Context, gossip.LiftRequest) (gossip.LiftReply, error) {
 	return gossip.LiftReply{}, nil
 }
--- a/io/edge/message.go
+++ b/io/edge/message.go
@@ -21,6 +21,8 @@
 	table int
 	batch platform.Batch
 	from  source
+
+	evacuations *gossip.Evacuations // with the configuration from another node
 }
 
 // source is where rows were read, or why one counts as removed.
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -161,6 +161,7 @@
 	control.inMesh.Store(peers.role.Mesh)
 	leader := peers.nodes[peers.role.Leader]
 	control.servedByLeader.Store(!peers.role.Mesh && leader != nil && !leader.digest.StoreUnreachable && leader.fresh(now))
+	control.toldEvacuations.Store(leader != nil && leader.digest.Evacuations != nil)
 }
 
 // storeAnswersANode reports whether the store has recently answered this node, or
@@ -304,6 +305,7 @@
 	}
 	digest.StoreReplyAge = int64(time.Since(control.storeRepliedAt))
 	digest.StoreUnreachable = control.storeUnreachable.Load()
+	digest.Evacuated = control.evacuations.state
 	control.digest.Store(digest)
 }
 
@@ -353,6 +355,9 @@
 		return gossip.Table{}
 	}
 	changes := published.ChangesAfter(after, time.Now())
+	if table == tableConfig {
+		changes.Evacuations = gossip.EvacuationsOf(control.digest.Load().Evacuated, time.Now())
+	}
 	if confirmation != nil && !confirmation.at.IsZero() && confirmation.version.Era() == published.CompactedVersion.Era() {
 		changes.Age, changes.Complete = int64(max(1, time.Since(confirmation.at))), confirmation.version
 	}
@@ -376,6 +381,7 @@
 	peer.digestReceivedAt = now
 	peer.exchanging = false
 	peer.lastExchangeFailed = false
+	control.applyEvacuations(digest.Evacuations.State(now), fromPeer, now)
 	control.confirmByPeer(digest, received.askedAt, now)
 	control.learnLeaving(digest, now)
 	control.learnCrashes(digest.Crashes, now)
@@ -481,7 +487,10 @@
 			Key: entry.Key, Value: entry.Value, Version: entry.Version, Removed: entry.Removed, GraceLeft: time.Duration(entry.GraceLeft),
 		})
 	}
-	control.enqueue(tableChanged{table: table, batch: batch, from: fromPeer})
+	if table == tableConfig && received.Evacuations == nil {
+		batch.ConfirmedAt = time.Time{} // a node of an earlier build does not tell which zones are evacuated
+	}
+	control.enqueue(tableChanged{table: table, batch: batch, from: fromPeer, evacuations: received.Evacuations})
 }
 
 // tableFetched reports that a fetch of a table from a peer has ended.
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -350,7 +350,7 @@
 		placement.planners[name] = planner
 	}
 	input := fleet.Input{
-		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.endpoints.ofService(name),
+		Now: now, Fence: placement.fence, Engine: service.Engine, Endpoints: control.plannable(name),
 		Unresponsive: map[string]bool{}, Pausing: map[string]bool{}, InFlight: map[string]int{}, NoRequestsYet: control.noRequestsYet(now),
 		Demand: control.demand.recent.Recent(), HolderReport: placement.holderReport,
 	}
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -21,7 +21,10 @@
 
 // publish builds the snapshot for request handling and publishes it.
 func (control *Control) publish(now time.Time) {
-	snapshot := &reach.Snapshot{Index: control.config.index, Services: map[string]*reach.ServicePool{}, Nodes: control.peers.count(), Blocked: control.crashes.blockedInputs(), Suspected: control.crashes.suspected}
+	snapshot := &reach.Snapshot{Services: map[string]*reach.ServicePool{}, Nodes: control.peers.count(), Blocked: control.crashes.blockedInputs(), Suspected: control.crashes.suspected}
+	if control.evacuationsKnown(now) {
+		snapshot.Index = control.config.index // without it, requests are rejected
+	}
 	if snapshot.Index != nil {
 		for i := range snapshot.Index.Config.Services {
 			service := &snapshot.Index.Config.Services[i]
@@ -55,7 +58,7 @@
 	endpoints := control.endpoints.ofService(service.Name)
 	if service.Engine == nil {
 		for _, endpoint := range endpoints {
-			if !endpoint.Draining {
+			if !endpoint.Draining && !control.evacuations.state.Has(endpoint.Zone) {
 				servicepool.Plain = append(servicepool.Plain, control.newCandidate(service, endpoint, nodes))
 			}
 		}
@@ -65,6 +68,9 @@
 		servicepool.Models[model.Name] = nil
 	}
 	for _, replica := range fleet.ServingReplicas(service.Engine, endpoints, control.endpoints.isUnresponsive) {
+		if control.evacuations.state.Has(replica.FirstHost.Zone) {
+			continue
+		}
 		candidate := control.newCandidate(service, replica.FirstHost, nodes)
 		candidate.Slots = service.Engine.Slots
 		if model, found := service.Engine.Model(replica.Model); found && model.TimeFactor > 0 {
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -39,6 +39,9 @@
 	NodeRowRemoved        = Event{213, "row of a node that is gone removed", zap.InfoLevel}
 	NodeRowWithdrawn      = Event{214, "row of this stopping node withdrawn", zap.InfoLevel}
 	NodeRowOdd            = Event{215, "row of a node is no member's", zap.WarnLevel}
+	ZoneEvacuated         = Event{216, "zone evacuated", zap.WarnLevel}
+	ZoneTakenBack         = Event{217, "zone no longer evacuated", zap.WarnLevel}
+	ZoneUnknown           = Event{218, "evacuated zone has no endpoint and no node", zap.WarnLevel}
 	LeaseAcquired         = Event{301, "lease acquired", zap.InfoLevel}
 	LeaseLost             = Event{302, "lease lost", zap.WarnLevel}
 	LeaseReleased         = Event{303, "lease released", zap.InfoLevel}
@@ -98,7 +101,7 @@
 func All() []Event {
 	return []Event{
 		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LogLinesDropped, SettingsReread, ReadinessChanged, DrainTimedOut, HostSuspended,
-		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh, StoreWentBack, NodeRowLost, MemberChanged, NodeRowRemoved, NodeRowWithdrawn, NodeRowOdd,
+		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh, StoreWentBack, NodeRowLost, MemberChanged, NodeRowRemoved, NodeRowWithdrawn, NodeRowOdd, ZoneEvacuated, ZoneTakenBack, ZoneUnknown,
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -7,7 +7,7 @@
 )
 
 // Copy returns a copy whose maps, which are not nil, and lists Unresponsive, Answering,
-// Asked, CutOff, Lost, Leaving, Crashes and Limits are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
+// Asked, CutOff, Lost, Leaving, Crashes, Limits and Cold are its own, so that Add and Subtract may change them. It shares Versions and Quarantined.
 func (digest Digest) Copy() Digest {
 	digest.InFlight = cloneCounts(digest.InFlight)
 	digest.PendingTokens = cloneCounts(digest.PendingTokens)
@@ -17,6 +17,7 @@
 	}
 	digest.Unresponsive, digest.Lost, digest.Leaving = slices.Clone(digest.Unresponsive), slices.Clone(digest.Lost), slices.Clone(digest.Leaving)
 	digest.Crashes, digest.Limits = digest.Crashes.copy(), slices.Clone(digest.Limits)
+	digest.Cold = slices.Clone(digest.Cold)
 	digest.Answering, digest.Asked, digest.CutOff = slices.Clone(digest.Answering), slices.Clone(digest.Asked), slices.Clone(digest.CutOff)
 	digest.AnsweredAt = maps.Clone(digest.AnsweredAt)
 	digest.Usable = cloneCounts(digest.Usable)
@@ -75,6 +76,7 @@
 	digest.Late = digest.Late && other.Late
 	digest.Crashes.add(other.Crashes)
 	digest.Limits = addLimits(digest.Limits, other.Limits)
+	digest.Cold = addCold(digest.Cold, other.Cold)
 	digest.HadRequests = digest.HadRequests || other.HadRequests
 	if other.NewerThan(digest.Fence, digest.PlanCount) {
 		digest.Fence, digest.PlanCount, digest.Quarantined = other.Fence, other.PlanCount, other.Quarantined
@@ -132,6 +134,7 @@
 		}
 	}
 	digest.Crashes, digest.Limits, digest.AnswerAges = digest.Crashes.withAges(now), limitsWithAges(digest.Limits, now), answerAges(digest.AnsweredAt, now)
+	digest.Evacuations, digest.Cold = EvacuationsOf(digest.Evacuated, now), coldWithAges(digest.Cold, now)
 	return digest
 }
 
--- a/io/gossip/fuzz_test.go
+++ b/io/gossip/fuzz_test.go
@@ -50,6 +50,10 @@
 	return gossip.BlockStatusList{}, nil
 }
 
+func (summinglocal *summingLocal) EvacuationList(context.Context) (gossip.EvacuationList, error) {
+	return gossip.EvacuationList{}, nil
+}
+
 func (summinglocal *summingLocal) Lift(_ context.Context, request gossip.LiftRequest) (gossip.LiftReply, error) {
 	return gossip.LiftReply{Lifted: request.Input != ""}, nil
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"hickorybend/core/evacuate"
 	"hickorybend/core/rows"
 	"hickorybend/core/topo"
 	"hickorybend/io/wire"
@@ -19,6 +20,7 @@
 	procedureFetch    = "/hickorybend.gossip/fetch"
 	procedureBlocks   = "/hickorybend.gossip/blocks"
 	procedureLift     = "/hickorybend.gossip/lift"
+	procedureZones    = "/hickorybend.gossip/evacuations"
 	exchangeTimeout   = 500 * time.Millisecond // a round trip between zones takes 10 ms
 	fetchTimeout      = 1500 * time.Millisecond
 	operatorTimeout   = 5 * time.Second // of the calls that operators make
@@ -61,6 +63,9 @@
 	Late             bool                 `cbor:"32,keyasint,omitempty"` // the node's periodic work has been late in the last second; in a sum, that of every node has
 	CutOff           []string             `cbor:"26,keyasint,omitempty"` // nodes that endpoints do not answer, though they answer others
 	Usable           map[string]int       `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
+	Evacuations      *Evacuations         `cbor:"40,keyasint,omitempty"` // nil if the sender does not know
+	Evacuated        evacuate.State       `cbor:"-"`                     // the same with times of the node's own clock
+	Cold             []ColdEndpoint       `cbor:"41,keyasint,omitempty"` // endpoints that the node knows to be cold from another source than their rows
 }
 
 // SumOf returns a fingerprint of names, whatever their order.
@@ -95,6 +100,7 @@
 	Full             bool         `cbor:"3,keyasint,omitempty"`
 	Age              int64        `cbor:"4,keyasint,omitempty"` // nanoseconds since the copy was known to be complete; 0 if that is not known
 	Complete         rows.Version `cbor:"5,keyasint,omitempty"` // the store's version up to which the copy has every change, for the endpoints
+	Evacuations      *Evacuations `cbor:"6,keyasint,omitempty"` // with the table of the configuration, which has their rows too
 	CompactedVersion rows.Version `cbor:"-"`                    // Entries list removals after this version only
 }
 
@@ -121,6 +127,7 @@
 	Table(table int, after rows.Version) Table
 	BlockStatusList(ctx context.Context) (BlockStatusList, error)
 	Lift(ctx context.Context, request LiftRequest) (LiftReply, error)
+	EvacuationList(ctx context.Context) (EvacuationList, error)
 }
 
 // blocksRequest asks for the blocked inputs.
@@ -153,6 +160,10 @@
 		liftreply, err := local.Lift(ctx, *request.Msg)
 		return connect.NewResponse(&liftreply), err
 	}, options...))
+	mux.Handle(procedureZones, connect.NewUnaryHandler(procedureZones, func(ctx context.Context, _ *connect.Request[evacuationsRequest]) (*connect.Response[EvacuationList], error) {
+		evacuationlist, err := local.EvacuationList(ctx)
+		return connect.NewResponse(&evacuationlist), err
+	}, options...))
 	return "/hickorybend.gossip/", mux
 }
 
@@ -162,6 +173,7 @@
 	fetch    *connect.Client[fetchRequest, Table]
 	blocks   *connect.Client[blocksRequest, BlockStatusList]
 	lift     *connect.Client[LiftRequest, LiftReply]
+	zones    *connect.Client[evacuationsRequest, EvacuationList]
 }
 
 // NewClient creates a client for the node at an address.
@@ -172,6 +184,7 @@
 		fetch:    connect.NewClient[fetchRequest, Table](client, "http://"+address+procedureFetch, options...),
 		blocks:   connect.NewClient[blocksRequest, BlockStatusList](client, "http://"+address+procedureBlocks, options...),
 		lift:     connect.NewClient[LiftRequest, LiftReply](client, "http://"+address+procedureLift, options...),
+		zones:    connect.NewClient[evacuationsRequest, EvacuationList](client, "http://"+address+procedureZones, options...),
 	}
 }
 
@@ -220,3 +233,14 @@
 	}
 	return reply.Msg.Lifted, nil
 }
+
+// EvacuationList returns what the node knows of the evacuated zones.
+func (client *Client) EvacuationList(ctx context.Context) (EvacuationList, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	reply, err := client.zones.CallUnary(ctx, connect.NewRequest(&evacuationsRequest{}))
+	if err != nil {
+		return EvacuationList{}, errors.Mark(errors.Wrap(err, "gossip: listing evacuated zones"), ErrNoReply)
+	}
+	return *reply.Msg, nil
+}
