--- a/cmd/hbctl/main.go
+++ b/cmd/hbctl/main.go
@@ -46,7 +46,7 @@
 			"Exit codes: 0 done, 1 failed, 2 wrong usage or invalid configuration, 3 conflict, 4 unknown outcome.",
 		Subcommands: []*ff.Command{
 			tool.validate(), tool.apply(), tool.diff(), tool.show(), tool.history(),
-			tool.status(), tool.replicas(), tool.endpoints(), tool.drain(), tool.explain(), tool.blocks(),
+			tool.status(), tool.replicas(), tool.endpoints(), tool.drain(), tool.explain(), tool.blocks(), tool.evacuations(),
 		},
 	}, "HBCTL")
 }
--- a/io/edge/confirm.go
+++ b/io/edge/confirm.go
@@ -11,6 +11,11 @@
 // confirmed. A read of the store usually takes 4 ms.
 const confirmTimeout = 150 * time.Millisecond
 
+// evacuationConfirmTimeout is the same where the operators' table may have had a change for
+// longer than the bound of an evacuation, as after a suspension of the host: a request
+// that did not wait could be sent to a zone which was evacuated meanwhile.
+const evacuationConfirmTimeout = time.Second
+
 // confirmPollInterval is the time between two looks at the copies meanwhile.
 const confirmPollInterval = 5 * time.Millisecond
 
@@ -33,7 +38,7 @@
 	case control.messages <- copiesStale{}:
 	default: // the queue is full; the next tick refreshes the copies
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, control.confirmTimeout(time.Now()))
 	defer cancel()
 	for ctx.Err() == nil && control.awaitsConfirmation(time.Now()) {
 		sleep(ctx, confirmPollInterval)
@@ -41,6 +46,14 @@
 	return control.snapshotAge(time.Now())
 }
 
+// confirmTimeout returns for how long a request waits for the copies to be confirmed.
+func (control *Control) confirmTimeout(now time.Time) time.Duration {
+	if bound := control.settings.EvacuationBound; bound > 0 && control.copies.publishedAge(tableConfig, now) >= bound {
+		return evacuationConfirmTimeout
+	}
+	return confirmTimeout
+}
+
 // awaitsConfirmation reports whether a copy that requests use is out of date, though
 // its last read has not failed. A node without a copy waits for none.
 func (control *Control) awaitsConfirmation(now time.Time) bool {
--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -34,7 +34,7 @@
 
 func newCopies(settings Settings) copies {
 	return copies{policies: [tableCount]fresh.Policy{
-		tableConfig:    fresh.PolicyFor(settings.ConfigBound, settings.EndpointHeartbeat),
+		tableConfig:    fresh.PolicyFor(settings.operatorBound(), settings.EndpointHeartbeat),
 		tableEndpoints: fresh.PolicyFor(settings.DrainBound, settings.EndpointHeartbeat),
 		tableNodes:     fresh.PolicyFor(nodesBound, settings.EndpointHeartbeat),
 	}}
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -27,6 +27,9 @@
 	EndpointHeartbeat time.Duration `json:"endpoint-heartbeat"` // interval at which endpoints renew their rows
 	DrainBound        time.Duration `json:"drain-bound"`        // after the store's acknowledgment that an endpoint leaves, no request may reach it
 	ConfigBound       time.Duration `json:"config-bound"`       // after the store's acknowledgment, a configuration must be in force
+	EvacuationBound   time.Duration `json:"evacuation-bound"`   // after the store's acknowledgment, no request may be sent to an evacuated zone; 0 for the config bound
+	ColdOver          float64       `json:"cold-over"`          // factor on what a cold endpoint takes in a second
+	ColdSlack         float64       `json:"cold-slack"`         // requests beside that which it takes in any second
 	StallTimeout      time.Duration `json:"stall"`              // how long a replica that lost a member stalls before it breaks
 	Retry             Retry         `json:"retry"`
 	PlaceWithoutStore bool          `json:"place-without-store"` // continue placing while the store answers no node
@@ -52,7 +55,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryMB: 256, Grace: 8 * time.Second, DrainDelay: 3200 * time.Millisecond,
-		EndpointHeartbeat: 1200 * time.Millisecond, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, StallTimeout: 6 * time.Second,
+		EndpointHeartbeat: 1200 * time.Millisecond, DrainBound: 2 * time.Second, ColdOver: 1, ConfigBound: 2 * time.Second, StallTimeout: 6 * time.Second,
 		Retry: Retry{Ratio: 0.1, Extra: 20, Window: 10 * time.Second}, HeaderTimeout: 10 * time.Second, HeaderBytes: 64 << 10,
 	}
 }
@@ -92,6 +95,12 @@
 	if settings.ConfigBound < minBound {
 		doc.AddFault("config-bound", "at least "+minBound.String(), settings.ConfigBound.String())
 	}
+	if settings.EvacuationBound != 0 && settings.EvacuationBound < minBound {
+		doc.AddFault("evacuation-bound", "at least "+minBound.String(), settings.EvacuationBound.String())
+	}
+	if settings.ColdOver < 0 || settings.ColdSlack < 0 {
+		doc.AddFault("cold-over and cold-slack", "0 or more", "less")
+	}
 	if settings.MemoryMB < 32 {
 		doc.AddFault("memory-mb", "at least 32", "less")
 	}
@@ -100,3 +109,12 @@
 	}
 	return settings, doc.Err()
 }
+
+// operatorBound returns the time within which a change of the operators' table must be in
+// force, which has the configuration and the rows of evacuated zones.
+func (settings Settings) operatorBound() time.Duration {
+	if settings.EvacuationBound == 0 {
+		return settings.ConfigBound
+	}
+	return min(settings.ConfigBound, settings.EvacuationBound)
+}
