--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -40,9 +40,18 @@
 	StartedAt         time.Time // start of its present incarnation; tells incarnations apart
 	Staged            []string  // models whose weights are on its host
 	Membership        Membership
+	Cold              Cold      // what the row or report says, as of its arrival
 	FreeSince         time.Time // when it was first seen to belong to no replica; zero if it belongs to one or that is unknown
 }
 
+// Cold is what an endpoint says of how long it is still cold. A cold endpoint takes fewer
+// requests than others.
+type Cold struct {
+	Stated   bool
+	Left     time.Duration // as of when it said so
+	Unusable string        // the value, if it is no duration
+}
+
 // HasWeights reports whether a model's weights are on the endpoint's host.
 func (endpoint Endpoint) HasWeights(model string) bool {
 	for _, staged := range endpoint.Staged {
--- a/core/site/config.go
+++ b/core/site/config.go
@@ -73,8 +73,10 @@
 type Service struct {
 	Name                   string
 	HealthPath             string
-	MaxConnections         int    // to one endpoint, from all nodes together; 0 if not stated
-	UnusableMaxConnections string // what is stated in its place, if it is no number of connections
+	MaxConnections         int           // to one endpoint, from all nodes together; 0 if not stated
+	UnusableMaxConnections string        // what is stated in its place, if it is no number of connections
+	ColdTime               time.Duration // after a start during traffic, in which an endpoint is cold
+	ColdPerSecond          float64       // requests a second that a cold endpoint takes from all nodes together; 0 for no limit
 	Engine                 *Engine
 }
 
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -65,6 +65,7 @@
 	crashes          crashes
 	limits           limits
 	evacuations      evacuations
+	cold             coldEndpoints
 	connections      connections
 	loggedServing    map[string]int // serving replicas of each model, as last logged
 	storeRepliedAt   time.Time      // when the store last answered
@@ -94,6 +95,7 @@
 	control.cutoff = cutoff.NewTracker(cutoff.DefaultPolicy())
 	control.limits = newLimits()
 	control.evacuations.judged = map[string]bool{}
+	control.cold = newColdEndpoints()
 	control.connections = newConnections()
 	control.placement = newPlacement(settings)
 	control.demand = newDemand()
@@ -103,6 +105,9 @@
 			control.LimitStated(entry.StatedLimit{Endpoint: endpoint, Limited: true, PerSecond: perSecond, At: time.Now()})
 		})
 	}
+	if engineclient != nil {
+		engineclient.OnCold(control.ColdStated)
+	}
 	control.isLeader.Store(true) // until other nodes are known
 	control.snapshot.Store(&reach.Snapshot{Nodes: 1})
 	control.digest.Store(&gossip.Digest{Node: settings.Node})
@@ -206,6 +211,8 @@
 		control.handleTrialEnded(typed, now)
 	case limitStated:
 		control.handleLimitStated(typed, now)
+	case coldStated:
+		control.handleColdStated(typed, now)
 	case connectionReset:
 		control.handleConnectionReset(typed, now)
 	case blocksRead:
@@ -298,6 +305,7 @@
 	control.judgeCrashes(now)
 	control.exchangeDigests(now)
 	control.shareLimits(now)
+	control.refreshCold(now)
 	control.endReductions(now)
 	control.judgeEvacuations(now)
 	control.refreshCopies(now)
--- a/io/edge/endpoints.go
+++ b/io/edge/endpoints.go
@@ -167,6 +167,7 @@
 		delete(endpoints.byID, entry.Key)
 		return
 	}
+	control.applyColdRow(endpoint, now)
 	endpoint.Draining = endpoint.Draining || endpoints.saysLeaving(endpoint)
 	previous, found := endpoints.byID[entry.Key]
 	if found && !endpoint.NotOlder(previous) {
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -23,6 +23,7 @@
 // from all nodes together. The maps are by endpoint ID, or by node name.
 type limits struct {
 	known        map[string]limit.Observation  // the newest of all nodes
+	shares       map[string]float64            // requests a second that this node may send, by endpoint that has stated a limit
 	users        uint64                        // fingerprint of the nodes among which the shares were computed
 	own          map[string]limit.Observation  // the newest of this node, which it tells the others
 	shown        map[string]bool               // endpoints whose limit was logged
@@ -33,7 +34,7 @@
 
 func newLimits() limits {
 	return limits{
-		known: map[string]limit.Observation{}, own: map[string]limit.Observation{}, shown: map[string]bool{},
+		known: map[string]limit.Observation{}, own: map[string]limit.Observation{}, shown: map[string]bool{}, shares: map[string]float64{},
 		counts: map[string]map[string]int64{}, rates: map[string]map[string]float64{},
 	}
 }
@@ -136,7 +137,8 @@
 // endLimit lets this node send any number of requests to an endpoint. stated says
 // whether the endpoint has stated the end.
 func (control *Control) endLimit(id string, stated bool) {
-	control.endpoints.load(id).RemoveRate()
+	delete(control.limits.shares, id)
+	control.setRate(id)
 	if control.limits.shown[id] {
 		delete(control.limits.shown, id)
 		event.Log(control.log, event.EndpointUnlimited, zap.String("endpoint", id), zap.Bool("stated", stated))
@@ -153,13 +155,32 @@
 		return
 	}
 	share := limit.Share(id, observation.PerSecond, nodes)
-	control.endpoints.load(id).SetRate(share)
+	limits.shares[id] = share
+	control.setRate(id)
 	if !limits.shown[id] {
 		limits.shown[id] = true
 		event.Log(control.log, event.EndpointLimited, zap.String("endpoint", id), zap.Float64("limit", observation.PerSecond), zap.Float64("share", share))
 	}
 }
 
+// setRate limits the requests of this node to an endpoint by the lower of its shares of the
+// limit that the endpoint has stated and of what it takes while it is cold.
+func (control *Control) setRate(id string) {
+	stated, limited := control.limits.shares[id]
+	cold, isCold := control.cold.shares[id]
+	load := control.endpoints.load(id)
+	switch {
+	case limited && isCold:
+		load.SetRate(min(stated, cold))
+	case limited:
+		load.SetRate(stated)
+	case isCold:
+		load.SetRate(cold)
+	default:
+		load.RemoveRate()
+	}
+}
+
 // limitUsers returns a fingerprint of the nodes that requestRates returns, whatever
 // their order.
 func (control *Control) limitUsers(now time.Time) uint64 {
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -306,6 +306,7 @@
 	digest.StoreReplyAge = int64(time.Since(control.storeRepliedAt))
 	digest.StoreUnreachable = control.storeUnreachable.Load()
 	digest.Evacuated = control.evacuations.state
+	digest.Cold = control.coldDigest(time.Now())
 	control.digest.Store(digest)
 }
 
@@ -369,6 +370,7 @@
 func (control *Control) handlePeerDigest(received digestReceived, now time.Time) {
 	digest := received.digest
 	digest.Crashes, digest.Limits = digest.Crashes.ReceivedAt(now), gossip.LimitsReceivedAt(digest.Limits, now)
+	digest.Cold = gossip.ColdReceivedAt(digest.Cold, now)
 	digest.AnsweredAt = digest.AnswersReceivedAt(now, answeringFor)
 	peer := control.peers.peer(digest.Node)
 	if peer == nil {
@@ -386,6 +388,7 @@
 	control.learnLeaving(digest, now)
 	control.learnCrashes(digest.Crashes, now)
 	control.learnLimits(digest.Limits, now)
+	control.learnCold(digest.Cold, now)
 	control.reconcileUnresponsive(digest, now)
 	control.learnLost(digest, now)
 	control.placement.updateHolderReport(digest, now)
--- a/io/edge/probe.go
+++ b/io/edge/probe.go
@@ -105,6 +105,7 @@
 		delete(endpoints.lateProbes, result.id)
 		endpoints.forgetUnresponsive(result.id)
 		control.handleReport(result)
+		control.applyColdReport(result.report, result.sentAt, now)
 		control.snapshotStale = control.snapshotStale || wasUnresponsive
 		if wasUnresponsive && control.allRespond(endpoint.Membership.Replica) {
 			control.reportFound([]string{control.firstHostOf(endpoint.Membership.Replica)})
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -25,6 +25,7 @@
 	if control.evacuationsKnown(now) {
 		snapshot.Index = control.config.index // without it, requests are rejected
 	}
+	control.refreshCold(now) // before a cold endpoint becomes a candidate
 	if snapshot.Index != nil {
 		for i := range snapshot.Index.Config.Services {
 			service := &snapshot.Index.Config.Services[i]
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -70,6 +70,9 @@
 	CutOffChanged         = Event{423, "whether this node is cut off from the endpoints changed", zap.WarnLevel}
 	ConnectionsReset      = Event{430, "endpoint reset new connections", zap.WarnLevel}
 	ConnectionsUnusable   = Event{431, "unusable max_connections of a service", zap.WarnLevel}
+	EndpointCold          = Event{432, "endpoint is cold and takes fewer requests", zap.InfoLevel}
+	EndpointWarm          = Event{433, "endpoint is no longer cold", zap.InfoLevel}
+	ColdUnusable          = Event{434, "unusable time for which an endpoint is cold", zap.WarnLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -105,7 +108,7 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable, EndpointCold, EndpointWarm, ColdUnusable,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun, NotRunContradicted, AnswerCopySkipped, EndpointUnreached, NoEndpointTakes,
 	}
