Cold endpoints: requests go on to owners of the quota, tests with nodes

Callers of a service whose endpoints are all cold were rejected at every node that owns no quota or has used its turns, while the owners were idle. Such requests now go on to an owner, once (reach.ChooseOwner).

--- a/core/limit/cold.go
+++ b/core/limit/cold.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Cold is what a cold endpoint takes. In no second may more than PerSecond x Over + Slack
 // requests of all nodes together arrive there.
@@ -63,3 +66,22 @@
 	}
 	return member && before < first
 }
+
+// ColdOwners returns the members that may send requests to a cold endpoint; see ColdShare.
+func ColdOwners(endpoint string, cold Cold, members []string) []string {
+	most := cold.most()
+	if most < 1 || cold.PerSecond <= 0 {
+		return nil
+	}
+	prefix := append([]byte(endpoint), '/')
+	ordered := make([]ranked, 0, len(members))
+	for _, name := range members {
+		ordered = append(ordered, ranked{node: Node{Name: name}, rank: rank(prefix, name)})
+	}
+	slices.SortFunc(ordered, ranked.compare)
+	owners := []string{}
+	for _, ranked := range ordered[:min(len(ordered), max(1, most/2))] {
+		owners = append(owners, ranked.node.Name)
+	}
+	return owners
+}
--- a/core/limit/cold_test.go
+++ b/core/limit/cold_test.go
@@ -160,3 +160,20 @@
 		})
 	}
 }
+
+// TestColdOwners guards against nodes that send requests on to one that may not send them.
+func TestColdOwners(t *testing.T) {
+	for _, count := range []int{1, 12, 79, 133} {
+		members := memberNames(count)
+		var want []string
+		for _, name := range members {
+			if limit.ColdShare("e", name, cold, members) > 0 {
+				want = append(want, name)
+			}
+		}
+		got := limit.ColdOwners("e", cold, members)
+		slices.Sort(got)
+		slices.Sort(want)
+		assert.DeepEqual(t, got, want)
+	}
+}
--- /dev/null
+++ b/core/reach/owner_test.go
@@ -0,0 +1,57 @@
+package reach_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickorybend/core/reach"
+)
+
+// expectOwner checks which node a request is sent to.
+func expectOwner(t *testing.T, plain []*reach.Candidate, tried []string, want string) {
+	t.Helper()
+	var peers reach.Peers
+	for _, name := range []string{"n-1", "n-2", "n-3"} {
+		peers.List = append(peers.List, reach.Peer{Candidate: &reach.Candidate{ID: name, IsPeer: true, Slots: 10, Load: &reach.Load{}}})
+	}
+	got := ""
+	if owner := reach.ChooseOwner(reach.DefaultPolicy(), &peers, &reach.ServicePool{Service: "app", Plain: plain}, reach.Request{Now: time.Unix(1000, 0), Tried: tried}); owner != nil {
+		got = owner.ID
+	}
+	assert.Equal(t, got, want)
+}
+
+// TestRequestForColdEndpointsOnly guards against requests that are rejected here while a
+// node that may send them on is idle, and against ones that are sent on although this
+// node has endpoints of its own.
+func TestRequestForColdEndpointsOnly(t *testing.T) {
+	endpoint := func(id string, owners ...string) *reach.Candidate {
+		candidate := &reach.Candidate{ID: id, Slots: 4, Load: &reach.Load{}, Owners: owners}
+		if len(owners) > 0 {
+			candidate.Load.SetRate(0)
+		}
+		return candidate
+	}
+	ours := endpoint("e-3", "n-1")
+	ours.Load.SetRate(1)
+	unreachable := endpoint("e-9")
+	unreachable.Load.MarkUnreachable(time.Unix(2000, 0))
+	for _, test := range []struct {
+		name  string
+		plain []*reach.Candidate
+		tried []string
+		want  string
+	}{
+		{"no endpoint", nil, nil, ""},
+		{"a warm one", []*reach.Candidate{endpoint("e-1", "n-2"), endpoint("e-2")}, nil, ""},
+		{"cold ones only", []*reach.Candidate{endpoint("e-1", "n-2"), endpoint("e-2", "n-2")}, nil, "n-2"},
+		{"cold ones, and one that is not reached", []*reach.Candidate{endpoint("e-1", "n-3"), unreachable}, nil, "n-3"},
+		{"a cold one for which this node has a turn", []*reach.Candidate{endpoint("e-1", "n-2"), ours}, nil, ""},
+		{"its owner was tried", []*reach.Candidate{endpoint("e-1", "n-2")}, []string{"n-2"}, ""},
+		{"its owner is no member", []*reach.Candidate{endpoint("e-1", "n-9")}, nil, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) { expectOwner(t, test.plain, test.tried, test.want) })
+	}
+}
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -51,11 +51,12 @@
 	IsPeer              bool   // it is another node
 	Address             string
 	StartedAt           time.Time
-	SameZone            bool    // in the zone of this node
-	Slots               int     // requests that it runs at once
-	MaxInFlight         int     // limit of this node's requests in flight there; 0 for none
-	PrefillTokensPerSec float64 // 0 for a plain service
-	TieBreak            float64 // in [0,1), a constant of this node and the endpoint
+	SameZone            bool     // in the zone of this node
+	Slots               int      // requests that it runs at once
+	MaxInFlight         int      // limit of this node's requests in flight there; 0 for none
+	PrefillTokensPerSec float64  // 0 for a plain service
+	TieBreak            float64  // in [0,1), a constant of this node and the endpoint
+	Owners              []string // the nodes that may send it requests, if it is cold
 	Load                *Load
 }
 
--- a/io/edge/cold.go
+++ b/io/edge/cold.go
@@ -24,6 +24,7 @@
 	incarnations map[string]time.Time // start of the last incarnation that was seen
 	seeded       bool                 // the endpoints that were there when this node started are in incarnations
 	shares       map[string]float64   // requests a second that this node may send to endpoints that are cold now
+	owners       map[string][]string  // nodes that may send to a cold endpoint, as far as they have been asked for
 	members      []string             // nodes of which some own the quotas, in order
 	membersSum   uint64
 	before       []string // those before the last change
@@ -45,7 +46,7 @@
 }
 
 func newColdEndpoints() coldEndpoints {
-	return coldEndpoints{known: map[string]*coldEndpoint{}, incarnations: map[string]time.Time{}, shares: map[string]float64{}}
+	return coldEndpoints{known: map[string]*coldEndpoint{}, incarnations: map[string]time.Time{}, shares: map[string]float64{}, owners: map[string][]string{}}
 }
 
 // until returns until when the endpoint is cold, and the source that says so.
@@ -228,17 +229,37 @@
 		cold.members = append(cold.members, name)
 	}
 	slices.Sort(cold.members)
+	clear(cold.owners)
+	control.snapshotStale = control.snapshotStale || len(cold.shares) > 0
+}
+
+// ownersOf returns the nodes that may send requests to an endpoint if it is cold.
+func (control *Control) ownersOf(id string, perSecond float64) []string {
+	cold := &control.cold
+	if _, isCold := cold.shares[id]; !isCold {
+		return nil
+	}
+	owners, found := cold.owners[id]
+	if !found {
+		owners = limit.ColdOwners(id, control.coldQuota(perSecond), cold.members)
+		cold.owners[id] = owners
+	}
+	return owners
+}
+
+// coldQuota returns what a cold endpoint of a service takes.
+func (control *Control) coldQuota(perSecond float64) limit.Cold {
+	return limit.Cold{PerSecond: perSecond, Over: control.settings.ColdOver, Slack: control.settings.ColdSlack}
 }
 
 // coldShare returns how many requests a second this node may send to a cold endpoint.
 // Shortly after a change of the list it is what both lists permit: other nodes may still
 // go by the one before.
 func (control *Control) coldShare(id string, perSecond float64, now time.Time) float64 {
-	cold, settings := &control.cold, control.settings
-	quota := limit.Cold{PerSecond: perSecond, Over: settings.ColdOver, Slack: settings.ColdSlack}
-	share := limit.ColdShare(id, settings.Node, quota, cold.members)
+	cold, self, quota := &control.cold, control.settings.Node, control.coldQuota(perSecond)
+	share := limit.ColdShare(id, self, quota, cold.members)
 	if share > 0 && len(cold.before) > 0 && now.Before(cold.changedAt.Add(listSettleTime)) {
-		share = min(share, limit.ColdShare(id, settings.Node, quota, cold.before))
+		share = min(share, limit.ColdShare(id, self, quota, cold.before))
 	}
 	return share
 }
@@ -262,10 +283,12 @@
 		if !wasCold || share != previous {
 			cold.shares[id] = share
 			control.setRate(id)
+			control.snapshotStale = true // its owners are in the snapshot
 		}
 	case wasCold:
 		delete(cold.shares, id)
 		control.setRate(id)
+		control.snapshotStale = true
 		event.Log(control.log, event.EndpointWarm, zap.String("endpoint", id))
 	}
 }
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -26,6 +26,7 @@
 		snapshot.Index = control.config.index // without it, requests are rejected
 	}
 	control.refreshCold(now) // before a cold endpoint becomes a candidate
+	control.snapshotStale = false
 	if snapshot.Index != nil {
 		for i := range snapshot.Index.Config.Services {
 			service := &snapshot.Index.Config.Services[i]
@@ -92,7 +93,7 @@
 	return &reach.Candidate{
 		ID: endpoint.ID, Address: endpoint.Address, StartedAt: endpoint.StartedAt, SameZone: endpoint.Zone == control.settings.Zone,
 		Slots: endpoint.Slots, MaxInFlight: control.connectionsTo(service, endpoint, nodes).Requests, Load: control.endpoints.load(endpoint.ID),
-		TieBreak: tieBreak(control.settings.Node, endpoint.ID),
+		TieBreak: tieBreak(control.settings.Node, endpoint.ID), Owners: control.ownersOf(endpoint.ID, service.ColdPerSecond),
 	}
 }
 
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -76,7 +76,11 @@
 	if !request.mayTryPeer() {
 		return nil
 	}
-	return reach.ChoosePeer(request.server.routing, request.server.peers(), snapshot.Services[request.service], request.routingRequest(resumed))
+	routing, peers, servicepool, routed := request.server.routing, request.server.peers(), snapshot.Services[request.service], request.routingRequest(resumed)
+	if peer := reach.ChoosePeer(routing, peers, servicepool, routed); peer != nil {
+		return peer
+	}
+	return reach.ChooseOwner(routing, peers, servicepool, routed)
 }
 
 // mayTryPeer reports whether the request may be sent to a further node.
