--- a/io/edge/cold.go
+++ b/io/edge/cold.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	suspectTime     = 2 * time.Second // for a new incarnation's row to arrive
 	maxIncarnations = 4096            // endpoints whose last start is kept; beyond that, only those that are known
 	listSettleTime  = 3 * time.Second // after a change of the nodes' rows, a node sends only what it may by the rows before, too
 )
@@ -43,6 +44,7 @@
 	own       time.Time // its last answer to this node, at ownAt
 	ownAt     time.Time
 	told      time.Time // other nodes
+	suspected time.Time // it has broken off an attempt, or refused a connection; other nodes are not told
 }
 
 func newColdEndpoints() coldEndpoints {
@@ -54,7 +56,7 @@
 	for _, said := range []struct {
 		until  time.Time
 		source string
-	}{{coldendpoint.row, "row"}, {coldendpoint.own, "answer"}, {coldendpoint.told, "peer"}, {coldendpoint.inferred, "start"}} {
+	}{{coldendpoint.row, "row"}, {coldendpoint.own, "answer"}, {coldendpoint.told, "peer"}, {coldendpoint.inferred, "start"}, {coldendpoint.suspected, "broken"}} {
 		if said.until.After(until) {
 			until, source = said.until, said.source
 		}
@@ -85,10 +87,10 @@
 
 func (coldStated) message() {}
 
-// ColdStated records what an endpoint said in an answer. It does not wait for the control
-// loop.
+// ColdStated records what an endpoint said in an answer to a probe, check or command. It
+// comes before the outcome of that, by which the endpoint may become a candidate.
 func (control *Control) ColdStated(endpoint string, cold fleet.Cold, askedAt time.Time) {
-	go control.enqueue(coldStated{endpoint: endpoint, cold: cold, askedAt: askedAt})
+	control.enqueue(coldStated{endpoint: endpoint, cold: cold, askedAt: askedAt})
 }
 
 func (control *Control) handleColdStated(stated coldStated, now time.Time) {
@@ -212,6 +214,22 @@
 	}
 }
 
+// suspectCold takes an endpoint without an engine, of which this node has lost a connection,
+// for cold for a while: another incarnation may answer at its address before its row says
+// so. One with an engine has no replica after a start, and gets no request until its
+// report shows one. Other nodes are not told, since the fault may be in this node's links.
+func (control *Control) suspectCold(id string, now time.Time) {
+	endpoint, found := control.endpoints.byID[id]
+	service, configured := control.service(endpoint.Service)
+	if !found || !configured || service.Engine != nil || service.ColdPerSecond <= 0 {
+		return
+	}
+	if known := control.cold.incarnation(id, endpoint.StartedAt); known != nil {
+		known.suspected = now.Add(suspectTime)
+		control.applyCold(id, now)
+	}
+}
+
 // updateOwners brings the list up to date of which some nodes own the quotas. It holds the
 // nodes with a row, also those that do not answer; see limit.ColdShare.
 func (control *Control) updateOwners(now time.Time) {
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -73,6 +73,7 @@
 // crashed.
 func (control *Control) handleBroken(attempt attemptBroken, now time.Time) {
 	incarnation := attempt.Incarnation
+	control.suspectCold(incarnation.Endpoint, now)
 	broken := control.crashes.broken[incarnation]
 	if broken == nil {
 		broken = &brokenAttempts{at: attempt.At, reports: map[crash.Input]crash.Report{}}
--- a/io/edge/links.go
+++ b/io/edge/links.go
@@ -53,6 +53,7 @@
 
 // handleUnreachable checks an endpoint without an engine from now on.
 func (control *Control) handleUnreachable(unreachable endpointUnreachable, now time.Time) {
+	control.suspectCold(unreachable.endpoint, now)
 	if _, known := control.endpoints.linkChecks[unreachable.endpoint]; known || !control.isPlain(unreachable.endpoint) {
 		return
 	}
@@ -105,6 +106,7 @@
 func (control *Control) handleLinkChecked(checked linkChecked, now time.Time) {
 	endpoints, load := &control.endpoints, control.endpoints.load(checked.endpoint)
 	if checked.reachable {
+		control.suspectCold(checked.endpoint, now)
 		load.MarkUnreachable(time.Time{})
 		delete(endpoints.linkChecks, checked.endpoint)
 		delete(endpoints.lateProbes, checked.endpoint)
