Cold endpoints: the owners' first turns are spread

When an endpoint turned cold, each owner had a turn at once, on top of what was sent just before. The first turn now comes after a part of the interval that differs from node to node.

--- a/core/reach/owner_test.go
+++ b/core/reach/owner_test.go
@@ -55,3 +55,15 @@
 		t.Run(test.name, func(t *testing.T) { expectOwner(t, test.plain, test.tried, test.want) })
 	}
 }
+
+// TestFirstTurnIsHeld guards against owners that all send at once when an endpoint turns cold.
+func TestFirstTurnIsHeld(t *testing.T) {
+	now, load := time.Unix(1000, 0), &reach.Load{}
+	load.HoldTurn(now.Add(400 * time.Millisecond))
+	assert.Assert(t, !load.Limited(now), "it has no rate")
+	load.SetRate(1)
+	assert.Assert(t, load.Limited(now.Add(399*time.Millisecond)))
+	load.HoldTurn(now)
+	assert.Assert(t, load.Limited(now.Add(399*time.Millisecond)), "an earlier time does not shorten the wait")
+	assert.Assert(t, load.TakeTurn(now.Add(400*time.Millisecond)))
+}
--- a/core/reach/turn.go
+++ b/core/reach/turn.go
@@ -18,6 +18,13 @@
 	load.turnInterval.Store(int64(interval))
 }
 
+// HoldTurn permits no request before a time, if there is a rate.
+func (load *Load) HoldTurn(until time.Time) {
+	if next := load.nextTurn.Load(); until.UnixNano() > next {
+		load.nextTurn.CompareAndSwap(next, until.UnixNano()) // a request that is faster takes its turn
+	}
+}
+
 // RemoveRate lets this node send any number of requests to the endpoint.
 func (load *Load) RemoveRate() { load.turnInterval.Store(0) }
 
--- a/io/edge/cold.go
+++ b/io/edge/cold.go
@@ -282,6 +282,13 @@
 	return share
 }
 
+// firstTurn returns how long a node waits for its first turn at an endpoint that has turned
+// cold: a part of the time between two turns that differs from node to node. Else all owners
+// would send at once, while requests that were sent before still arrive.
+func firstTurn(node, id string, share float64) time.Duration {
+	return time.Duration(tieBreak(node, id) * float64(time.Second) / share)
+}
+
 // applyCold limits the requests of this node to an endpoint while that is cold, or ends
 // that.
 func (control *Control) applyCold(id string, now time.Time) {
@@ -300,6 +307,9 @@
 		}
 		if !wasCold || share != previous {
 			cold.shares[id] = share
+			if !wasCold && share > 0 {
+				control.endpoints.load(id).HoldTurn(now.Add(firstTurn(control.settings.Node, id, share)))
+			}
 			control.setRate(id)
 			control.snapshotStale = true // its owners are in the snapshot
 		}
