--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -32,7 +32,7 @@
 	candidates := servicepool.candidates(request.Model)
 	limit := maxUtilization(policy, servicepool, request)
 	for {
-		best, bestScore := pick(policy, sample(policy, candidates, request), request)
+		best, bestScore := pick(policy, withColdTurns(sample(policy, candidates, request), candidates, request), request)
 		if best == nil || bestScore.utilization > limit {
 			best, bestScore = pick(policy, candidates, request)
 		}
--- a/core/reach/owner.go
+++ b/core/reach/owner.go
@@ -34,3 +34,18 @@
 	best, _ := pick(policy, candidates, request)
 	return best
 }
+
+// withColdTurns adds the cold endpoints to a sample for which this node has a turn. Few nodes may
+// use them at all, and a sample seldom has one: of 70 endpoints a cold one got 2 requests a
+// second of the 11 that it could take. The turns keep the nodes from all choosing it at once.
+func withColdTurns(sample, candidates []*Candidate, request Request) []*Candidate {
+	if len(sample) == len(candidates) {
+		return sample
+	}
+	for _, candidate := range candidates {
+		if len(candidate.Owners) > 0 && !candidate.Load.Limited(request.Now) && !slices.Contains(sample, candidate) {
+			sample = append(sample, candidate)
+		}
+	}
+	return sample
+}
--- a/io/edge/cold.go
+++ b/io/edge/cold.go
@@ -145,15 +145,24 @@
 func (control *Control) learnCold(cold []gossip.ColdEndpoint, now time.Time) {
 	for _, told := range cold {
 		known := control.cold.incarnation(told.Endpoint, time.UnixMilli(told.StartedAt))
-		if known != nil && told.Until.After(known.told) {
+		switch {
+		case known == nil:
+			continue
+		case told.Sequence > known.sequence:
+			known.sequence, known.row, known.inferred = told.Sequence, told.Until, time.Time{}
+		case told.Sequence == 0 && told.Until.After(known.told):
 			known.told = told.Until
-			control.applyCold(told.Endpoint, now)
+		default:
+			continue
 		}
+		control.applyCold(told.Endpoint, now)
 	}
 }
 
-// coldDigest returns what this node knows of cold endpoints from their answers and starts. What it
-// knows from others is left out: a time that is passed on grows with each node.
+// coldDigest returns what this node knows of cold endpoints from their answers and starts and, if
+// it reads the rows for others, from rows: these tell the others at once, before they have
+// fetched the rows. What it knows from others is left out: a time that is passed on grows
+// with each node.
 func (control *Control) coldDigest(now time.Time) []gossip.ColdEndpoint {
 	var listed []gossip.ColdEndpoint
 	for id, known := range control.cold.known {
@@ -164,6 +173,9 @@
 		if until.After(now) {
 			listed = append(listed, gossip.ColdEndpoint{Endpoint: id, StartedAt: known.startedAt.UnixMilli(), Until: until})
 		}
+		if known.row.After(now) && control.follows(tableEndpoints) {
+			listed = append(listed, gossip.ColdEndpoint{Endpoint: id, StartedAt: known.startedAt.UnixMilli(), Until: known.row, Sequence: known.sequence})
+		}
 	}
 	return listed
 }
--- a/io/edge/cold_test.go
+++ b/io/edge/cold_test.go
@@ -114,6 +114,17 @@
 		{"a row from before the answer", true, func(control *Control) { answer(control, 0, 0, 4*second); row(control, second, born, 2, 0) }, 2 * second, true},
 		{"another node", true, func(control *Control) { told(control, 0, born, 4*second) }, 3 * second, true},
 		{"another node about an earlier start", true, func(control *Control) { told(control, 0, born.Add(-time.Second), 4*second) }, 3 * second, false},
+		{"another node's row", true, func(control *Control) {
+			control.learnCold([]gossip.ColdEndpoint{{Endpoint: "p-1", StartedAt: born.UnixMilli(), Until: start.Add(4 * second), Sequence: 2}}, start)
+		}, 3 * second, true},
+		{"another node's row, and a newer one", true, func(control *Control) {
+			control.learnCold([]gossip.ColdEndpoint{{Endpoint: "p-1", StartedAt: born.UnixMilli(), Until: start.Add(4 * second), Sequence: 2}}, start)
+			row(control, second, born, 3, 0)
+		}, 2 * second, false},
+		{"another node's row, older than the known one", true, func(control *Control) {
+			row(control, 0, born, 3, 0)
+			control.learnCold([]gossip.ColdEndpoint{{Endpoint: "p-1", StartedAt: born.UnixMilli(), Until: start.Add(4 * second), Sequence: 2}}, start)
+		}, second, false},
 		{"a start during traffic", true, func(control *Control) { row(control, 0, start, 1, nil) }, 9 * second, true},
 		{"a start during traffic, and its row does not say so yet", true, func(control *Control) { row(control, 0, start, 1, 0) }, 9 * second, true},
 		{"a start during traffic, and its time is over", true, func(control *Control) { row(control, 0, start, 1, nil) }, 10 * second, false},
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,6 +37,7 @@
 		}
 		control.config.index = site.NewIndex(config)
 		control.snapshotStale = true
+		control.limitsCold.Store(slices.ContainsFunc(config.Services, func(service site.Service) bool { return service.ColdPerSecond > 0 }))
 		control.publishedTables[tableConfig].Store(&gossip.Table{Version: rows.Version(config.Version), Entries: []gossip.Entry{{
 			Key: entry.Key, Value: entry.Value, Version: entry.Version,
 		}}})
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -52,6 +52,7 @@
 	isLeader         atomic.Bool             // this node reads the platform's tables for its zone
 	servedByLeader   atomic.Bool             // the zone's leader reports changes to this node
 	toldEvacuations  atomic.Bool             // that leader reports evacuated zones too; one of an earlier build does not
+	limitsCold       atomic.Bool             // a service limits what its cold endpoints take
 	inMesh           atomic.Bool             // every node exchanges digests with every other
 	storeUnreachable atomic.Bool             // the store did not answer the last call for the configuration
 	retrying         [tableCount]atomic.Bool // the last poll of the table has failed
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -41,6 +41,10 @@
 // polls again.
 var batchDelays = [tableCount]time.Duration{0, 200 * time.Millisecond, time.Second, 0}
 
+// coldBatchDelay bounds the batch delay of the endpoints where a service limits what cold ones
+// take: until the nodes know that an endpoint has turned cold, they send what they did.
+const coldBatchDelay = 100 * time.Millisecond
+
 // roleCheckInterval is the time between two checks of whether this node has to
 // follow a table.
 const roleCheckInterval = 200 * time.Millisecond
@@ -104,6 +108,9 @@
 	if control.placing.Load() {
 		return min(placerBatchDelay, batchDelays[table])
 	}
+	if table == tableEndpoints && control.limitsCold.Load() {
+		return coldBatchDelay
+	}
 	return batchDelays[table]
 }
 
