--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -34,7 +34,7 @@
 
 func newCopies(settings Settings) copies {
 	return copies{policies: [tableCount]fresh.Policy{
-		tableConfig:    fresh.PolicyFor(settings.ConfigBound, settings.EndpointHeartbeat),
+		tableConfig:    fresh.PolicyFor(settings.operatorBound(), settings.EndpointHeartbeat),
 		tableEndpoints: fresh.PolicyFor(settings.DrainBound, settings.EndpointHeartbeat),
 		tableNodes:     fresh.PolicyFor(nodesBound, settings.EndpointHeartbeat),
 	}}
@@ -117,6 +117,9 @@
 		if !hasAge(table) || len(digest.Versions) <= table || control.completeVersion(table) < requiredVersion(digest, table) {
 			continue
 		}
+		if table == tableConfig && digest.Evacuations == nil && control.evacuations.state.Known() {
+			continue // a node of an earlier build does not tell which zones are evacuated
+		}
 		if table == tableEndpoints {
 			control.endpoints.completeVersion = max(control.endpoints.completeVersion, digest.Complete)
 		}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -41,6 +41,10 @@
 // polls again.
 var batchDelays = [tableCount]time.Duration{0, 200 * time.Millisecond, time.Second, 0}
 
+// coldBatchDelay bounds the batch delay of the endpoints where a service limits what cold ones
+// take: until the nodes know that an endpoint has turned cold, they send what they did.
+const coldBatchDelay = 100 * time.Millisecond
+
 // roleCheckInterval is the time between two checks of whether this node has to
 // follow a table.
 const roleCheckInterval = 200 * time.Millisecond
@@ -64,6 +68,9 @@
 	if table == tableConfig && control.storeUnreachable.Load() {
 		return true // until the store answers this node again, which may then lead
 	}
+	if table == tableConfig && !control.toldEvacuations.Load() {
+		return true // the rows of evacuated zones are in that table
+	}
 	return (table == tableConfig || table == tableNodes) && !control.servedByLeader.Load()
 }
 
@@ -131,6 +138,9 @@
 	if control.placing.Load() {
 		return min(placerBatchDelay, batchDelays[table])
 	}
+	if table == tableEndpoints && control.limitsCold.Load() {
+		return coldBatchDelay
+	}
 	return batchDelays[table]
 }
 
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -162,6 +162,7 @@
 	leader := peers.nodes[peers.role.Leader]
 	control.servedByLeader.Store(!peers.role.Mesh && leader != nil && !leader.digest.StoreUnreachable && leader.fresh(now))
 	control.servedByPlacer.Store(control.hearsPlacer(now))
+	control.toldEvacuations.Store(leader != nil && leader.digest.Evacuations != nil)
 }
 
 // hearsPlacer reports whether the node that places replicas tells this one of changes itself,
@@ -317,6 +318,8 @@
 	}
 	digest.StoreReplyAge = int64(time.Since(control.storeRepliedAt))
 	digest.StoreUnreachable = control.storeUnreachable.Load()
+	digest.Evacuated = control.evacuations.state
+	digest.Cold = control.coldDigest(time.Now())
 	control.digest.Store(digest)
 }
 
@@ -366,6 +369,9 @@
 		return gossip.Table{}
 	}
 	changes := published.ChangesAfter(after, time.Now())
+	if table == tableConfig {
+		changes.Evacuations = gossip.EvacuationsOf(control.digest.Load().Evacuated, time.Now())
+	}
 	if confirmation != nil && !confirmation.at.IsZero() && confirmation.version.Era() == published.CompactedVersion.Era() {
 		changes.Age, changes.Complete = int64(max(1, time.Since(confirmation.at))), confirmation.version
 	}
@@ -377,6 +383,7 @@
 func (control *Control) handlePeerDigest(received digestReceived, now time.Time) {
 	digest := received.digest
 	digest.Crashes, digest.Limits = digest.Crashes.ReceivedAt(now), gossip.LimitsReceivedAt(digest.Limits, now)
+	digest.Cold = gossip.ColdReceivedAt(digest.Cold, now)
 	digest.AnsweredAt = digest.AnswersReceivedAt(now, answeringFor)
 	peer := control.peers.peer(digest.Node)
 	if peer == nil {
@@ -389,10 +396,12 @@
 	peer.digestReceivedAt = now
 	peer.exchanging = false
 	peer.lastExchangeFailed = false
+	control.applyEvacuations(digest.Evacuations.State(now), fromPeer, now)
 	control.confirmByPeer(digest, received.askedAt, now)
 	control.learnLeaving(digest, now)
 	control.learnCrashes(digest.Crashes, now)
 	control.learnLimits(digest.Limits, now)
+	control.learnCold(digest.Cold, now)
 	control.reconcileUnresponsive(digest, now)
 	control.learnLost(digest, now)
 	control.placement.updateHolderReport(digest, now)
@@ -494,7 +503,10 @@
 			Key: entry.Key, Value: entry.Value, Version: entry.Version, Removed: entry.Removed, GraceLeft: time.Duration(entry.GraceLeft),
 		})
 	}
-	control.enqueue(tableChanged{table: table, batch: batch, from: fromPeer})
+	if table == tableConfig && received.Evacuations == nil {
+		batch.ConfirmedAt = time.Time{} // a node of an earlier build does not tell which zones are evacuated
+	}
+	control.enqueue(tableChanged{table: table, batch: batch, from: fromPeer, evacuations: received.Evacuations})
 }
 
 // tableFetched reports that a fetch of a table from a peer has ended.
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -39,6 +39,9 @@
 	NodeRowRemoved        = Event{213, "row of a node that is gone removed", zap.InfoLevel}
 	NodeRowWithdrawn      = Event{214, "row of this stopping node withdrawn", zap.InfoLevel}
 	NodeRowOdd            = Event{215, "row of a node is no member's", zap.WarnLevel}
+	ZoneEvacuated         = Event{216, "zone evacuated", zap.WarnLevel}
+	ZoneTakenBack         = Event{217, "zone no longer evacuated", zap.WarnLevel}
+	ZoneUnknown           = Event{218, "evacuated zone has no endpoint and no node", zap.WarnLevel}
 	LeaseAcquired         = Event{301, "lease acquired", zap.InfoLevel}
 	LeaseLost             = Event{302, "lease lost", zap.WarnLevel}
 	LeaseReleased         = Event{303, "lease released", zap.InfoLevel}
@@ -67,6 +70,9 @@
 	CutOffChanged         = Event{423, "whether this node is cut off from the endpoints changed", zap.WarnLevel}
 	ConnectionsReset      = Event{430, "endpoint reset new connections", zap.WarnLevel}
 	ConnectionsUnusable   = Event{431, "unusable max_connections of a service", zap.WarnLevel}
+	EndpointCold          = Event{432, "endpoint is cold and takes fewer requests", zap.InfoLevel}
+	EndpointWarm          = Event{433, "endpoint is no longer cold", zap.InfoLevel}
+	ColdUnusable          = Event{434, "unusable time for which an endpoint is cold", zap.WarnLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -98,11 +104,11 @@
 func All() []Event {
 	return []Event{
 		NodeStarted, NodeDraining, NodeStopped, NodeFailed, LogLinesDropped, SettingsReread, ReadinessChanged, DrainTimedOut, HostSuspended,
-		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh, StoreWentBack, NodeRowLost, MemberChanged, NodeRowRemoved, NodeRowWithdrawn, NodeRowOdd,
+		StoreDown, StoreBack, HostListDown, HostListBack, OutcomeUnknown, RowUnreadable, PeerUnresponsive, CopyStale, CopyFresh, StoreWentBack, NodeRowLost, MemberChanged, NodeRowRemoved, NodeRowWithdrawn, NodeRowOdd, ZoneEvacuated, ZoneTakenBack, ZoneUnknown,
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable, EndpointCold, EndpointWarm, ColdUnusable,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun, NotRunContradicted, AnswerCopySkipped, EndpointUnreached, NoEndpointTakes,
 	}
