--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -29,6 +29,7 @@
 	InvariantAccess            = "nobody denied"          // no 401 or 404 for an allowed request, and Retry-After with each rejection
 	InvariantConfigPropagation = "changes everywhere"     // nodes apply a change within configBound and do not revert
 	InvariantDrain             = "drains respected"       // no new requests for a draining endpoint after drainBound
+	InvariantEvacuation        = "evacuated zones"        // no request begins in the zone evacuationBound after its row was written
 	InvariantLeaving           = "leaving endpoints"      // no request to an endpoint leavingBound after the node has passed on that it leaves
 	InvariantRetryBudget       = "retry budget"           // retries within the budget, and attempts within maxAttempts
 	InvariantCancellation      = "callers that left"      // no request begins cancellationTimeout after its caller disconnected
@@ -121,6 +122,7 @@
 	drainingSince  map[string]time.Time // by runner: when the store first listed it as draining
 	leavingNotices map[leavingNotice]time.Time
 	revokedKeys    map[string]bool
+	evacuatedSince time.Time // of leftZone; zero while it is not evacuated
 	services       map[string]*traffic
 	failures       []failure
 	busyTimes      map[busyRunner][]*busyTime
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -626,7 +626,7 @@
 
 // TestSeedsKeepTheirFaults guards against seeds that draw other faults than before: a
 // seed that once had a finding is a regression case. Faults of drawSilences,
-// drawContradictions and drawCopies were added later.
+// drawContradictions, drawCopies and drawEvacuations were added later.
 func TestSeedsKeepTheirFaults(t *testing.T) {
 	scale := Scale{Nodes: 3, ModelRunners: 12, PlainRunners: 3, Callers: 12, Duration: 15 * time.Second}
 	hashWithout := func(draws ...func(uint64, Scale) []Injection) string {
@@ -643,8 +643,9 @@
 		}
 		return fmt.Sprintf("%x", hash.Sum(nil)[:8])
 	}
-	assert.Equal(t, hashWithout(drawSilences, drawContradictions, drawCopies), "2d522dc85c98b093")
-	assert.Equal(t, hashWithout(drawCopies), "e5fc7c0a4ab2b137")
+	assert.Equal(t, hashWithout(drawSilences, drawContradictions, drawCopies, drawEvacuations), "2d522dc85c98b093")
+	assert.Equal(t, hashWithout(drawCopies, drawEvacuations), "e5fc7c0a4ab2b137")
+	assert.Equal(t, hashWithout(drawEvacuations), "b0e6c5f98b2cbd18")
 }
 
 // TestCopiesAreDrawn guards against a soak that leaves out a kind of copy, or runners of which
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -184,6 +184,7 @@
 	"peer-key": "soak", "store-address": "%s", "seeds": [%s], "first-start": %t, "grace": "%s", "notice": "1s", "stall": "%s",
 	"config-bound": "%s", "drain-bound": "%s", "endpoint-heartbeat": "%s",
 	"retry": {"ratio": %g, "extra": %g, "window": "%s"},
+	%s
 }
 `
 
@@ -212,12 +213,15 @@
 	for index := range cluster.config.Scale.Nodes {
 		seeds = append(seeds, `"`+cluster.nodeAddress(index, portPeers)+`"`)
 	}
+	program, added := cluster.config.nodeProgram(node.index, node.incarnation), ""
+	if cluster.config.OtherBin == "" {
+		added = fmt.Sprintf(`"evacuation-bound": "%s"`, evacuationBound) // other builds may not have it
+	}
 	text := fmt.Sprintf(settingsTemplate, node.index+1, cluster.nodeAddress(node.index, portCallers), cluster.nodeAddress(node.index, portReady), cluster.nodeAddress(node.index, portPeers),
-		node.storeProxy.Address(), strings.Join(seeds, ", "), node.incarnation == 0, shutdownGrace, stallTimeout, configBound, drainBound, rowTTL/3, budgetRatio, budgetExtra, budgetWindow)
+		node.storeProxy.Address(), strings.Join(seeds, ", "), node.incarnation == 0, shutdownGrace, stallTimeout, configBound, drainBound, rowTTL/3, budgetRatio, budgetExtra, budgetWindow, added)
 	if err := os.WriteFile(node.settingsFile, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "soak: writing the settings of a node")
 	}
-	program := cluster.config.nodeProgram(node.index, node.incarnation)
 	node.incarnation++
 	started, err := startProcess(strings.TrimSuffix(node.settingsFile, ".jsonc")+".log", program, "edge", "--config", node.settingsFile)
 	if err != nil {
@@ -262,6 +266,9 @@
 
 // BeginExecution implements fakes.Fabric.
 func (cluster *cluster) BeginExecution(execution fakes.Execution) bool {
+	if slot := cluster.slotOf(execution.Runner); slot != nil && cluster.config.OtherBin == "" { // other builds may not know of evacuations
+		cluster.checker.checkEvacuation(execution, zoneOf(slot))
+	}
 	return cluster.checker.BeginExecution(execution)
 }
 
@@ -279,7 +286,7 @@
 		return complete
 	}
 	slot.proxy.SetTarget(heartbeat.Address)
-	row, withoutSequence, err := rewriteRow(heartbeat.Row, slot.proxy.Address())
+	row, withoutSequence, err := rewriteRow(heartbeat.Row, slot.proxy.Address(), zoneOf(slot))
 	if err != nil {
 		cluster.checker.report(InvariantProcessAlive, "cannot rewrite the row of %s: %v", heartbeat.ID, err)
 		return complete
@@ -303,14 +310,14 @@
 	return complete
 }
 
-// rewriteRow sets a row's address. It returns the row, and for comparison the same
+// rewriteRow sets a row's address and zone. It returns the row, and for comparison the same
 // without the sequence number, which each heartbeat increments.
-func rewriteRow(row []byte, address string) (rewritten, withoutSequence []byte, err error) {
+func rewriteRow(row []byte, address, zone string) (rewritten, withoutSequence []byte, err error) {
 	fields := map[string]any{}
 	if err := json.Unmarshal(row, &fields); err != nil {
 		return nil, nil, errors.Wrap(err, "soak: decoding a row")
 	}
-	fields["address"] = address
+	fields["address"], fields["zone"] = address, zone
 	if rewritten, err = json.Marshal(fields); err != nil {
 		return nil, nil, errors.Wrap(err, "soak: encoding a row")
 	}
@@ -381,6 +388,7 @@
 			cluster.store.Delete("servers", id)
 		}
 	}
+	cluster.evacuateAgain()
 }
 
 // changeConfig writes a new version of the operators' configuration to the store
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -223,6 +223,7 @@
 	schedule = append(schedule, drawSilences(seed, scale)...)
 	schedule = append(schedule, drawContradictions(seed, scale)...)
 	schedule = append(schedule, drawCopies(seed, scale)...)
+	schedule = append(schedule, drawEvacuations(seed, scale)...)
 	slices.SortStableFunc(schedule, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	return schedule
 }
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -77,6 +77,8 @@
 		cluster.store.DropHistory()
 	case StoreWentBack:
 		cluster.injectFor(storeComponent, injection.Duration, func() { cluster.loseChanges(fault.Changes) }, cluster.writeAgain)
+	case ZoneEvacuated:
+		cluster.evacuate(injection.Duration)
 	case RouteAdded:
 		go cluster.addRoute()
 	case RouteDropped:
