--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -61,7 +61,7 @@
 	Gone             []string             `cbor:"30,keyasint,omitempty"` // nodes that are gone, unless the receiver has said that it holds the same for gone
 	GoneSum          uint64               `cbor:"31,keyasint,omitempty"` // SumOf them
 	Late             bool                 `cbor:"32,keyasint,omitempty"` // the node's periodic work has been late in the last second; in a sum, that of every node has
-	Placing          bool                 `cbor:"40,keyasint,omitempty"` // the node itself places replicas, and polls the store for all tables
+	Placing          bool                 `cbor:"50,keyasint,omitempty"` // the node itself places replicas, and polls the store for all tables
 	CutOff           []string             `cbor:"26,keyasint,omitempty"` // nodes that endpoints do not answer, though they answer others
 	Usable           map[string]int       `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
 	Evacuations      *Evacuations         `cbor:"40,keyasint,omitempty"` // nil if the sender does not know
