--- a/core/fleet/day_test.go
+++ b/core/fleet/day_test.go
@@ -56,6 +56,7 @@
 	served     float64 // host-seconds
 	possible   float64 // host-seconds that the best packing of the hosts serves
 	asked      float64 // host-seconds
+	byMean     bool    // the planner is not told the peak of the demand
 }
 
 // newDay returns a day before its start.
@@ -150,6 +151,9 @@
 // plan runs a planning pass and carries out its commands.
 func (day *day) plan(noRequestsYet bool) {
 	input := fleet.Input{Now: day.now, Fence: 1, Engine: day.engine, Unresponsive: map[string]bool{}, InFlight: map[string]int{}, NoRequestsYet: noRequestsYet, Demand: day.demand.Recent()}
+	if !day.byMean {
+		input.Peak = day.demand.Peak(day.now)
+	}
 	for _, id := range day.ids {
 		host := day.hosts[id]
 		silent := day.now.Sub(host.silentSince)
