--- a/core/fleet/target.go
+++ b/core/fleet/target.go
@@ -31,9 +31,14 @@
 	moveHorizon = 30 * time.Second
 	// closeCost is the cost of ending a replica that serves, per host, beyond the time
 	// that its hosts do not serve.
-	closeCost = 0.1
+	closeCost = 0.2
 	// loadCost is the cost of a weight load. Only a few run at once, so one delays others.
-	loadCost = 0.2
+	loadCost = 0.4
+	// waitWeight is how many times the time until a replica serves counts, since under
+	// shortage its hosts are worth up to twice as much elsewhere. waitLimit bounds it, so
+	// that a needed replica that has to load weights is still worth it.
+	waitWeight = 2.0
+	waitLimit  = 1.2
 	// spareWorth is the value of the first spare of a domain, per host of the largest
 	// replica there; the second counts half. Without a spare, the loss of one host ends a
 	// replica until weights are loaded.
@@ -70,10 +75,12 @@
 	return needs
 }
 
-// utilizationOf returns the utilization up to which a model's replicas serve on time.
+// utilizationOf returns the utilization up to which a model's replicas serve on time. It is
+// at most HighUtilization, since requests never spread evenly over the replicas.
 func (pass *pass) utilizationOf(model site.Model) float64 {
 	work := batch.Work{PromptTokens: pass.Engine.UsualPromptTokens, AnswerTokens: pass.Engine.UsualAnswerTokens}
-	return worth.Utilization(batch.Replica{Engine: pass.Engine, Model: model}, work, pass.Objectives[model.Name], pass.planner.policy.HighUtilization)
+	high := pass.planner.policy.HighUtilization
+	return min(high, worth.Utilization(batch.Replica{Engine: pass.Engine, Model: model}, work, pass.Objectives[model.Name], high))
 }
 
 // worths returns the models as package worth rates them.
@@ -315,7 +322,7 @@
 				wait = max(wait, model.WarmTime+model.LoadTime/2)
 			}
 		}
-		cost += float64(model.ReplicaSize) * min(0.7, wait.Seconds()/moveHorizon.Seconds())
+		cost += float64(model.ReplicaSize) * min(waitLimit, waitWeight*wait.Seconds()/moveHorizon.Seconds())
 	}
 	*available = (*available)[number:]
 	return cost
--- a/core/worth/worth.go
+++ b/core/worth/worth.go
@@ -14,12 +14,11 @@
 
 const (
 	// shortageWeight is how much more the first host of a model is worth than the one
-	// that completes its need. With 1, a host of a model without replicas counts three
-	// times as much.
-	shortageWeight = 1.0
-	// reserveWeight is the value of a host beyond the need. It is below that of any
-	// host within the need, but above zero, since the estimate of the need is uncertain.
-	reserveWeight = 0.2
+	// that completes its need: with 0.7, 2.4 times as much.
+	shortageWeight = 0.7
+	// reserveWeight is the value of the first host beyond the need. It is below that of
+	// any host within the need, but above zero, since the need is an estimate.
+	reserveWeight = 0.4
 )
 
 // Value returns the value of a number of replicas of the model, in hosts.
