--- a/core/fleet/target.go
+++ b/core/fleet/target.go
@@ -22,6 +22,7 @@
 	counts map[string][]int // by domain
 	state  uint64           // hash of the state that it was computed for
 	needs  []float64        // needs that it was computed for
+	at     time.Time        // when it was computed
 }
 
 // These constants are in hosts, as all values of package worth.
@@ -46,8 +47,12 @@
 	// needTolerance is the relative change of a need that calls for another target.
 	needTolerance = 0.1
 	// manyOptions is the number of plans of a domain from which on those that leave
-	// room for more replicas are not compared.
-	manyOptions = 60
+	// room for more replicas, or that differ much from the present one, are not compared.
+	manyOptions = 16
+	// mostOptions bounds the number of plans of a domain that are compared.
+	mostOptions = 60
+	// targetInterval is the shortest time between two computations of the target.
+	targetInterval = 300 * time.Millisecond
 )
 
 // hasTarget reports whether replicas follow a target. Its caller has to report the peak
@@ -99,6 +104,9 @@
 	if target.counts != nil && target.state == state && !needsChanged(needs, target.needs) {
 		return
 	}
+	if pass.Now.Sub(target.at) < targetInterval && len(needs) == len(target.needs) {
+		return
+	}
 	if !needsChanged(needs, target.needs) {
 		needs = target.needs
 	}
@@ -113,12 +121,7 @@
 	for i, domain := range names {
 		counts[domain] = options[i][chosen[i]].Counts
 	}
-	*target = newTarget(counts, state, needs)
-}
-
-// newTarget returns a target for a state.
-func newTarget(counts map[string][]int, state uint64, needs []float64) target {
-	return target{counts: counts, state: state, needs: needs}
+	target.counts, target.state, target.needs, target.at = counts, state, needs, pass.Now
 }
 
 // needsChanged reports whether the needs differ by more than what the target tolerates.
@@ -240,6 +243,9 @@
 	if len(listed) > manyOptions {
 		listed = slices.DeleteFunc(listed, func(counts []int) bool { return !pass.nearlyFull(plan, counts) })
 	}
+	for most := 8; len(listed) > mostOptions && most > 0; most-- {
+		listed = slices.DeleteFunc(listed, func(counts []int) bool { return changes(plan.counts, counts) > most })
+	}
 	options := make([]worth.Option, len(listed))
 	for i, counts := range listed {
 		options[i] = worth.Option{Counts: counts, Cost: pass.moveCost(plan, counts) - pass.spareValue(plan, counts)}
@@ -259,14 +265,22 @@
 // nearlyFull reports whether the plan of a domain leaves no room for another replica
 // beside two spares, or is the present one with at most one more replica.
 func (pass *pass) nearlyFull(plan *domainPlan, counts []int) bool {
-	smallest, more := math.MaxInt, 0
-	for m, model := range pass.models {
+	smallest := math.MaxInt
+	for _, model := range pass.models {
 		if model.ReplicaSize > 0 {
 			smallest = min(smallest, model.ReplicaSize)
 		}
-		more += max(counts[m]-plan.counts[m], plan.counts[m]-counts[m])
 	}
-	return more <= 1 || plan.hosts-pass.hostsOf(counts) < smallest+2
+	return changes(plan.counts, counts) <= 1 || plan.hosts-pass.hostsOf(counts) < smallest+2
+}
+
+// changes returns how many replicas two plans of a domain differ in.
+func changes(a, b []int) int {
+	number := 0
+	for m := range a {
+		number += max(a[m]-b[m], b[m]-a[m])
+	}
+	return number
 }
 
 // spareValue returns the value of the hosts that a plan leaves idle.
--- a/core/worth/best.go
+++ b/core/worth/best.go
@@ -21,9 +21,10 @@
 	option int     // of the last domain
 }
 
-// maxStates limits the numbers of replicas that are compared per domain. Two models on 171
-// hosts have fewer; with more models, those with the lowest values are dropped.
-const maxStates = 2500
+// maxStates limits the numbers of replicas that are compared per domain. Two models of 8 and
+// 2 hosts have about as many on 162 hosts; with more, those with the lowest values are
+// dropped, so that a node with a tenth of a core is not kept busy.
+const maxStates = 1600
 
 // Best returns the index of the option of each domain with which the value of all
 // replicas, less the costs, is highest. Among equals it takes the first ones. It is exact
@@ -62,7 +63,7 @@
 // highest values first.
 func extend(models []Model, before []state, options []Option, radix []int) []state {
 	var after []state
-	index := map[int]int{} // in after, by the totals
+	index := newPositions(radix)
 	for i := range before {
 		for o := range options {
 			key := 0
@@ -70,14 +71,11 @@
 				key = key*radix[m] + before[i].totals[m] + count
 			}
 			cost := before[i].cost + options[o].Cost
-			at, found := index[key]
-			if !found {
-				at = len(after)
-				index[key] = at
+			at, found := index.find(key, len(after))
+			switch {
+			case !found:
 				after = append(after, state{totals: sum(before[i].totals, options[o].Counts), cost: cost, from: i, option: o})
-				continue
-			}
-			if cost < after[at].cost {
+			case cost < after[at].cost:
 				after[at].cost, after[at].from, after[at].option = cost, i, o
 			}
 		}
@@ -89,6 +87,45 @@
 	return after[:min(len(after), maxStates)]
 }
 
+// positions finds the position of a state by the key of its totals: in a slice as long as
+// that is short, else in a map.
+type positions struct {
+	dense  []int32 // position plus one
+	sparse map[int]int
+}
+
+// maxDense is the length up to which a slice is used.
+const maxDense = 1 << 15
+
+// newPositions returns empty positions for keys with a radix for each model.
+func newPositions(radix []int) positions {
+	keys := 1
+	for _, size := range radix {
+		keys *= size
+		if keys > maxDense {
+			return positions{sparse: map[int]int{}}
+		}
+	}
+	return positions{dense: make([]int32, keys)}
+}
+
+// find returns the position of a key and whether it has one. If not, it gives it the next
+// position.
+func (positions positions) find(key, next int) (int, bool) {
+	if positions.dense == nil {
+		at, found := positions.sparse[key]
+		if !found {
+			positions.sparse[key] = next
+		}
+		return at, found
+	}
+	if at := positions.dense[key]; at > 0 {
+		return int(at) - 1, true
+	}
+	positions.dense[key] = int32(next) + 1
+	return 0, false
+}
+
 // Value returns the value of a number of replicas of each model.
 func Value(models []Model, totals []int) float64 {
 	value := 0.0
