Assign requests to replicas by estimate (core/queue)

With more than 12 nodes, each node chooses a replica from a sample by figures that are 0.3 to 1 s old, so that prompts wait at some replicas while others are idle.

A queue, of which a zone's leader is to have one per model, knows the requests of its zone exactly and assigns each to the replica where its first event comes the soonest. It does not hold requests back yet.

--- /dev/null
+++ b/core/queue/estimate.go
@@ -0,0 +1,82 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"hickorybend/core/batch"
+)
+
+// estimate is when a request would get its first event at a replica, and whether it and the
+// requests there would be on time.
+type estimate struct {
+	firstEvent time.Duration // from now on
+	inTime     bool
+	cost       time.Duration // by which replicas are compared: firstEvent and what speaks against the replica
+}
+
+// load returns what the replica works on. The requests of others whose prompts are pending
+// are not running; digests give the tokens of these prompts, not their number.
+func (replica *replica) load(work batch.Work) batch.Load {
+	waiting := 0
+	if replica.others.PendingTokens > 0 {
+		waiting = 1 + replica.others.PendingTokens/max(1, work.PromptTokens)
+	}
+	othersRunning := max(0, replica.others.InFlight-waiting)
+	return batch.Load{
+		Running: min(replica.running+othersRunning, max(1, replica.Slots)), PendingTokens: replica.pendingTokens + replica.others.PendingTokens,
+		ContextTokens: replica.contextTokens + othersRunning*(work.PromptTokens+work.AnswerTokens/2),
+	}
+}
+
+// full reports whether a further request would wait for a slot for too long.
+func (replica *replica) full(policy Policy) bool {
+	return float64(replica.inFlight+replica.others.InFlight+1) > float64(replica.Slots)*(1+policy.QueueAllowance)
+}
+
+// slotWait returns how long a further request waits until it gets a slot: with all slots
+// taken, the mean time between two ends for each request before it.
+func (replica *replica) slotWait(load batch.Load, work batch.Work) time.Duration {
+	over := replica.inFlight + replica.others.InFlight + 1 - replica.Slots
+	if over <= 0 || replica.Slots <= 0 {
+		return 0
+	}
+	between := float64(work.AnswerTokens) * float64(replica.Speed.StepTime(load)) / float64(replica.Slots)
+	return time.Duration(float64(over) * between)
+}
+
+// estimate returns the estimate for a request at a replica.
+func (queue *Queue) estimate(replica *replica, request Request, now time.Time) estimate {
+	load := replica.load(request.Work)
+	firstEvent := replica.Speed.FirstEvent(load, request.Work.PromptTokens) + replica.slotWait(load, request.Work)
+	cost := firstEvent
+	if !replica.SameZone {
+		firstEvent += queue.policy.ZoneDelay
+		cost = firstEvent + time.Duration(queue.policy.OtherZonePenalty*float64(firstEvent))
+	}
+	inTime := !now.Add(firstEvent).After(request.FirstBy)
+	if request.Pause > 0 {
+		load.Running++
+		load.PendingTokens += request.Work.PromptTokens
+		inTime = inTime && replica.Speed.Pause(load) <= request.Pause
+	}
+	return estimate{firstEvent: firstEvent, inTime: inTime, cost: cost}
+}
+
+// best returns the replica that serves a request on time the soonest, or without one the
+// soonest, or nil if the node can use none.
+func (queue *Queue) best(request Request, now time.Time) (*replica, estimate) {
+	var best *replica
+	var bestEstimate estimate
+	for _, id := range queue.order {
+		replica := queue.replicas[id]
+		if slices.Contains(request.Unusable, id) {
+			continue
+		}
+		estimate := queue.estimate(replica, request, now)
+		if best == nil || estimate.inTime && !bestEstimate.inTime || estimate.inTime == bestEstimate.inTime && estimate.cost < bestEstimate.cost {
+			best, bestEstimate = replica, estimate
+		}
+	}
+	return best, bestEstimate
+}
