Ask the leader of the zone which replica serves a request (io/assign)

What callers saw: with more than 12 nodes, requests to engines wait at some replicas, beyond their objective, while others are idle, as nodes choose by figures that are 0.3 to 1 s old.

With the setting assignment, a node asks the leader of its zone for each request to an engine whose speed is configured, within 25 ms, and reports start and end of its requests at replicas. The answer is advice: the node checks the endpoint by its own rules before it sends, and decides by itself without an answer. Nodes that report nothing, such as those of an older build, count by their digests. In meshes nobody is asked.

Tests: a leader that is dead, hangs, is of an older build, does not lead or is late; a new leader; a node that has ended.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -65,8 +65,8 @@
 type entry struct {
 	replica   string
 	work      batch.Work
-	started   bool      // its first event has come
-	reported  bool      // its node has reported on it
+	started   bool // its first event has come
+	deadline  time.Time
 	expiresAt time.Time // when it no longer counts
 }
 
@@ -148,13 +148,13 @@
 	case best.full(queue.policy):
 		return Reject{RetryAt: now.Add(queue.policy.RetryDelay)}
 	}
-	queue.put(request.Key, &entry{replica: best.ID, work: request.Work, expiresAt: request.Deadline.Add(queue.policy.ReportGrace)})
+	queue.put(request.Key, &entry{replica: best.ID, work: request.Work, deadline: request.Deadline, expiresAt: request.FirstBy.Add(queue.policy.StartGrace)})
 	return Assign{Replica: best.ID}
 }
 
-// Begun counts a request that a node has sent to a replica without being told to.
-func (queue *Queue) Begun(key Key, replica string, work batch.Work, expiresAt time.Time) {
-	queue.put(key, &entry{replica: replica, work: work, reported: true, expiresAt: expiresAt})
+// Begun counts a request that a node reports to be at a replica.
+func (queue *Queue) Begun(key Key, replica string, work batch.Work, deadline time.Time) {
+	queue.put(key, &entry{replica: replica, work: work, deadline: deadline, expiresAt: deadline.Add(queue.policy.ReportGrace)})
 }
 
 // put counts a request in place of an earlier one with its key.
@@ -171,7 +171,7 @@
 		return
 	}
 	queue.count(entry, -1)
-	entry.started, entry.reported = true, true
+	entry.started, entry.expiresAt = true, entry.deadline.Add(queue.policy.ReportGrace)
 	queue.count(entry, 1)
 }
 
--- /dev/null
+++ b/io/assign/assign_test.go
@@ -0,0 +1,204 @@
+package assign_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"hickorybend/core/batch"
+	"hickorybend/core/queue"
+	"hickorybend/core/site"
+	"hickorybend/io/assign"
+)
+
+const peerKey = "key"
+
+var engine = &site.Engine{Slots: 34, StepTime: 6070 * time.Microsecond, StepPerSlot: 241 * time.Microsecond, PrefillTokensPerSec: 46000, PassSteps: 5, PassTokens: 2048}
+
+// newView returns the view of a leader with two replicas of a model.
+func newView() assign.View {
+	speed := batch.Replica{Engine: engine, Model: site.Model{TimeFactor: 1}}
+	return assign.View{Leading: true, Pools: map[string][]queue.Replica{"s/m": {
+		{ID: "a", Speed: speed, Slots: 34, SameZone: true}, {ID: "b", Speed: speed, Slots: 34, SameZone: true}}}}
+}
+
+// zone is a leader and what the nodes of its zone reach it by.
+type zone struct {
+	desk    *assign.Desk
+	address string
+}
+
+// newZone starts a leader. The function wrap may come before its handler.
+func newZone(t *testing.T, view assign.View, wrap func(http.Handler) http.Handler) zone {
+	desk := assign.NewDesk(queue.DefaultPolicy())
+	desk.Update(view, time.Now())
+	_, handler := assign.Handler(desk, peerKey)
+	if wrap != nil {
+		handler = wrap(handler)
+	}
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return zone{desk: desk, address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+// newNode returns the client of a node that asks a leader.
+func newNode(name string, zone zone) *assign.Client {
+	client := assign.NewClient(name, peerKey)
+	client.SetLeader("leader", zone.address, nil)
+	return client
+}
+
+var work = batch.Work{PromptTokens: 1460, AnswerTokens: 116}
+
+// ask asks about a request.
+func ask(client *assign.Client, unusable ...string) assign.Advice {
+	now := time.Now()
+	return client.Place(context.Background(), assign.Question{Service: "s", Model: "m", Work: work, FirstBy: now.Add(500 * time.Millisecond), Deadline: now.Add(4 * time.Second), Unusable: unusable})
+}
+
+// begin asks about a request and has it begin where the leader says. The first call opens the
+// connection, which may take longer than a node waits on a busy machine.
+func begin(t *testing.T, client *assign.Client) (endpoint string, ticket uint64) {
+	t.Helper()
+	var send assign.Send
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var sent bool
+		if send, sent = ask(client).(assign.Send); !sent {
+			return poll.Continue("no advice")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(100*time.Millisecond))
+	return send.Endpoint, client.Begin(send.Ticket, "s", "m", send.Endpoint, work, time.Now().Add(4*time.Second))
+}
+
+// expectCounts waits until a leader counts requests in flight at the two replicas.
+func expectCounts(t *testing.T, desk *assign.Desk, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		counts, _ := desk.InFlight()
+		if got := counts["a"].InFlight + counts["b"].InFlight; got != want {
+			return poll.Continue("%d in flight, not %d", got, want)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// keepLeading renews a leader's view as its control loop does, until the test ends.
+func keepLeading(t *testing.T, desk *assign.Desk) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			desk.Update(newView(), time.Now())
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// TestNodesDoNotChooseTheSame guards against nodes that send their requests to one replica because
+// each lacks what the others have just sent there.
+func TestNodesDoNotChooseTheSame(t *testing.T) {
+	zone := newZone(t, newView(), nil)
+	first, second := newNode("n1", zone), newNode("n2", zone)
+	one, ticket := begin(t, first)
+	other, _ := begin(t, second)
+	assert.Assert(t, one != other, "both at %s", one)
+	first.Started(ticket)
+	first.End(ticket)
+	expectCounts(t, zone.desk, 1)
+	advice := ask(first, one)
+	assert.Equal(t, advice.(assign.Send).Endpoint, other, "an endpoint that the node cannot use")
+	first.End(advice.(assign.Send).Ticket)
+	expectCounts(t, zone.desk, 1)
+}
+
+// TestNodeDecidesWithoutLeader guards against requests that wait for a leader which is gone, hangs, is of
+// an older build, or does not lead.
+func TestNodeDecidesWithoutLeader(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		view assign.View
+		wrap func(http.Handler) http.Handler
+		dead bool
+	}{
+		{name: "dead", view: newView(), dead: true},
+		{name: "hangs", view: newView(), wrap: func(http.Handler) http.Handler {
+			return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(300 * time.Millisecond) })
+		}},
+		{name: "older build", view: newView(), wrap: func(http.Handler) http.Handler { return http.NotFoundHandler() }},
+		{name: "does not lead", view: assign.View{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			zone := newZone(t, test.view, test.wrap)
+			if test.dead {
+				zone.address = "127.0.0.1:1"
+			}
+			client := newNode("n1", zone)
+			start := time.Now()
+			for range 50 {
+				assert.Equal(t, ask(client), assign.None{})
+			}
+			assert.Assert(t, time.Since(start) < 50*25*time.Millisecond/2, "%s: it is asked again and again", time.Since(start))
+		})
+	}
+}
+
+// TestLateViewIsNoAdvice guards against a leader whose control loop stands still and that assigns by
+// what it knew before.
+func TestLateViewIsNoAdvice(t *testing.T) {
+	zone := newZone(t, newView(), nil)
+	zone.desk.Update(newView(), time.Now().Add(-time.Second))
+	assert.Equal(t, ask(newNode("n1", zone)), assign.None{})
+}
+
+// TestNewLeaderLearnsRequests guards against a leader that takes replicas for idle because the requests
+// there were assigned by the one before, or in an earlier time of its own.
+func TestNewLeaderLearnsRequests(t *testing.T) {
+	former, next := newZone(t, newView(), nil), newZone(t, newView(), nil)
+	client := newNode("n1", former)
+	_, first := begin(t, client)
+	client.Started(first)
+	client.Begin(0, "s", "m", "b", work, time.Now().Add(4*time.Second))
+	expectCounts(t, former.desk, 2)
+	client.SetLeader("next", next.address, nil)
+	expectCounts(t, next.desk, 2)
+	next.desk.Update(assign.View{}, time.Now())
+	keepLeading(t, next.desk)
+	expectCounts(t, next.desk, 2) // after the report that renews what the node has
+}
+
+// TestSilentNodeIsCountedByDigest guards against replicas that stay full of the requests of a node that
+// has ended, and against nodes of an older build that count for nothing.
+func TestSilentNodeIsCountedByDigest(t *testing.T) {
+	zone := newZone(t, newView(), nil)
+	local := assign.NewClient("leader", peerKey)
+	local.SetLeader("leader", "", zone.desk)
+	for range 4 {
+		begin(t, local)
+	}
+	expectCounts(t, zone.desk, 4)
+	later := time.Now().Add(3 * time.Second)
+	zone.desk.Update(newView(), later)
+	counts, nodes := zone.desk.InFlight()
+	assert.Equal(t, counts["a"].InFlight+counts["b"].InFlight, 0)
+	assert.Equal(t, len(nodes), 0)
+
+	view := newView()
+	view.Nodes = map[string]map[string]queue.Counts{"old": {"a": {InFlight: 20, PendingTokens: 9000}}}
+	zone.desk.Update(view, time.Now())
+	for range 3 {
+		endpoint, _ := begin(t, local)
+		assert.Equal(t, endpoint, "b")
+	}
+}
--- /dev/null
+++ b/io/edge/assignment.go
@@ -0,0 +1,104 @@
+package edge
+
+import (
+	"time"
+
+	"hickorybend/core/batch"
+	"hickorybend/core/queue"
+	"hickorybend/core/reach"
+	"hickorybend/core/topo"
+	"hickorybend/io/assign"
+	"hickorybend/io/gossip"
+)
+
+// assignment is this node's part in the assignment of requests to replicas; see package assign.
+type assignment struct {
+	desk   *assign.Desk   // answers while this node leads its zone
+	client *assign.Client // asks the leader of its zone
+}
+
+func newAssignment(settings Settings) assignment {
+	return assignment{desk: assign.NewDesk(queue.DefaultPolicy()), client: assign.NewClient(settings.Node, settings.PeerKey)}
+}
+
+// updateAssignment sets whom this node asks, and what it knows as a leader. In a mesh nodes know
+// each other's requests soon enough, and ask nobody. groups are those of peers.sources.
+func (control *Control) updateAssignment(groups [][]topo.Source, now time.Time) {
+	peers, assignment := control.peers, control.assignment
+	active := control.settings.Assignment && !peers.role.Mesh
+	leads := active && peers.role.IsLeader && !control.draining && !control.cutoff.CutOff()
+	view := assign.View{Leading: leads}
+	if leads {
+		view.Pools, view.Others, view.Nodes = control.replicaPools(), map[string]queue.Counts{}, control.zoneCounts(groups)
+		addCounts(view.Others, control.otherZones(groups))
+	}
+	assignment.desk.Update(view, now)
+	leader := peers.nodes[peers.role.Leader]
+	switch {
+	case leads:
+		assignment.client.SetLeader(peers.self, "", assignment.desk)
+	case active && leader != nil:
+		assignment.client.SetLeader(peers.role.Leader, leader.address, nil)
+	default:
+		assignment.client.SetLeader("", "", nil)
+	}
+}
+
+// replicaPools returns the replicas that take requests and whose speed is configured, by
+// reach.PoolKey.
+func (control *Control) replicaPools() map[string][]queue.Replica {
+	pools := map[string][]queue.Replica{}
+	for name, servicepool := range control.snapshot.Load().Services {
+		if servicepool.Engine == nil {
+			continue
+		}
+		for model, candidates := range servicepool.Models {
+			described, _ := servicepool.Engine.Model(model)
+			speed := batch.Replica{Engine: servicepool.Engine, Model: described}
+			if !speed.Known() {
+				continue
+			}
+			for _, candidate := range candidates {
+				key := reach.PoolKey(name, model)
+				pools[key] = append(pools[key], queue.Replica{ID: candidate.ID, Speed: speed, Slots: candidate.Slots, SameZone: candidate.SameZone})
+			}
+		}
+	}
+	return pools
+}
+
+// zoneCounts returns the requests of the other nodes of this zone by node and replica, as of
+// their digests.
+func (control *Control) zoneCounts(groups [][]topo.Source) map[string]map[string]queue.Counts {
+	nodes := map[string]map[string]queue.Counts{}
+	for _, group := range groups {
+		if group[0].Zone != control.settings.Zone {
+			continue
+		}
+		for _, source := range group {
+			counts := map[string]queue.Counts{}
+			addCounts(counts, control.peers.nodes[source.Node].digest)
+			nodes[source.Node] = counts
+		}
+	}
+	return nodes
+}
+
+// otherZones returns a digest that counts the requests of the nodes of other zones.
+func (control *Control) otherZones(groups [][]topo.Source) gossip.Digest {
+	var others gossip.Digest
+	others = others.Copy()
+	for _, group := range groups {
+		if group[0].Zone != control.settings.Zone {
+			others.AddCounts(control.peers.digestsOf(group)...)
+		}
+	}
+	return others
+}
+
+// addCounts adds the requests that a digest counts.
+func addCounts(counts map[string]queue.Counts, digest gossip.Digest) {
+	for id, inFlight := range digest.InFlight {
+		counts[id] = queue.Counts{InFlight: counts[id].InFlight + inFlight, PendingTokens: counts[id].PendingTokens + digest.PendingTokens[id]}
+	}
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -64,6 +64,7 @@
 	crashes          crashes
 	limits           limits
 	connections      connections
+	assignment       assignment
 	loggedServing    map[string]int // serving replicas of each model, as last logged
 	storeRepliedAt   time.Time      // when the store last answered
 	bootClockOffset  func(monotonic time.Duration) (time.Duration, error)
@@ -92,6 +93,7 @@
 	control.cutoff = cutoff.NewTracker(cutoff.DefaultPolicy())
 	control.limits = newLimits()
 	control.connections = newConnections()
+	control.assignment = newAssignment(settings)
 	control.placement = newPlacement(settings)
 	control.demand = newDemand()
 	if engineclient != nil {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"hickorybend/core/retry"
+	"hickorybend/io/assign"
 	"hickorybend/io/drain"
 	"hickorybend/io/entry"
 	"hickorybend/io/event"
@@ -57,6 +58,7 @@
 		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded), entry.WithLimits(control.LimitStated), entry.WithUnreachable(control.Unreachable), entry.WithLateness(control.LateBy),
 		entry.WithMemory(int64(settings.MemoryMB)<<20),
 		entry.WithPeers(control.Peers, settings.Node, settings.PeerKey),
+		entry.WithAssigner(control.assignment.client),
 		entry.WithRetryBudget(retry.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, UsableShare: usableBudgetShare}))
 	control.hadRequests = server.HadRequests
 	control.localDemand = server.Demand
@@ -163,6 +165,8 @@
 	routes := http.NewServeMux()
 	path, handler := gossip.Handler(params.Control, params.Settings.PeerKey)
 	routes.Handle(path, handler)
+	path, handler = assign.Handler(params.Control.assignment.desk, params.Settings.PeerKey)
+	routes.Handle(path, handler)
 	routes.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		params.Meter.WriteText(w)
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -121,6 +121,7 @@
 		control.startExchange(name, peer, now.Add(interval))
 	}
 	control.updatePeerLoads(groups)
+	control.updateAssignment(groups, now)
 	if peers.role.Mesh || !now.Before(peers.nextRoutesAt) {
 		control.updateRoutes(now)
 	}
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -29,6 +29,7 @@
 	ConfigBound       time.Duration `json:"config-bound"`       // after the store's acknowledgment, a configuration must be in force
 	StallTimeout      time.Duration `json:"stall"`              // how long a replica that lost a member stalls before it breaks
 	Retry             Retry         `json:"retry"`
+	Assignment        bool          `json:"assignment"`          // where nodes form no mesh, the leader of each zone assigns requests to replicas
 	PlaceWithoutStore bool          `json:"place-without-store"` // continue placing while the store answers no node
 	HeaderTimeout     time.Duration `json:"header-time"`
 	HeaderBytes       int           `json:"header-bytes"`
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -16,6 +16,7 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
 	sentAt    time.Time
+	ticket    uint64       // by which the zone's leader is told of it; 0 if it is not
 	silence   *time.Timer  // calls handover.handleSilence
 	probe     *time.Timer  // has the endpoint of a stream probed; nil for other requests
 	goneAt    atomic.Int64 // Unix nanoseconds from which the endpoint counts as gone if it stays silent; 0 if it has not been reported as lost
@@ -67,6 +68,7 @@
 		attempt.probe.Stop()
 	}
 	attempt.answerBegins()
+	server.endAssigned(attempt)
 	attempt.candidate.Load.End()
 	switch {
 	case attempt.answer == nil:
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -99,6 +99,7 @@
 		attempt.probe = time.AfterFunc(policy.ProbeAfter+request.route.LatencyObjective, func() { request.server.suspect(candidate.ID) })
 	}
 	attempt.silence = time.AfterFunc(patience, func() { handover.handleSilence(attempt) })
+	attempt.ticket = request.beginAssigned(candidate)
 	request.server.register(attempt)
 	return attempt
 }
@@ -273,7 +274,7 @@
 	}
 	server, now := request.server, time.Now()
 	snapshot := server.snapshot.Load()
-	send, chosen := request.chooseCandidate(snapshot, true).(reach.Send)
+	send, chosen := request.chooseCandidate(snapshot, true, request.chooseAlone).(reach.Send)
 	if !chosen || !server.withdrawRetry(request.service, now, snapshot.Nodes) {
 		return nil
 	}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -41,6 +41,8 @@
 	inputs       []crash.Input // that it is recognized by if it crashes endpoints, itself last
 	suspected    bool          // one of its inputs was in question before its latest attempt
 	trial        *crash.Trial  // that this request has claimed, or nil
+	ticket       uint64        // of the endpoint that the zone's leader has assigned; 0 for none, or once an attempt has it
+	ticketFor    string        // that endpoint
 	from         string        // the node that has sent it on; empty if it comes from a caller
 	counted      atomic.Bool   // by this node or another one
 	tried        []string      // IDs of the endpoints, and names of the nodes, that it was sent to
@@ -217,6 +219,7 @@
 func (request *request) tryEndpoints(ctx context.Context, headerWritten func() bool, send func(*reach.Candidate) result) *failure {
 	defer request.endTrial()
 	defer request.count() // if no byte of it has left this node
+	defer request.returnTicket()
 	cause := "no endpoint took the request"
 	for request.mayAttempt() {
 		if request.leavesTooSoon() { // the body or an attempt before may have taken long
@@ -268,7 +271,7 @@
 		return reach.Reject{Reason: reach.ReasonCrashes, RetryAt: blocked.RetryAt}
 	}
 	request.suspected = slices.ContainsFunc(request.inputs, func(input crash.Input) bool { return request.snapshot.Suspected[input] })
-	decision := request.chooseCandidate(request.snapshot, resumed)
+	decision := request.chooseCandidate(request.snapshot, resumed, request.advised)
 	if _, rejected := decision.(reach.Reject); rejected {
 		request.count()
 	}
@@ -276,8 +279,9 @@
 }
 
 // chooseCandidate picks an endpoint, or another node if this one reaches no endpoint with
-// room, has just found one that it does not reach, or doubts its links.
-func (request *request) chooseCandidate(snapshot *reach.Snapshot, resumed bool) reach.Decision {
+// room, has just found one that it does not reach, or doubts its links. The function chooseEndpoint
+// picks the endpoint.
+func (request *request) chooseCandidate(snapshot *reach.Snapshot, resumed bool, chooseEndpoint func(*reach.ServicePool, reach.Request) reach.Decision) reach.Decision {
 	if peers := request.server.peers(); request.unreached > 0 || peers != nil && peers.Preferred {
 		if peer := request.choosePeer(snapshot, resumed); peer != nil {
 			return reach.Send{Candidate: peer}
@@ -287,7 +291,7 @@
 		return reach.Reject{Reason: reach.ReasonNoEndpoint, RetryAt: time.Now().Add(request.server.routing.MinRetryDelay)}
 	}
 	routed := request.routingRequest(resumed)
-	decision := reach.Choose(request.server.routing, snapshot.Services[request.service], routed)
+	decision := chooseEndpoint(snapshot.Services[request.service], routed)
 	if reject, rejected := decision.(reach.Reject); rejected {
 		if peer := request.choosePeer(snapshot, resumed); peer != nil {
 			return reach.Send{Candidate: peer}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -16,6 +16,7 @@
 	"hickorybend/core/crash"
 	"hickorybend/core/reach"
 	"hickorybend/core/retry"
+	"hickorybend/io/assign"
 	"hickorybend/io/meter"
 	"hickorybend/io/pool"
 )
@@ -36,7 +37,8 @@
 	trialEnded    func(TrialEnded)
 	limitStated   func(StatedLimit)
 	peers         func() *reach.Peers
-	self          string // this node's name
+	assigner      *assign.Client // asks the leader of this node's zone; nil if there are no leaders
+	self          string         // this node's name
 	peerKey       string
 	soundParts    *crash.SoundUses // of parts of prompts
 	soundRequests *crash.SoundUses // of whole requests
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -125,6 +125,7 @@
 	}
 	attempt.recordEvent(request.server.policy)
 	if attempt.eventCount.Load() == 1 {
+		request.server.startAssigned(attempt)
 		request.beginAnswer(attempt)
 	}
 }
