--- a/io/entry/assigned.go
+++ b/io/entry/assigned.go
@@ -30,6 +30,7 @@
 	case assign.Send:
 		request.ticket, request.ticketFor = advice.Ticket, advice.Endpoint
 		if candidate := reach.Take(servicepool, routed, advice.Endpoint); candidate != nil {
+			request.assigned++
 			return reach.Send{Candidate: candidate}
 		}
 		request.returnTicket()
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -43,6 +43,7 @@
 	trial        *crash.Trial  // that this request has claimed, or nil
 	ticket       uint64        // of the endpoint that the zone's leader has assigned; 0 for none, or once an attempt has it
 	ticketFor    string        // that endpoint
+	assigned     int           // attempts at endpoints that the leader has assigned
 	from         string        // the node that has sent it on; empty if it comes from a caller
 	counted      atomic.Bool   // by this node or another one
 	tried        []string      // IDs of the endpoints, and names of the nodes, that it was sent to
@@ -413,7 +414,7 @@
 	if request.route != nil {
 		fields = append(fields, zap.String("route", request.route.Name), zap.String("team", request.team),
 			zap.Strings("endpoints", request.tried), zap.Int64("config", request.snapshot.Index.Config.Version),
-			zap.String("from-node", request.from), zap.Int("nodes", request.peersTried), zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Duration("age", request.snapshotAge))
+			zap.String("from-node", request.from), zap.Int("nodes", request.peersTried), zap.Int("assigned", request.assigned), zap.Duration("left", request.header.Timeout), zap.String("model", request.header.Model), zap.Strings("parts", request.header.SharedParts), zap.String("input", request.inputID()), zap.Duration("age", request.snapshotAge))
 	}
 	if stop := request.server.stop.Load(); stop != nil {
 		fields = append(fields, zap.Duration("stops-in", time.Until(stop.exitAt)))
