Reject at the leader what no replica would serve on time (core/queue)

What callers saw: at the peak nearly all requests to the larger model were late, since each that waited at a replica made those after it late.

A queue rejects a request whose first event, estimated with a margin, would come after its objective at every replica, and tells the callers one after the other when to return. A request that nothing else would be delayed by is served late, and a resumed stream always.

Requests do not wait at the leader: the replays have no comparison for that yet.

--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -29,11 +29,6 @@
 	}
 }
 
-// full reports whether a further request would wait for a slot for too long.
-func (replica *replica) full(policy Policy) bool {
-	return float64(replica.inFlight+replica.others.InFlight+1) > float64(replica.Slots)*(1+policy.QueueAllowance)
-}
-
 // slotWait returns how long a further request waits until it gets a slot: with all slots
 // taken, the mean time between two ends for each request before it.
 func (replica *replica) slotWait(load batch.Load, work batch.Work) time.Duration {
@@ -54,7 +49,7 @@
 		firstEvent += queue.policy.ZoneDelay
 		cost = firstEvent + time.Duration(queue.policy.OtherZonePenalty*float64(firstEvent))
 	}
-	inTime := !now.Add(firstEvent).After(request.FirstBy)
+	inTime := !now.Add(time.Duration(queue.policy.margin(request) * float64(firstEvent))).After(request.FirstBy)
 	if request.Pause > 0 {
 		load.Running++
 		load.PendingTokens += request.Work.PromptTokens
@@ -80,3 +75,24 @@
 	}
 	return best, bestEstimate
 }
+
+// promise returns when a caller that is rejected is to return. Those who return come one after
+// the other, at the rate of RetryRate for each replica, MaxRetryDelay later at the most.
+func (queue *Queue) promise(now time.Time) time.Time {
+	earliest := now.Add(queue.policy.RetryDelay)
+	gap := time.Duration(float64(time.Second) / queue.policy.RetryRate / float64(max(1, len(queue.replicas))))
+	queue.promised = queue.promised.Add(gap)
+	if queue.promised.Before(earliest) {
+		queue.promised = earliest
+	}
+	if latest := now.Add(queue.policy.MaxRetryDelay); queue.promised.After(latest) {
+		queue.promised = latest
+	}
+	return queue.promised
+}
+
+// quiet reports whether a late request at a replica keeps no other from being on time.
+func (replica *replica) quiet(policy Policy) bool {
+	inFlight := replica.inFlight + replica.others.InFlight
+	return replica.pendingTokens+replica.others.PendingTokens == 0 && float64(inFlight) < policy.QuietShare*float64(replica.Slots)
+}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -29,6 +29,8 @@
 	Deadline time.Time     // after which its caller does not wait
 	Pause    time.Duration // objective for the longest pause between two events; 0 for none
 	Priority int           // 0 is the most urgent
+	Retried  bool          // it was rejected before and its caller retries it
+	Resumed  bool          // part of its answer has been delivered
 	Team     string
 	Unusable []string // replicas that the node cannot send it to
 }
@@ -86,6 +88,7 @@
 	replicas map[string]*replica
 	order    []string // IDs of the replicas, sorted
 	entries  map[Key]*entry
+	promised time.Time // when the last caller that was rejected is to return
 }
 
 // New creates a queue without replicas.
@@ -140,13 +143,18 @@
 }
 
 // Place decides on a request. It counts a request that it assigns.
+//
+// A request that no replica would serve on time is rejected: it would make those after it late
+// too. The caller has its full value if it returns when there is capacity. It is served late
+// where that keeps no other request from being on time, and if it resumes a stream, part of
+// which its caller has.
 func (queue *Queue) Place(request Request, now time.Time) Decision {
-	best, _ := queue.best(request, now)
+	best, estimate := queue.best(request, now)
 	switch {
 	case best == nil:
 		return None{}
-	case best.full(queue.policy):
-		return Reject{RetryAt: now.Add(queue.policy.RetryDelay)}
+	case !estimate.inTime && !request.Resumed && !best.quiet(queue.policy):
+		return Reject{RetryAt: queue.promise(now)}
 	}
 	queue.put(request.Key, &entry{replica: best.ID, work: request.Work, deadline: request.Deadline, expiresAt: request.FirstBy.Add(queue.policy.StartGrace)})
 	return Assign{Replica: best.ID}
--- a/core/queue/replay_test.go
+++ b/core/queue/replay_test.go
@@ -321,7 +321,7 @@
 
 func (stale *byStale) arrive(call *call, now time.Time) {
 	decision := reach.Choose(reach.DefaultPolicy(), stale.pools[call.node], reach.Request{
-		Model: "m", Now: now, Deadline: call.arrivedAt.Add(call.kind.objective), Priority: call.kind.priority, Retried: call.retried, SampleSize: 3, Random: stale.world.choice.Float64()})
+		Model: "m", Now: now, Deadline: call.arrivedAt.Add(call.kind.objective), Priority: call.kind.priority, SampleSize: 3, Random: stale.world.choice.Float64()})
 	switch decision := decision.(type) {
 	case reach.Send:
 		for i, sim := range stale.world.sims {
@@ -440,8 +440,8 @@
 func largeModel(scale float64, replicas ...int) load {
 	return load{
 		kinds: []kind{
-			{name: "long", work: batch.Work{PromptTokens: 1460, AnswerTokens: 116}, perSecond: 50.4, objective: 500 * time.Millisecond},
-			{name: "brief", work: batch.Work{PromptTokens: 2000, AnswerTokens: 23}, perSecond: 31.5, objective: 500 * time.Millisecond},
+			{name: "long", work: batch.Work{PromptTokens: 1460, AnswerTokens: 116}, perSecond: 50.4, objective: 500 * time.Millisecond, priority: 2},
+			{name: "brief", work: batch.Work{PromptTokens: 2000, AnswerTokens: 23}, perSecond: 31.5, objective: 500 * time.Millisecond, priority: 2},
 		},
 		replicas: replicas, factor: 1, scale: scale, swing: 0.55, nodes: 132, seconds: 52,
 	}
@@ -449,7 +449,7 @@
 
 func smallModel(scale float64) load {
 	return load{
-		kinds:    []kind{{name: "small", work: batch.Work{PromptTokens: 714, AnswerTokens: 116}, perSecond: 306, objective: 300 * time.Millisecond}},
+		kinds:    []kind{{name: "small", work: batch.Work{PromptTokens: 714, AnswerTokens: 116}, perSecond: 306, objective: 300 * time.Millisecond, priority: 2}},
 		replicas: []int{6, 6, 6}, factor: 0.6, scale: scale, swing: 0.55, nodes: 132, seconds: 39,
 	}
 }
@@ -465,21 +465,32 @@
 }
 
 // TestReplay checks that a queue in each zone serves more value than nodes that choose by
-// stale figures from a sample.
+// stale figures from a sample, and not much less than one queue that knows all at once. Without
+// rejections the latter makes all late beyond the capacity.
 func TestReplay(t *testing.T) {
+	burst := largeModel(1, 3, 3, 3)
+	burst.kinds[1].burst = 3
+	urgent := largeModel(1.3, 3, 3, 3)
+	urgent.kinds[1].priority = 0
+	returning := largeModel(1.3, 3, 3, 3)
+	returning.allRetry = true
 	for _, test := range []struct {
 		name string
 		load load
+		gain float64 // in value over nodes that choose alone
 	}{
-		{"large 0.8, 9 replicas", largeModel(0.8, 3, 3, 3)},
-		{"large 1.0, 9 replicas", largeModel(1, 3, 3, 3)},
-		{"large 1.0, 9 replicas unevenly", largeModel(1, 5, 3, 1)},
-		{"large 1.3, 9 replicas", largeModel(1.3, 3, 3, 3)},
-		{"large 1.0, 6 replicas", largeModel(1, 2, 2, 2)},
-		{"large 2.0, 9 replicas", largeModel(2, 3, 3, 3)},
-		{"small 0.8", smallModel(0.8)},
-		{"small 1.0", smallModel(1)},
-		{"small 1.3", smallModel(1.3)},
+		{"large 0.8, 9 replicas", largeModel(0.8, 3, 3, 3), 0.05},
+		{"large 1.0, 9 replicas", largeModel(1, 3, 3, 3), 0.1},
+		{"large 1.0, 9 replicas unevenly", largeModel(1, 5, 3, 1), 0.1},
+		{"large 1.3, 9 replicas", largeModel(1.3, 3, 3, 3), 0.2},
+		{"large 1.3, all return at once", returning, 0.2},
+		{"large 1.3, long prompts urgent", urgent, 0.2},
+		{"large 1.0, burst of long prompts", burst, 0.1},
+		{"large 1.0, 6 replicas", largeModel(1, 2, 2, 2), 0.2},
+		{"large 2.0, 9 replicas", largeModel(2, 3, 3, 3), 0.2},
+		{"small 0.8", smallModel(0.8), 0.03},
+		{"small 1.0", smallModel(1), 0.1},
+		{"small 1.3", smallModel(1.3), 0.15},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			stale, first, leaders := replay(test.load, 1, newStale), replay(test.load, 1, newFirstCome), replay(test.load, 1, newLeaders)
@@ -489,7 +500,20 @@
 				}
 			}
 			t.Logf("value: stale %.3f, first-come %.3f, leaders %.3f", value(stale), value(first), value(leaders))
-			assert.Assert(t, value(leaders) > value(stale))
+			assert.Assert(t, value(leaders) > value(stale)+test.gain)
+			assert.Assert(t, value(leaders) > value(first)-0.02)
+			expectShares(t, leaders)
 		})
 	}
 }
+
+// expectShares checks that no kind is served on time less than a third as often as the best one.
+func expectShares(t *testing.T, scores map[string]*tally) {
+	t.Helper()
+	least, most := 1.0, 0.0
+	for _, score := range scores {
+		share := float64(score.onTime) / float64(max(1, score.offered))
+		least, most = min(least, share), max(most, share)
+	}
+	assert.Assert(t, least >= most/3, "%.3f and %.3f", least, most)
+}
--- a/io/assign/client.go
+++ b/io/assign/client.go
@@ -33,6 +33,7 @@
 	Pause    time.Duration // objective for the longest pause between two events; 0 for none
 	Priority int           // 0 is the most urgent
 	Team     string
+	Resumed  bool     // part of its answer has been delivered
 	Unusable []string // endpoints that the node cannot send it to
 }
 
@@ -144,7 +145,7 @@
 	defer cancel()
 	reply, err := leader.place(ctx, &placeRequest{
 		reportRequest: reports, ID: id, Service: question.Service, Model: question.Model, Prompt: question.Work.PromptTokens, Answer: question.Work.AnswerTokens,
-		FirstLeft: int64(question.FirstBy.Sub(now)), Left: int64(question.Deadline.Sub(now)), Pause: int64(question.Pause), Priority: question.Priority, Team: question.Team, Unusable: question.Unusable,
+		FirstLeft: int64(question.FirstBy.Sub(now)), Left: int64(question.Deadline.Sub(now)), Pause: int64(question.Pause), Priority: question.Priority, Team: question.Team, Resumed: question.Resumed, Unusable: question.Unusable,
 	})
 	if err != nil {
 		client.settle(leader, nil, carries)
--- a/io/assign/desk.go
+++ b/io/assign/desk.go
@@ -197,6 +197,6 @@
 	return queue.Request{
 		Key: queue.Key{Node: request.Node, ID: request.ID}, Work: batch.Work{PromptTokens: request.Prompt, AnswerTokens: request.Answer},
 		FirstBy: now.Add(time.Duration(request.FirstLeft)), Deadline: now.Add(time.Duration(request.Left)), Pause: time.Duration(request.Pause),
-		Priority: request.Priority, Team: request.Team, Unusable: request.Unusable,
+		Priority: request.Priority, Team: request.Team, Resumed: request.Resumed, Unusable: request.Unusable,
 	}
 }
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -28,6 +28,7 @@
 	Pause     int64    `cbor:"17,keyasint,omitempty"` // objective for the longest pause between two events
 	Priority  int      `cbor:"18,keyasint,omitempty"`
 	Team      string   `cbor:"19,keyasint,omitempty"`
+	Resumed   bool     `cbor:"21,keyasint,omitempty"` // part of its answer has been delivered
 	Unusable  []string `cbor:"20,keyasint,omitempty"` // endpoints that the node cannot send it to
 }
 
--- a/io/entry/assigned.go
+++ b/io/entry/assigned.go
@@ -19,8 +19,7 @@
 }
 
 // advised picks the endpoint that the leader of this node's zone assigns, if the request may be
-// sent there, and otherwise one by itself. It does so too if the leader rejects a request that
-// was rejected before or resumes a stream, as these may wait longer.
+// sent there, and otherwise one by itself.
 func (request *request) advised(servicepool *reach.ServicePool, routed reach.Request) reach.Decision {
 	if request.server.assigner == nil || servicepool == nil || !(batch.Replica{Engine: servicepool.Engine}).Known() {
 		return request.chooseAlone(servicepool, routed)
@@ -35,9 +34,7 @@
 		}
 		request.returnTicket()
 	case assign.Reject:
-		if !routed.Retried && !routed.Resumed {
-			return reach.Reject{Reason: reach.ReasonFull, RetryAt: advice.RetryAt}
-		}
+		return reach.Reject{Reason: reach.ReasonFull, RetryAt: advice.RetryAt}
 	}
 	return request.chooseAlone(servicepool, routed)
 }
@@ -46,7 +43,7 @@
 func (request *request) question(servicepool *reach.ServicePool, routed reach.Request) assign.Question {
 	question := assign.Question{
 		Service: request.service, Model: routed.Model, Work: request.work(), FirstBy: routed.Deadline, Deadline: request.deadline,
-		Priority: request.priority, Team: request.team, Unusable: reach.Unusable(servicepool, routed),
+		Priority: request.priority, Team: request.team, Resumed: routed.Resumed, Unusable: reach.Unusable(servicepool, routed),
 	}
 	if stream, ok := request.route.Kind.(site.Stream); ok {
 		question.Pause = stream.PauseObjective
