--- a/io/assign/assign_test.go
+++ b/io/assign/assign_test.go
@@ -62,14 +62,15 @@
 	return client.Place(context.Background(), assign.Question{Service: "s", Model: "m", Work: work, FirstBy: now.Add(500 * time.Millisecond), Deadline: now.Add(4 * time.Second), Unusable: unusable})
 }
 
-// begin asks about a request and has it begin where the leader says. The first call opens the
-// connection, which may take longer than a node waits on a busy machine.
-func begin(t *testing.T, client *assign.Client) (endpoint string, ticket uint64) {
+// begin asks about a request, until the leader answers, and has it begin where that says. A busy
+// machine may take longer to answer than a node waits, or to renew the view.
+func (zone zone) begin(t *testing.T, client *assign.Client, view assign.View, unusable ...string) (endpoint string, ticket uint64) {
 	t.Helper()
 	var send assign.Send
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		var sent bool
-		if send, sent = ask(client).(assign.Send); !sent {
+		zone.desk.Update(view, time.Now())
+		if send, sent = ask(client, unusable...).(assign.Send); !sent {
 			return poll.Continue("no advice")
 		}
 		return poll.Success()
@@ -111,15 +112,15 @@
 func TestNodesDoNotChooseTheSame(t *testing.T) {
 	zone := newZone(t, newView(), nil)
 	first, second := newNode("n1", zone), newNode("n2", zone)
-	one, ticket := begin(t, first)
-	other, _ := begin(t, second)
+	one, ticket := zone.begin(t, first, newView())
+	other, _ := zone.begin(t, second, newView())
 	assert.Assert(t, one != other, "both at %s", one)
 	first.Started(ticket)
 	first.End(ticket)
 	expectCounts(t, zone.desk, 1)
-	advice := ask(first, one)
-	assert.Equal(t, advice.(assign.Send).Endpoint, other, "an endpoint that the node cannot use")
-	first.End(advice.(assign.Send).Ticket)
+	usable, ticket := zone.begin(t, first, newView(), one)
+	assert.Equal(t, usable, other, "an endpoint that the node cannot use")
+	first.End(ticket)
 	expectCounts(t, zone.desk, 1)
 }
 
@@ -167,15 +168,16 @@
 func TestNewLeaderLearnsRequests(t *testing.T) {
 	former, next := newZone(t, newView(), nil), newZone(t, newView(), nil)
 	client := newNode("n1", former)
-	_, first := begin(t, client)
+	keepLeading(t, former.desk)
+	_, first := former.begin(t, client, newView())
 	client.Started(first)
 	client.Begin(0, "s", "m", "b", work, time.Now().Add(4*time.Second))
 	expectCounts(t, former.desk, 2)
 	client.SetLeader("next", next.address, nil)
-	expectCounts(t, next.desk, 2)
-	next.desk.Update(assign.View{}, time.Now())
 	keepLeading(t, next.desk)
-	expectCounts(t, next.desk, 2) // after the report that renews what the node has
+	expectCounts(t, next.desk, 2)
+	next.desk.Update(assign.View{}, time.Now()) // until it is renewed
+	expectCounts(t, next.desk, 2)               // after the report that renews what the node has
 }
 
 // TestSilentNodeIsCountedByDigest guards against replicas that stay full of the requests of a node that
@@ -185,7 +187,7 @@
 	local := assign.NewClient("leader", peerKey)
 	local.SetLeader("leader", "", zone.desk)
 	for range 4 {
-		begin(t, local)
+		zone.begin(t, local, newView())
 	}
 	expectCounts(t, zone.desk, 4)
 	later := time.Now().Add(3 * time.Second)
@@ -196,9 +198,8 @@
 
 	view := newView()
 	view.Nodes = map[string]map[string]queue.Counts{"old": {"a": {InFlight: 20, PendingTokens: 9000}}}
-	zone.desk.Update(view, time.Now())
 	for range 3 {
-		endpoint, _ := begin(t, local)
+		endpoint, _ := zone.begin(t, local, view)
 		assert.Equal(t, endpoint, "b")
 	}
 }
