Record where late streams lost their time (event 606, histograms)

A late request's line did not say whether it waited at this node, in the endpoint's queue and prefill, or between events. 606 has late, before and other-zone for late streams, and there are histograms by route, model, team and zone.

--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -58,6 +58,8 @@
 	whole        atomic.Bool   // an endpoint of this node has answered as a whole
 	status       int
 	outcome      string
+	sentAt       time.Time     // when the attempt began that brought the first event
+	otherZone    bool          // that event came from an endpoint in another zone
 	firstEventAt time.Time     // when the response headers of a stream were written
 	lastEventAt  time.Time     // when the last event was written
 	longestGap   time.Duration // longest time between two events
@@ -410,6 +412,7 @@
 	if !request.firstEventAt.IsZero() {
 		fields = append(fields, zap.Duration("first", request.firstEventAt.Sub(request.receivedAt)), zap.Duration("pause", request.longestGap))
 		latencies.FirstToken.Update(request.firstEventAt.Sub(request.receivedAt).Microseconds())
+		fields = append(fields, request.recordLoss()...)
 	}
 	if request.route != nil {
 		fields = append(fields, zap.String("route", request.route.Name), zap.String("team", request.team),
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -291,7 +291,9 @@
 	attempt.forwarding.Store(true)
 	defer attempt.forwarding.Store(false)
 	now := time.Now()
-	if request := relay.request; !request.lastEventAt.IsZero() {
+	if request := relay.request; request.lastEventAt.IsZero() {
+		request.sentAt, request.otherZone = attempt.sentAt, !attempt.candidate.SameZone
+	} else {
 		request.longestGap = max(request.longestGap, now.Sub(request.lastEventAt))
 	}
 	relay.request.lastEventAt = now
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Losses are the histograms for a label of where late requests lost their time.
+type Losses struct {
+	BeforeSending metrics.Histogram // until they were sent to the endpoint
+	FirstEvent    metrics.Histogram // from then on until the first event
+	Pause         metrics.Histogram // the longest pause between two events
+}
+
+// Losses returns the histograms for a label, such as a route with a model.
+func (meter *Meter) Losses(label string) Losses {
+	return Losses{
+		BeforeSending: meter.histogram("late_before_sending_us", label),
+		FirstEvent:    meter.histogram("late_first_event_us", label),
+		Pause:         meter.histogram("late_pause_us", label),
+	}
+}
+
 // Observe adds a duration to a histogram of microseconds.
 func Observe(histogram metrics.Histogram, took time.Duration) {
 	histogram.Update(int64(float64(took) / microsecond))
