Tell the other leaders what this zone has at replicas, as reported

A leader's sum over its zone was made of digests that are up to 0.3 s old, though with assignment the nodes report their requests within 50 ms.

--- a/io/edge/assignment.go
+++ b/io/edge/assignment.go
@@ -102,3 +102,35 @@
 		counts[id] = queue.Counts{InFlight: counts[id].InFlight + inFlight, PendingTokens: counts[id].PendingTokens + digest.PendingTokens[id]}
 	}
 }
+
+// countExactly sets a leader's sum over its zone to the requests at replicas that the nodes have
+// reported to it. The digests of these nodes are up to 0.3 s old, so that leaders of other zones
+// would send requests where those of this zone already wait. Nodes that report nothing count by
+// their digests.
+func (control *Control) countExactly(zoneDigest *gossip.Digest, groups [][]topo.Source) {
+	exact, reporters := control.assignment.desk.InFlight()
+	if len(reporters) == 0 {
+		return
+	}
+	nodes := control.zoneCounts(groups)
+	nodes[control.peers.self] = map[string]queue.Counts{}
+	addCounts(nodes[control.peers.self], *control.digest.Load())
+	for id, counts := range exact {
+		for node, digest := range nodes {
+			if !reporters[node] {
+				counts.InFlight += digest[id].InFlight
+				counts.PendingTokens += digest[id].PendingTokens
+			}
+		}
+		setCount(zoneDigest.InFlight, id, counts.InFlight)
+		setCount(zoneDigest.PendingTokens, id, counts.PendingTokens)
+	}
+}
+
+// setCount sets the count of an endpoint, which is left out if it is 0.
+func setCount(counts map[string]int, id string, count int) {
+	delete(counts, id)
+	if count > 0 {
+		counts[id] = count
+	}
+}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -247,6 +247,7 @@
 			zoneDigest.AddCounts(digests...)
 		}
 	}
+	control.countExactly(&zoneDigest, groups)
 	zoneDigest.Scope, zoneDigest.Demand = topo.ScopeZone, maps.Clone(control.demand.zone)
 	clusterDigest.Scope, clusterDigest.Demand = topo.ScopeAll, maps.Clone(control.demand.all)
 	peers.zoneDigest.Store(&zoneDigest)
