--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -69,6 +69,7 @@
 	evacuations      evacuations
 	cold             coldEndpoints
 	connections      connections
+	assignment       assignment
 	loggedServing    map[string]int // serving replicas of each model, as last logged
 	storeRepliedAt   time.Time      // when the store last answered
 	bootClockOffset  func(monotonic time.Duration) (time.Duration, error)
@@ -99,6 +100,7 @@
 	control.evacuations.judged = map[string]bool{}
 	control.cold = newColdEndpoints()
 	control.connections = newConnections()
+	control.assignment = newAssignment(settings)
 	control.placement = newPlacement(settings)
 	control.demand = newDemand()
 	if engineclient != nil {
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -121,6 +121,7 @@
 		control.startExchange(name, peer, now.Add(interval))
 	}
 	control.updatePeerLoads(groups)
+	control.updateAssignment(groups, now)
 	if peers.role.Mesh || !now.Before(peers.nextRoutesAt) {
 		control.updateRoutes(now)
 	}
@@ -259,6 +260,7 @@
 			zoneDigest.AddCounts(digests...)
 		}
 	}
+	control.countExactly(&zoneDigest, groups)
 	zoneDigest.Scope, zoneDigest.Demand = topo.ScopeZone, maps.Clone(control.demand.zone)
 	clusterDigest.Scope, clusterDigest.Demand = topo.ScopeAll, maps.Clone(control.demand.all)
 	peers.zoneDigest.Store(&zoneDigest)
