Home regions: requests stay in the regions that their route and team allow

Callers saw: allowed_regions was ignored; a request could be served in any region. Cause: neither the configuration's home regions nor the regions of zones were read. Change: core/homes decides; core/reach leaves other candidates out, io/entry asks again before it sends; another node gets the body only in a home region or the caller's, and only if its row states a region, since an earlier build would send the request anywhere. Digests count usable endpoints by region. Unknown regions: event 508. Settings `region` and `zones`; jsonc decodes tables, and null for optional values.

--- a/core/jsonc/decode.go
+++ b/core/jsonc/decode.go
@@ -95,6 +95,9 @@
 
 func (doc *Doc) decodeValue(value hujson.Value, path string, target reflect.Value) {
 	doc.offsets[path] = value.StartOffset
+	if literal, isLiteral := value.Value.(hujson.Literal); isLiteral && literal.Kind() == 'n' && isOptional(target.Kind()) {
+		return
+	}
 	if target.Kind() == reflect.Pointer {
 		target.Set(reflect.New(target.Type().Elem()))
 		target = target.Elem()
@@ -109,7 +112,32 @@
 	}
 }
 
+// isOptional reports whether null stands for no value.
+func isOptional(kind reflect.Kind) bool { return kind == reflect.Pointer || kind == reflect.Map }
+
+// decodeTable decodes an object with any keys. Of its values, null stands for none.
+func (doc *Doc) decodeTable(object *hujson.Object, path string, target reflect.Value) {
+	target.Set(reflect.MakeMap(target.Type()))
+	for _, member := range object.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		key, memberPath := reflect.ValueOf(name), joinPath(path, name)
+		if target.MapIndex(key).IsValid() {
+			doc.addFaultAt(member.Name.StartOffset, memberPath, "each key once", "a duplicate")
+			continue
+		}
+		element := reflect.New(target.Type().Elem()).Elem()
+		if literal, isLiteral := member.Value.Value.(hujson.Literal); !isLiteral || literal.Kind() != 'n' {
+			doc.decodeValue(member.Value, memberPath, element)
+		}
+		target.SetMapIndex(key, element)
+	}
+}
+
 func (doc *Doc) decodeObject(object *hujson.Object, offset int, path string, target reflect.Value) {
+	if target.Kind() == reflect.Map {
+		doc.decodeTable(object, path, target)
+		return
+	}
 	if target.Kind() != reflect.Struct {
 		doc.addFaultAt(offset, path, describeType(target.Type()), "an object")
 		return
@@ -188,6 +216,8 @@
 		return "an object with " + fieldKeys(typ)
 	case typ.Kind() == reflect.Slice:
 		return "an array"
+	case typ.Kind() == reflect.Map:
+		return "an object"
 	case typ.Kind() == reflect.String:
 		return "a string"
 	case typ.Kind() == reflect.Bool:
--- a/core/jsonc/jsonc_test.go
+++ b/core/jsonc/jsonc_test.go
@@ -55,6 +55,24 @@
 	expectFaults("a syntax error", "{\n\"name\": }", `f:2:9: text: expected JSON with comments, found invalid character '}' at start of value`)
 }
 
+// TestTables checks tables with any keys, and null for an optional value.
+func TestTables(t *testing.T) {
+	type settings struct {
+		Table map[string]string `json:"table"`
+		Maybe *string           `json:"maybe"`
+	}
+	var decoded settings
+	assert.NilError(t, jsonc.Decode("f", []byte(`{"table": {"a": "x", "b": null}, "maybe": "y"}`), &decoded).Err())
+	assert.DeepEqual(t, decoded.Table, map[string]string{"a": "x", "b": ""})
+	assert.Equal(t, *decoded.Maybe, "y")
+	decoded = settings{}
+	assert.NilError(t, jsonc.Decode("f", []byte(`{"table": null, "maybe": null}`), &decoded).Err())
+	assert.Assert(t, decoded.Table == nil && decoded.Maybe == nil)
+	for _, source := range []string{`{"table": {"a": 1}}`, `{"table": {"a": "x", "a": "y"}}`, `{"table": []}`, `{"maybe": 1}`} {
+		assert.Assert(t, jsonc.Decode("f", []byte(source), &decoded).Err() != nil, source)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"name": "n", "list": [{}], "maybe": null}`))
 	f.Add([]byte("{/**/\"inner\":{\"count\":1e400}}"))
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -29,7 +29,10 @@
 	if servicepool == nil {
 		return Reject{Reason: ReasonNoService, RetryAt: request.Now.Add(policy.MinRetryDelay)}
 	}
-	candidates := servicepool.candidates(request.Model)
+	candidates := servicepool.candidatesFor(request)
+	if len(candidates) == 0 && request.Homes.Restricted() {
+		return Reject{Reason: ReasonNoHome, RetryAt: retryAt(policy, nil, request)}
+	}
 	limit := maxUtilization(policy, servicepool, request)
 	for {
 		best, bestScore := pick(policy, sample(policy, candidates, request), request)
@@ -54,7 +57,7 @@
 	if servicepool == nil {
 		return false
 	}
-	best, bestScore := pick(policy, servicepool.candidates(request.Model), request)
+	best, bestScore := pick(policy, servicepool.candidatesFor(request), request)
 	return best != nil && bestScore.utilization <= maxUtilization(policy, servicepool, request)
 }
 
--- a/core/reach/obstacle.go
+++ b/core/reach/obstacle.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	var obstacles []Obstacle
-	for _, candidate := range servicepool.candidates(request.Model) {
+	for _, candidate := range servicepool.candidatesFor(request) {
 		if len(obstacles) == maxCount {
 			break
 		}
--- a/core/reach/peer.go
+++ b/core/reach/peer.go
@@ -28,16 +28,16 @@
 }
 
 // CountUsable returns how many endpoints of each pool this node reaches and sends
-// requests to.
+// requests to, and where the configuration has home regions, also those in each region.
 func (snapshot *Snapshot) CountUsable(now time.Time) map[string]int {
 	counts := map[string]int{}
 	for name, servicepool := range snapshot.Services {
 		if servicepool.Engine == nil {
-			counts[PoolKey(name, "")] = countReachable(servicepool.Plain, now)
+			snapshot.count(counts, PoolKey(name, ""), servicepool.Plain, now)
 			continue
 		}
 		for model, candidates := range servicepool.Models {
-			counts[PoolKey(name, model)] = countReachable(candidates, now)
+			snapshot.count(counts, PoolKey(name, model), candidates, now)
 		}
 	}
 	return counts
@@ -61,12 +61,15 @@
 		return nil
 	}
 	key, reached := PoolKey(servicepool.Service, ""), countReachable(servicepool.candidates(request.Model), request.Now)
+	if request.Homes.Restricted() {
+		reached = countReachable(servicepool.candidatesFor(request), request.Now)
+	}
 	if servicepool.Engine != nil {
 		key = PoolKey(servicepool.Service, request.Model)
 	}
 	var candidates []*Candidate
 	for _, peer := range peers.List {
-		if peer.Usable[key] > reached {
+		if peer.countUsable(key, request.Homes) > reached && request.Allows(peer.Candidate) {
 			candidates = append(candidates, peer.Candidate)
 		}
 	}
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hickorybend/core/crash"
+	"hickorybend/core/homes"
 	"hickorybend/core/site"
 )
 
@@ -52,6 +53,7 @@
 	Address             string
 	StartedAt           time.Time
 	SameZone            bool    // in the zone of this node
+	Region              string  // empty if it is not known, or another node does not say that it keeps to home regions
 	Slots               int     // requests that it runs at once
 	MaxInFlight         int     // limit of this node's requests in flight there; 0 for none
 	PrefillTokensPerSec float64 // 0 for a plain service
@@ -70,6 +72,9 @@
 	SampleSize int       // candidates that are compared first; 0 for all
 	Tried      []string  // IDs of the candidates that it was sent to before
 	Random     float64   // random number in [0,1) for the sample and the retry delay
+
+	Homes         homes.Homes // of its route and team
+	CallersRegion string      // that of the node that the caller connected to; empty if not known
 }
 
 // Decision is Send or Reject.
@@ -100,5 +105,6 @@
 	ReasonFull       Reason = "full"              // the request would queue beyond its objective
 	ReasonNoService  Reason = "no-service"        // the configuration has no such service
 	ReasonCrashes    Reason = "crashes-endpoints" // an input crashes endpoints
+	ReasonNoHome     Reason = "no-home-endpoint"  // no endpoint in a home region is known
 	ReasonLimited    Reason = "limited"           // the endpoints have stated limits, and this node has had its turns
 )
--- a/core/site/config.go
+++ b/core/site/config.go
@@ -60,6 +60,7 @@
 	Priority         int           // 0 is the most urgent
 	Public           bool          // needs no API key
 	Targets          []Target
+	AllowedRegions   []string // home regions: only endpoints in them get its requests; empty for all
 }
 
 // Target is a service and its weight among the targets of a route.
@@ -111,10 +112,11 @@
 
 // Team is a customer with its API keys.
 type Team struct {
-	Name        string
-	Keys        []string
-	Priority    int
-	HasPriority bool // Priority overrides the route's
+	Name           string
+	Keys           []string
+	Priority       int
+	HasPriority    bool     // Priority overrides the route's
+	AllowedRegions []string // home regions, as those of a route
 }
 
 // Limits bound the size of callers' requests and how long callers may take to send
--- a/core/site/index.go
+++ b/core/site/index.go
@@ -1,6 +1,9 @@
 package site
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Index finds routes, services and teams of one configuration.
 type Index struct {
@@ -64,6 +67,12 @@
 // is configured.
 func (index *Index) RequiresKey() bool { return len(index.Config.Teams) > 0 }
 
+// HasHomeRegions reports whether any route or team has home regions.
+func (index *Index) HasHomeRegions() bool {
+	return slices.ContainsFunc(index.Config.Routes, func(route Route) bool { return len(route.AllowedRegions) > 0 }) ||
+		slices.ContainsFunc(index.Config.Teams, func(team Team) bool { return len(team.AllowedRegions) > 0 })
+}
+
 // Team returns the team that owns an API key.
 func (index *Index) Team(key string) (*Team, bool) {
 	team, found := index.teams[key]
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -41,6 +41,7 @@
 		}}})
 		event.Log(control.log, event.ConfigInForce, zap.Int64("version", config.Version), zap.String("from", string(change.from)),
 			zap.Int("routes", len(config.Routes)), zap.Int("teams", len(config.Teams)))
+		control.reportUnknownRegions(config)
 		for _, service := range config.Services {
 			if service.UnusableMaxConnections != "" {
 				event.Log(control.log, event.ConnectionsUnusable, zap.String("service", service.Name), zap.String("value", service.UnusableMaxConnections))
--- a/io/edge/nodes.go
+++ b/io/edge/nodes.go
@@ -20,6 +20,7 @@
 	Address   string  `json:"address"`
 	Zone      string  `json:"zone"`
 	Processor float64 `json:"processor,omitempty"` // Settings.Processor
+	Region    string  `json:"region,omitempty"`    // of the node, which keeps to home regions; a node without regions, or of an earlier build, states none
 }
 
 const (
@@ -120,7 +121,7 @@
 
 // ownNodeRow returns the body of this node's row.
 func (control *Control) ownNodeRow() nodeRow {
-	return nodeRow{Address: control.settings.PeersAddress, Zone: control.settings.Zone, Processor: control.settings.Processor}
+	return nodeRow{Address: control.settings.PeersAddress, Zone: control.settings.Zone, Processor: control.settings.Processor, Region: control.settings.regions().Own()}
 }
 
 // updatePeer adds or replaces a peer by its row. rewritten says that an earlier one was known.
@@ -138,11 +139,11 @@
 	}
 	peers.members.Put(name, rewritten, now)
 	control.applyMembership(now)
-	if known := peers.peer(name); known != nil && known.address == wire.Address && known.zone == wire.Zone && known.processor == wire.Processor {
+	if known := peers.peer(name); known != nil && known.address == wire.Address && known.zone == wire.Zone && known.region == wire.Region && known.processor == wire.Processor {
 		return
 	}
 	delete(peers.gone, name)
-	peers.nodes[name] = &peer{zone: wire.Zone, address: wire.Address, processor: wire.Processor, client: gossip.NewClient(peers.http, wire.Address, peers.key)}
+	peers.nodes[name] = &peer{zone: wire.Zone, region: wire.Region, address: wire.Address, processor: wire.Processor, client: gossip.NewClient(peers.http, wire.Address, peers.key)}
 	control.snapshotStale = true
 }
 
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -66,6 +66,7 @@
 type peer struct {
 	zone               string
 	address            string
+	region             string  // that its row states; empty if none
 	processor          float64 // Settings.Processor
 	client             *gossip.Client
 	load               *reach.Load // this node's requests that it sends on
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -85,7 +85,7 @@
 	return &reach.Candidate{
 		ID: endpoint.ID, Address: endpoint.Address, StartedAt: endpoint.StartedAt, SameZone: endpoint.Zone == control.settings.Zone,
 		Slots: endpoint.Slots, MaxInFlight: control.connectionsTo(service, endpoint, nodes).Requests, Load: control.endpoints.load(endpoint.ID),
-		TieBreak: tieBreak(control.settings.Node, endpoint.ID),
+		TieBreak: tieBreak(control.settings.Node, endpoint.ID), Region: control.settings.regions().RegionOf(endpoint.Zone),
 	}
 }
 
--- a/io/edge/routes.go
+++ b/io/edge/routes.go
@@ -45,6 +45,7 @@
 		}
 		routes.List = append(routes.List, reach.Peer{Usable: usable, Candidate: &reach.Candidate{
 			ID: name, IsPeer: true, Address: peer.address, SameZone: peer.zone == control.settings.Zone, Slots: nodeSlots, TieBreak: tieBreak(control.settings.Node, name), Load: peer.load,
+			Region: control.regionOfPeer(peer),
 		}})
 	}
 	peers.routes.Store(routes)
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -11,27 +11,29 @@
 
 // Settings are the contents of a node's settings file.
 type Settings struct {
-	Node              string        `json:"node"`
-	Zone              string        `json:"zone"`
-	CallersAddress    string        `json:"callers-address"`
-	ReadyAddress      string        `json:"ready-address"`
-	PeersAddress      string        `json:"peers-address"`
-	PeerKey           string        `json:"peer-key"`
-	StoreAddress      string        `json:"store-address"`
-	Seeds             []string      `json:"seeds"`       // addresses of some hosts that run nodes; their port is ignored
-	FirstStart        bool          `json:"first-start"` // all nodes start for the first time, and no replica has been placed before
-	MemoryMB          int           `json:"memory-mb"`
-	Processor         float64       `json:"processor"`          // capacity of the host's processor, as a multiple of one core; 0 if not known
-	Grace             time.Duration `json:"grace"`              // from SIGTERM until the platform kills the process
-	DrainDelay        time.Duration `json:"notice"`             // for the load balancer to see two failed readiness checks; part of the grace
-	EndpointHeartbeat time.Duration `json:"endpoint-heartbeat"` // interval at which endpoints renew their rows
-	DrainBound        time.Duration `json:"drain-bound"`        // after the store's acknowledgment that an endpoint leaves, no request may reach it
-	ConfigBound       time.Duration `json:"config-bound"`       // after the store's acknowledgment, a configuration must be in force
-	StallTimeout      time.Duration `json:"stall"`              // how long a replica that lost a member stalls before it breaks
-	Retry             Retry         `json:"retry"`
-	PlaceWithoutStore bool          `json:"place-without-store"` // continue placing while the store answers no node
-	HeaderTimeout     time.Duration `json:"header-time"`
-	HeaderBytes       int           `json:"header-bytes"`
+	Node              string            `json:"node"`
+	Zone              string            `json:"zone"`
+	CallersAddress    string            `json:"callers-address"`
+	ReadyAddress      string            `json:"ready-address"`
+	PeersAddress      string            `json:"peers-address"`
+	PeerKey           string            `json:"peer-key"`
+	StoreAddress      string            `json:"store-address"`
+	Seeds             []string          `json:"seeds"`       // addresses of some hosts that run nodes; their port is ignored
+	FirstStart        bool              `json:"first-start"` // all nodes start for the first time, and no replica has been placed before
+	MemoryMB          int               `json:"memory-mb"`
+	Processor         float64           `json:"processor"`          // capacity of the host's processor, as a multiple of one core; 0 if not known
+	Grace             time.Duration     `json:"grace"`              // from SIGTERM until the platform kills the process
+	DrainDelay        time.Duration     `json:"notice"`             // for the load balancer to see two failed readiness checks; part of the grace
+	EndpointHeartbeat time.Duration     `json:"endpoint-heartbeat"` // interval at which endpoints renew their rows
+	DrainBound        time.Duration     `json:"drain-bound"`        // after the store's acknowledgment that an endpoint leaves, no request may reach it
+	ConfigBound       time.Duration     `json:"config-bound"`       // after the store's acknowledgment, a configuration must be in force
+	StallTimeout      time.Duration     `json:"stall"`              // how long a replica that lost a member stalls before it breaks
+	Retry             Retry             `json:"retry"`
+	Region            *string           `json:"region"`              // of this node; nil if the platform has no regions
+	Zones             map[string]string `json:"zones"`               // regions by zone
+	PlaceWithoutStore bool              `json:"place-without-store"` // continue placing while the store answers no node
+	HeaderTimeout     time.Duration     `json:"header-time"`
+	HeaderBytes       int               `json:"header-bytes"`
 }
 
 // minBound is the shortest bound that nodes can keep: they exchange digests every
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -88,6 +88,9 @@
 // has left this node; another node counts what it receives, if nobody has before.
 func (request *request) send(attempt *attempt) (*pool.Exchange, error) {
 	server, candidate := request.server, attempt.candidate
+	if !request.mayGet(candidate) {
+		return nil, errors.Mark(errNotHome, pool.ErrGivenUp)
+	}
 	if !candidate.IsPeer {
 		exchange, err := server.pool.Send(attempt.ctx, candidate.Address, request.forwardedRequest(candidate, attempt.resumeAfter))
 		if !errors.Is(err, pool.ErrUnsent) {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -35,6 +35,7 @@
 	header       platform.RequestHeader
 	route        *site.Route
 	team         string
+	teamRegions  []string // home regions of the team
 	priority     int
 	service      string
 	body         []byte
@@ -134,7 +135,7 @@
 func (request *request) authenticate(index *site.Index) bool {
 	team, found := index.Team(request.header.Key)
 	if request.header.HasKey && found {
-		request.team = team.Name
+		request.team, request.teamRegions = team.Name, team.AllowedRegions
 		if team.HasPriority {
 			request.priority = team.Priority
 		}
@@ -304,6 +305,7 @@
 	return reach.Request{
 		Model: request.header.Model, Now: time.Now(), Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
 		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
+		Homes: request.currentHomes(), CallersRegion: request.server.region,
 	}
 }
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -38,6 +38,7 @@
 	peers         func() *reach.Peers
 	self          string // this node's name
 	peerKey       string
+	region        string           // of this node; empty if not known
 	soundParts    *crash.SoundUses // of parts of prompts
 	soundRequests *crash.SoundUses // of whole requests
 	crashPolicy   crash.Policy
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -74,6 +74,7 @@
 	ConfigUnconfirmed     = Event{505, "configuration not confirmed, so the node takes no new requests", zap.WarnLevel}
 	ConfigConfirmed       = Event{506, "configuration confirmed again", zap.InfoLevel}
 	PeerNotNotified       = Event{507, "node did not acknowledge the notice of a configuration change", zap.WarnLevel}
+	RegionUnknown         = Event{508, "unknown home region of a route or team", zap.ErrorLevel}
 	StreamResumed         = Event{601, "stream resumed on another replica", zap.InfoLevel}
 	AnswerIncomplete      = Event{602, "answer could not be completed", zap.WarnLevel}
 	ChunkMismatched       = Event{603, "chunk of another request dropped", zap.WarnLevel}
@@ -103,7 +104,7 @@
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
-		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
+		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified, RegionUnknown,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun, NotRunContradicted, AnswerCopySkipped, EndpointUnreached, NoEndpointTakes,
 	}
 }
