--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -143,6 +143,7 @@
 	bestScore := score{total: math.Inf(1)}
 	mean := meanAnswerTime(candidates)
 	timeLeft := max(request.Deadline.Sub(request.Now), policy.MinTimeLeft).Seconds()
+	crossing := newCrossing(candidates, request, timeLeft)
 	for _, candidate := range candidates {
 		if slices.Contains(request.Tried, candidate.ID) || !candidate.takesRequests(request.Now) {
 			continue
@@ -151,6 +152,9 @@
 			continue
 		}
 		score := scoreOf(policy, candidate, request, mean, timeLeft)
+		if !candidate.SameZone {
+			score.total += crossing.penalty(policy, candidate)
+		}
 		if score.total < bestScore.total {
 			best, bestScore = candidate, score
 		}
@@ -165,16 +169,13 @@
 }
 
 // scoreOf rates a candidate, given the mean answer time of all and the seconds until
-// the answer should begin.
+// the answer should begin. What another zone costs is added to it.
 func scoreOf(policy Policy, candidate *Candidate, request Request, mean time.Duration, timeLeft float64) score {
 	utilization := float64(candidate.Load.InFlight()+1) / float64(max(candidate.Slots, 1))
 	total := utilization + policy.FailPenalty*candidate.Load.FailureRate(request.Now) + policy.TieBreakWeight*candidate.TieBreak
 	if candidate.PrefillTokensPerSec > 0 {
 		total += policy.PromptWeight * float64(candidate.Load.PendingTokens()) / candidate.PrefillTokensPerSec / timeLeft
 	}
-	if !candidate.SameZone {
-		total += policy.CrossZonePenalty
-	}
 	if answerTime := candidate.Load.AnswerTime(); mean > 0 && answerTime > mean {
 		total += policy.SlowPenalty * math.Log2(float64(answerTime)/float64(mean))
 	}
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -56,6 +56,7 @@
 	Region              string  // empty if it is not known, or another node does not say that it keeps to home regions
 	Slots               int     // requests that it runs at once
 	MaxInFlight         int     // limit of this node's requests in flight there; 0 for none
+	Speed               Speed   // unknown for a plain service and another node
 	PrefillTokensPerSec float64 // 0 for a plain service
 	TieBreak            float64 // in [0,1), a constant of this node and the endpoint
 	Load                *Load
@@ -73,6 +74,8 @@
 	Tried      []string  // IDs of the candidates that it was sent to before
 	Random     float64   // random number in [0,1) for the sample and the retry delay
 
+	PromptTokens  int
+	Bytes         int         // of its body and its answer, about
 	Homes         homes.Homes // of its route and team
 	CallersRegion string      // that of the node that the caller connected to; empty if not known
 }
