Streams: a caller that stops reading is dropped after 2 s

Callers saw: an endpoint cut off a stream that its caller did not read, and the stream was resumed at another endpoint for the same caller. Cause: writes to callers had no deadline. Change: each event has 2 s to be written; a caller that reads slowly stays.

--- a/io/entry/policy.go
+++ b/io/entry/policy.go
@@ -16,6 +16,7 @@
 	ExpectedAnswerTime time.Duration // within which nearly all other responses end and streams begin; a draining node with less time left rejects requests
 	AnswerSlack        float64       // factor on the longest answer of late, for the next ones
 	AnswerSpan         time.Duration // for which the longest answer is remembered, and up to twice as long
+	CallerPatience     time.Duration // for which a caller may leave an event of a stream unread; endpoints cut off what stays unread for some seconds
 	LastAnswer         time.Duration // before a draining node stops, when it answers requests whose endpoint has not
 	StreamSlack        float64       // factor on a stream's estimated duration, for streams slower than estimated
 	MinTimeLeft        time.Duration // a request with less time left is not retried
@@ -27,6 +28,6 @@
 		ProbeAfter: 220 * time.Millisecond, StallAfter: 1500 * time.Millisecond, AnswerPatience: 700 * time.Millisecond,
 		HandoverInterval: 250 * time.Millisecond, GoneAfter: 2500 * time.Millisecond,
 		FullBackoff: 150 * time.Millisecond, UnreachableBackoff: time.Second, MaxEndpoints: 3, BodyReadTimeout: 10 * time.Second,
-		ExpectedAnswerTime: time.Second, AnswerSlack: 1.3, AnswerSpan: 30 * time.Second, LastAnswer: 150 * time.Millisecond, StreamSlack: 1.4, MinTimeLeft: 20 * time.Millisecond,
+		ExpectedAnswerTime: time.Second, AnswerSlack: 1.3, AnswerSpan: 30 * time.Second, CallerPatience: 2 * time.Second, LastAnswer: 150 * time.Millisecond, StreamSlack: 1.4, MinTimeLeft: 20 * time.Millisecond,
 	}
 }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -25,42 +25,43 @@
 
 // request is the state of a caller's request while it is served.
 type request struct {
-	server       *Server
-	w            http.ResponseWriter
-	r            *http.Request
-	snapshot     *reach.Snapshot
-	receivedAt   time.Time
-	readAt       time.Time // when its body was whole
-	deadline     time.Time
-	header       platform.RequestHeader
-	route        *site.Route
-	team         string
-	teamRegions  []string // home regions of the team
-	priority     int
-	service      string
-	body         []byte
-	inputs       []crash.Input // that it is recognized by if it crashes endpoints, itself last
-	suspected    bool          // one of its inputs was in question before its latest attempt
-	trial        *crash.Trial  // that this request has claimed, or nil
-	from         string        // the node that has sent it on; empty if it comes from a caller
-	counted      atomic.Bool   // by this node or another one
-	tried        []string      // IDs of the endpoints, and names of the nodes, that it was sent to
-	peersTried   int           // nodes among them
-	notRun       int           // attempts at them that did not run it
-	unreached    int           // attempts at endpoints that no byte of it has reached
-	arrivals     int           // attempts that an endpoint may have received, as far as they have ended
-	peerRetryAt  atomic.Int64  // when another node has room again, in Unix nanoseconds; 0 if none has said so
-	snapshotAge  time.Duration // how old the snapshot was when it was last used
-	mayHaveRun   bool          // an endpoint may have run it
-	broken       atomic.Bool   // an endpoint has broken off an attempt, or may have ended when it had just answered
-	whole        atomic.Bool   // an endpoint of this node has answered as a whole
-	status       int
-	outcome      string
-	firstEventAt time.Time     // when the response headers of a stream were written
-	lastEventAt  time.Time     // when the last event was written
-	longestGap   time.Duration // longest time between two events
-	heldMutex    sync.Mutex
-	held         []*heldBytes // released when the request has ended
+	server         *Server
+	w              http.ResponseWriter
+	r              *http.Request
+	snapshot       *reach.Snapshot
+	receivedAt     time.Time
+	readAt         time.Time // when its body was whole
+	deadline       time.Time
+	header         platform.RequestHeader
+	route          *site.Route
+	team           string
+	teamRegions    []string // home regions of the team
+	priority       int
+	service        string
+	body           []byte
+	inputs         []crash.Input // that it is recognized by if it crashes endpoints, itself last
+	suspected      bool          // one of its inputs was in question before its latest attempt
+	trial          *crash.Trial  // that this request has claimed, or nil
+	from           string        // the node that has sent it on; empty if it comes from a caller
+	counted        atomic.Bool   // by this node or another one
+	tried          []string      // IDs of the endpoints, and names of the nodes, that it was sent to
+	peersTried     int           // nodes among them
+	notRun         int           // attempts at them that did not run it
+	unreached      int           // attempts at endpoints that no byte of it has reached
+	arrivals       int           // attempts that an endpoint may have received, as far as they have ended
+	peerRetryAt    atomic.Int64  // when another node has room again, in Unix nanoseconds; 0 if none has said so
+	snapshotAge    time.Duration // how old the snapshot was when it was last used
+	stoppedReading bool          // the caller was dropped for that
+	mayHaveRun     bool          // an endpoint may have run it
+	broken         atomic.Bool   // an endpoint has broken off an attempt, or may have ended when it had just answered
+	whole          atomic.Bool   // an endpoint of this node has answered as a whole
+	status         int
+	outcome        string
+	firstEventAt   time.Time     // when the response headers of a stream were written
+	lastEventAt    time.Time     // when the last event was written
+	longestGap     time.Duration // longest time between two events
+	heldMutex      sync.Mutex
+	held           []*heldBytes // released when the request has ended
 }
 
 // admit checks the request and reads its body, before it is sent anywhere. If the
@@ -388,6 +389,9 @@
 // connection, so that a partial response can't look complete.
 func (request *request) abortDisconnected() {
 	request.outcome = "caller left"
+	if request.stoppedReading {
+		request.outcome = "caller stopped reading"
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -28,6 +28,7 @@
 func (request *request) serveStream(ctx context.Context) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer request.endWriteDeadline()
 	relay := &relay{request: request, handover: newHandover(ctx, request, request.openStream)}
 	defer context.AfterFunc(request.server.stopping, func() { relay.withdraw(cancel) })()
 	failure := request.tryEndpoints(ctx, relay.begun, func(candidate *reach.Candidate) result {
@@ -294,11 +295,7 @@
 		request.longestGap = max(request.longestGap, now.Sub(request.lastEventAt))
 	}
 	relay.request.lastEventAt = now
-	if _, err := relay.request.w.Write(attempt.reader.event.Bytes()); err != nil {
-		return errors.Mark(errors.Wrap(err, "entry: writing to the caller"), errCallerConnection)
-	}
-	err := http.NewResponseController(relay.request.w).Flush()
-	return errors.Mark(errors.Wrap(err, "entry: writing to the caller"), errCallerConnection)
+	return relay.request.writeInTime(attempt.reader.event.Bytes())
 }
 
 // causeOf returns the cause for which the context was canceled, if it was and the
