--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -39,6 +39,9 @@
 		if best == nil || bestScore.utilization > limit {
 			best, bestScore = pick(policy, candidates, request)
 		}
+		if best == nil && anyMemoryFull(candidates, request) {
+			return Reject{Reason: ReasonMemory, RetryAt: retryAt(policy, candidates, request)}
+		}
 		if best == nil {
 			return Reject{Reason: reasonWithout(candidates, request.Now), RetryAt: retryAt(policy, candidates, request)}
 		}
@@ -151,6 +154,9 @@
 		if candidate.MaxInFlight > 0 && candidate.Load.OwnInFlight() >= candidate.MaxInFlight {
 			continue
 		}
+		if candidate.memoryFull(request) {
+			continue
+		}
 		score := scoreOf(policy, candidate, request, mean, timeLeft)
 		if !candidate.SameZone {
 			score.total += crossing.penalty(policy, candidate)
--- a/core/reach/load.go
+++ b/core/reach/load.go
@@ -11,8 +11,9 @@
 type Load struct {
 	ownInFlight       atomic.Int64
 	peerInFlight      atomic.Int64
-	ownPendingTokens  atomic.Int64  // tokens of this node's prompts whose answer has not begun
-	peerPendingTokens atomic.Int64  // tokens of the other nodes' prompts whose answer has not begun
+	ownPendingTokens  atomic.Int64 // tokens of this node's prompts whose answer has not begun
+	peerPendingTokens atomic.Int64 // tokens of the other nodes' prompts whose answer has not begun
+	held              heldTokens
 	failureRate       atomic.Uint64 // smoothed fraction of requests that failed, as float64 bits
 	answerTime        atomic.Uint64 // smoothed seconds to a complete answer, as float64 bits
 	lastResultAt      atomic.Int64  // Unix nanoseconds of the last result
--- a/core/reach/obstacle.go
+++ b/core/reach/obstacle.go
@@ -24,6 +24,7 @@
 	ObstacleLeaving     ObstacleReason = "leaving"
 	ObstacleLimited     ObstacleReason = "limited"
 	ObstacleInFlight    ObstacleReason = "in-flight"
+	ObstacleMemory      ObstacleReason = "memory-full"
 )
 
 // Obstacles returns why the candidates for a request take none, the first maxCount of them.
@@ -68,6 +69,8 @@
 		return obstacle(ObstacleLimited, 0)
 	case candidate.MaxInFlight > 0 && load.OwnInFlight() >= candidate.MaxInFlight:
 		return obstacle(ObstacleInFlight, 0)
+	case candidate.memoryFull(request):
+		return obstacle(ObstacleMemory, 0)
 	}
 	return Obstacle{}, false
 }
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -57,6 +57,7 @@
 	Slots               int     // requests that it runs at once
 	MaxInFlight         int     // limit of this node's requests in flight there; 0 for none
 	Speed               Speed   // unknown for a plain service and another node
+	MemoryTokens        int     // of prompts and answers that it holds; 0 if not stated
 	PrefillTokensPerSec float64 // 0 for a plain service
 	TieBreak            float64 // in [0,1), a constant of this node and the endpoint
 	Load                *Load
@@ -75,6 +76,8 @@
 	Random     float64   // random number in [0,1) for the sample and the retry delay
 
 	PromptTokens  int
+	Nodes         int         // that may send requests, this one included
+	AnswerTokens  int         // of its answer, at most
 	Bytes         int         // of its body and its answer, about
 	Homes         homes.Homes // of its route and team
 	CallersRegion string      // that of the node that the caller connected to; empty if not known
@@ -109,5 +112,6 @@
 	ReasonNoService  Reason = "no-service"        // the configuration has no such service
 	ReasonCrashes    Reason = "crashes-endpoints" // an input crashes endpoints
 	ReasonNoHome     Reason = "no-home-endpoint"  // no endpoint in a home region is known
+	ReasonMemory     Reason = "memory-full"       // the request does not fit into the endpoints' memory
 	ReasonLimited    Reason = "limited"           // the endpoints have stated limits, and this node has had its turns
 )
--- a/core/reach/spillreplay_test.go
+++ b/core/reach/spillreplay_test.go
@@ -52,6 +52,7 @@
 	node, prompt, answer int
 	cameAt, arrivesAt    time.Duration
 	load                 *reach.Load
+	held                 int // tokens of its prompt and answer
 	away                 bool
 	begun                bool
 	rest                 int // prompt tokens to prefill
@@ -61,6 +62,7 @@
 type replayReplica struct {
 	zone             int
 	gone             bool
+	held             int // tokens of the requests that were sent to it
 	coming           []*replayRequest
 	waiting, running []*replayRequest
 	passEnds         time.Duration
@@ -80,6 +82,7 @@
 type replayResult struct {
 	requests, onTime, late, rejected int
 	megabytes                        float64
+	mostHeld                         int     // tokens at one replica
 	swing                            float64 // mean change of the fraction that goes to another zone, from one half second to the next
 }
 
@@ -103,7 +106,7 @@
 	now      time.Duration
 	replicas []*replayReplica
 	nodes    [][]*reach.Candidate // by node, in the order of the replicas
-	history  [][][]int            // per 50 ms: in flight and pending tokens by node and replica, two numbers each
+	history  [][][]int            // per 50 ms: in flight, pending and held tokens by node and replica, three numbers each
 	result   replayResult
 	away     []float64 // requests that went to another zone, by half second
 	sent     []float64 // all that were sent
@@ -168,7 +171,7 @@
 	for _, candidates := range replay.nodes {
 		var figures []int
 		for _, candidate := range candidates {
-			figures = append(figures, candidate.Load.OwnInFlight(), candidate.Load.OwnPendingTokens())
+			figures = append(figures, candidate.Load.OwnInFlight(), candidate.Load.OwnPendingTokens(), candidate.Load.OwnHeldTokens())
 		}
 		present = append(present, figures)
 	}
@@ -176,13 +179,14 @@
 	past := replay.history[max(0, len(replay.history)-1-int(replay.lag/replayDigest))]
 	for node, candidates := range replay.nodes {
 		for i, candidate := range candidates {
-			inFlight, pending := 0, 0
+			inFlight, pending, held := 0, 0, 0
 			for other, figures := range past {
 				if other != node {
-					inFlight, pending = inFlight+figures[2*i], pending+figures[2*i+1]
+					inFlight, pending, held = inFlight+figures[3*i], pending+figures[3*i+1], held+figures[3*i+2]
 				}
 			}
 			candidate.Load.SetPeerLoad(inFlight, pending)
+			candidate.Load.SetPeerHeldTokens(held)
 		}
 	}
 }
@@ -200,7 +204,7 @@
 	}
 	decision := reach.Choose(replay.policy, poolOf(usable...), reach.Request{
 		Model: "m", Now: now, Deadline: now.Add(replay.shape.objective), Priority: 2, SampleSize: replay.policy.SampleSizeFor(len(replay.nodes)), Random: replay.random.Float64(),
-		PromptTokens: request.prompt, Bytes: (request.prompt + replayAnswer) * bytesOfToken,
+		Nodes: len(replay.nodes), PromptTokens: request.prompt, AnswerTokens: request.answer, Bytes: (request.prompt + replayAnswer) * bytesOfToken,
 	})
 	replay.result.requests++
 	sent, isSent := decision.(reach.Send)
@@ -223,9 +227,23 @@
 	}
 	request.load.Begin()
 	request.load.AddPendingTokens(request.prompt)
+	request.held = request.prompt + request.answer
+	request.load.Hold(request.held, now)
+	replay.replicas[index].held += request.held
+	replay.result.mostHeld = max(replay.result.mostHeld, replay.replicas[index].held)
 	replay.replicas[index].coming = append(replay.replicas[index].coming, request)
 }
 
+// limitMemory has the nodes heed that the replicas' memory holds so many tokens.
+func (replay *replay) limitMemory(tokens int) *replay {
+	for _, candidates := range replay.nodes {
+		for _, candidate := range candidates {
+			candidate.MemoryTokens = tokens
+		}
+	}
+	return replay
+}
+
 // step lets a replica take what has arrived, and end its pass and begin the next one if it is due.
 func (replay *replay) step(replica *replayReplica) {
 	for len(replica.coming) > 0 && replica.coming[0].arrivesAt <= replay.now {
@@ -258,7 +276,7 @@
 	var running []*replayRequest
 	for i, request := range replica.running {
 		if i < replica.decoding {
-			replay.giveTokens(request)
+			replay.giveTokens(replica, request)
 		}
 		if request.answer > 0 {
 			running = append(running, request)
@@ -267,7 +285,7 @@
 	replica.running, replica.prefilled = append(running, replica.prefilled...), nil
 }
 
-func (replay *replay) giveTokens(request *replayRequest) {
+func (replay *replay) giveTokens(replica *replayReplica, request *replayRequest) {
 	if !request.begun {
 		request.begun = true
 		request.load.AddPendingTokens(-request.prompt)
@@ -282,6 +300,8 @@
 		}
 	}
 	if request.answer -= replayEngine.PassSteps; request.answer <= 0 {
+		replica.held -= request.held
+		request.load.EndHold(request.held)
 		request.load.End()
 	}
 }
@@ -294,6 +314,7 @@
 			if !request.begun {
 				request.load.AddPendingTokens(-request.prompt)
 			}
+			request.load.EndHold(request.held)
 			request.load.End()
 		}
 	}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -271,7 +271,7 @@
 
 // refreshDigest builds this node's own digest.
 func (control *Control) refreshDigest() {
-	digest := &gossip.Digest{Node: control.settings.Node, Zone: control.settings.Zone, Scope: topo.ScopeNode, InFlight: map[string]int{}, PendingTokens: map[string]int{}, HadRequests: control.hadRequests() || control.peersHadRequests()}
+	digest := &gossip.Digest{Node: control.settings.Node, Zone: control.settings.Zone, Scope: topo.ScopeNode, InFlight: map[string]int{}, PendingTokens: map[string]int{}, HeldTokens: map[string]int{}, HadRequests: control.hadRequests() || control.peersHadRequests()}
 	for id, load := range control.endpoints.loads {
 		if own := load.OwnInFlight(); own > 0 {
 			digest.InFlight[id] = own
@@ -279,6 +279,9 @@
 		if tokens := load.OwnPendingTokens(); tokens > 0 {
 			digest.PendingTokens[id] = tokens
 		}
+		if tokens := load.OwnHeldTokens(); tokens > 0 {
+			digest.HeldTokens[id] = tokens
+		}
 	}
 	digest.Demand = map[string]int64{}
 	for model, total := range control.localDemand() {
@@ -396,6 +399,7 @@
 	}
 	for id, load := range control.endpoints.loads {
 		load.SetPeerLoad(others.InFlight[id], others.PendingTokens[id])
+		load.SetPeerHeldTokens(others.HeldTokens[id])
 	}
 }
 
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -70,6 +70,7 @@
 		if model, found := service.Engine.Model(replica.Model); found && model.TimeFactor > 0 {
 			candidate.PrefillTokensPerSec = service.Engine.PrefillTokensPerSec / model.TimeFactor
 		}
+		candidate.MemoryTokens = service.Engine.MemoryTokens
 		candidate.Speed = control.speedOf(service.Engine, replica)
 		servicepool.Models[replica.Model] = append(servicepool.Models[replica.Model], candidate)
 	}
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -25,6 +25,7 @@
 	complete      bool          // the stream is whole, by more than the end of its connection
 	resumeAfter   string        // id of the last event that the caller has received
 	pendingTokens int           // of the prompt, until the answer begins
+	heldTokens    int           // of the prompt and the longest answer, in the endpoint's memory
 	eventCount    atomic.Int64  // complete events that the endpoint has sent
 	forwarding    atomic.Bool   // an event is being written to the caller, so the endpoint is not asked for more
 	exchange      *pool.Exchange
@@ -43,6 +44,7 @@
 func (server *Server) register(attempt *attempt) {
 	attempt.candidate.Load.Begin()
 	attempt.candidate.Load.AddPendingTokens(attempt.pendingTokens)
+	attempt.candidate.Load.Hold(attempt.heldTokens, attempt.sentAt)
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	id := attempt.candidate.ID
@@ -67,6 +69,7 @@
 		attempt.probe.Stop()
 	}
 	attempt.answerBegins()
+	attempt.candidate.Load.EndHold(attempt.heldTokens)
 	attempt.candidate.Load.End()
 	switch {
 	case attempt.answer == nil:
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -91,7 +91,7 @@
 	if candidate.IsPeer {
 		request.peersTried++
 	}
-	attempt := &attempt{candidate: candidate, sentAt: time.Now(), pendingTokens: request.header.PromptTokens, resumeAfter: handover.lastEventID}
+	attempt := &attempt{candidate: candidate, sentAt: time.Now(), pendingTokens: request.header.PromptTokens, heldTokens: request.header.PromptTokens + request.answerTokens(), resumeAfter: handover.lastEventID}
 	attempt.ctx, attempt.cancel = context.WithCancelCause(handover.ctx)
 	patience := policy.AnswerPatience
 	if _, stream := request.route.Kind.(site.Stream); stream {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -306,11 +306,24 @@
 	return reach.Request{
 		Model: request.header.Model, Now: time.Now(), Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
 		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
-		PromptTokens: request.header.PromptTokens, Bytes: len(request.body) + bytesPerToken*request.header.MaxAnswerTokens,
+		Nodes: request.snapshot.Nodes, PromptTokens: request.header.PromptTokens, AnswerTokens: request.answerTokens(), Bytes: len(request.body) + bytesPerToken*request.header.MaxAnswerTokens,
 		Homes: request.currentHomes(), CallersRegion: request.server.region,
 	}
 }
 
+// answerTokens returns the most tokens that the answer can have, or the usual number where the
+// caller states none.
+func (request *request) answerTokens() int {
+	index := request.server.newestIndex()
+	if request.header.MaxAnswerTokens > 0 || index == nil {
+		return request.header.MaxAnswerTokens
+	}
+	if service, found := index.Service(request.service); found && service.Engine != nil {
+		return service.Engine.UsualAnswerTokens
+	}
+	return 0
+}
+
 // bytesPerToken is about what a token of an answer takes.
 const bytesPerToken = 4
 
--- a/io/gossip/digest.go
+++ b/io/gossip/digest.go
@@ -11,6 +11,7 @@
 func (digest Digest) Copy() Digest {
 	digest.InFlight = cloneCounts(digest.InFlight)
 	digest.PendingTokens = cloneCounts(digest.PendingTokens)
+	digest.HeldTokens = cloneCounts(digest.HeldTokens)
 	digest.Demand = maps.Clone(digest.Demand)
 	if digest.Demand == nil {
 		digest.Demand = map[string]int64{}
@@ -38,10 +39,11 @@
 // AddCounts adds the requests and tokens that digests count. Those of one call count the same
 // requests, so the highest of each count is added.
 func (digest *Digest) AddCounts(others ...Digest) {
-	inFlight, pendingTokens, requests := map[string]int{}, map[string]int{}, map[string]int64{}
+	inFlight, pendingTokens, heldTokens, requests := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int64{}
 	for _, other := range others {
 		Raise(inFlight, other.InFlight)
 		Raise(pendingTokens, other.PendingTokens)
+		Raise(heldTokens, other.HeldTokens)
 		for service, count := range other.Requests {
 			requests[service] = max(requests[service], count)
 		}
@@ -52,6 +54,9 @@
 	for id, tokens := range pendingTokens {
 		digest.PendingTokens[id] += tokens
 	}
+	for id, tokens := range heldTokens {
+		digest.HeldTokens[id] += tokens
+	}
 	for service, count := range requests {
 		digest.Requests[service] += count
 	}
@@ -108,6 +113,7 @@
 func (digest *Digest) Subtract(other Digest) {
 	subtractCounts(digest.InFlight, other.InFlight)
 	subtractCounts(digest.PendingTokens, other.PendingTokens)
+	subtractCounts(digest.HeldTokens, other.HeldTokens)
 }
 
 // subtractCounts subtracts the counts from a sum, but never goes below zero: the
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -60,6 +60,7 @@
 	GoneSum          uint64               `cbor:"31,keyasint,omitempty"` // SumOf them
 	Late             bool                 `cbor:"32,keyasint,omitempty"` // the node's periodic work has been late in the last second; in a sum, that of every node has
 	CutOff           []string             `cbor:"26,keyasint,omitempty"` // nodes that endpoints do not answer, though they answer others
+	HeldTokens       map[string]int       `cbor:"40,keyasint,omitempty"` // tokens of the prompts and longest answers of the requests in InFlight, by endpoint
 	Usable           map[string]int       `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
 }
 
