Slow readers: callers who read slowly are not taken for ones who stopped

Cause: a write that waits goes on only when a third of the connection's buffer, some megabytes, is free. Change: 16 KiB at most wait unsent in a caller's connection (TCP_NOTSENT_LOWAT), which also bounds what a slow caller takes of the kernel's memory.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -10,8 +10,10 @@
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
-// ConnContext keeps the connection of a request in its context; it is for http.Server.
+// ConnContext keeps the connection of a request in its context, and limits what waits in it; it
+// is for http.Server.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	limitUnsent(conn)
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
