--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -154,12 +154,12 @@
 		if candidate.MaxInFlight > 0 && candidate.Load.OwnInFlight() >= candidate.MaxInFlight {
 			continue
 		}
-		if candidate.memoryFull(request) {
+		if candidate.MemoryTokens > 0 && candidate.memoryFull(request) {
 			continue
 		}
 		score := scoreOf(policy, candidate, request, mean, timeLeft)
 		if !candidate.SameZone {
-			score.total += crossing.penalty(policy, candidate)
+			score.total += crossing.penalty(&policy, candidate)
 		}
 		if score.total < bestScore.total {
 			best, bestScore = candidate, score
--- a/core/reach/spill.go
+++ b/core/reach/spill.go
@@ -45,7 +45,7 @@
 }
 
 // penalty returns what is added to the score of a candidate in another zone.
-func (crossing crossing) penalty(policy Policy, candidate *Candidate) float64 {
+func (crossing *crossing) penalty(policy *Policy, candidate *Candidate) float64 {
 	if !crossing.known || !candidate.Speed.DelayKnown || !candidate.Speed.Replica.Known() {
 		return policy.CrossZonePenalty
 	}
