--- a/core/reach/advised_test.go
+++ b/core/reach/advised_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickorybend/core/homes"
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
 )
@@ -46,3 +47,16 @@
 	}
 	assert.Assert(t, reach.Take(nil, reach.Request{}, "a") == nil)
 }
+
+// TestAdviceLeavesHomeRegions guards against requests that leave their home regions because the
+// leader of the zone, which does not know these, says so.
+func TestAdviceLeavesHomeRegions(t *testing.T) {
+	pool := &reach.ServicePool{Engine: &site.Engine{}, Models: map[string][]*reach.Candidate{"m": {
+		{ID: "home", Region: "north", Load: &reach.Load{}}, {ID: "other", Region: "south", Load: &reach.Load{}}, {ID: "unknown", Load: &reach.Load{}},
+	}}}
+	request := reach.Request{Model: "m", Now: time.Unix(1000, 0), Homes: homes.Of([]string{"north"}, nil)}
+	assert.DeepEqual(t, reach.Unusable(pool, request), []string{"other", "unknown"})
+	for id, want := range map[string]bool{"home": true, "other": false, "unknown": false} {
+		assert.Equal(t, reach.Take(pool, request, id) != nil, want, id)
+	}
+}
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -29,13 +29,19 @@
 	if servicepool == nil {
 		return Reject{Reason: ReasonNoService, RetryAt: request.Now.Add(policy.MinRetryDelay)}
 	}
-	candidates := servicepool.candidates(request.Model)
+	candidates := servicepool.candidatesFor(request)
+	if len(candidates) == 0 && request.Homes.Restricted() {
+		return Reject{Reason: ReasonNoHome, RetryAt: retryAt(policy, nil, request)}
+	}
 	limit := maxUtilization(policy, servicepool, request)
 	for {
 		best, bestScore := pick(policy, withColdTurns(sample(policy, candidates, request), candidates, request), request)
 		if best == nil || bestScore.utilization > limit {
 			best, bestScore = pick(policy, candidates, request)
 		}
+		if best == nil && anyMemoryFull(candidates, request) {
+			return Reject{Reason: ReasonMemory, RetryAt: retryAt(policy, candidates, request)}
+		}
 		if best == nil {
 			return Reject{Reason: reasonWithout(candidates, request.Now), RetryAt: retryAt(policy, candidates, request)}
 		}
@@ -54,7 +60,7 @@
 	if servicepool == nil {
 		return false
 	}
-	best, bestScore := pick(policy, servicepool.candidates(request.Model), request)
+	best, bestScore := pick(policy, servicepool.candidatesFor(request), request)
 	return best != nil && bestScore.utilization <= maxUtilization(policy, servicepool, request)
 }
 
@@ -97,7 +103,7 @@
 	order := random.Perm(len(candidates))
 	drawn := make([]*Candidate, 0, request.SampleSize+policy.SampleOtherZones)
 	sameZoneLeft, otherZoneLeft := request.SampleSize, policy.SampleOtherZones
-	uniform := countSameZone(candidates) < policy.ZonalSampleMin
+	uniform := countSameZone(candidates) < policy.ZonalSampleMin && !staysHome(policy, candidates, request)
 	for _, i := range order {
 		candidate := candidates[i]
 		switch {
@@ -140,6 +146,7 @@
 	bestScore := score{total: math.Inf(1)}
 	mean := meanAnswerTime(candidates)
 	timeLeft := max(request.Deadline.Sub(request.Now), policy.MinTimeLeft).Seconds()
+	crossing := newCrossing(candidates, request, timeLeft)
 	for _, candidate := range candidates {
 		if slices.Contains(request.Tried, candidate.ID) || !candidate.takesRequests(request.Now) {
 			continue
@@ -147,7 +154,13 @@
 		if candidate.MaxInFlight > 0 && candidate.Load.OwnInFlight() >= candidate.MaxInFlight {
 			continue
 		}
+		if candidate.MemoryTokens > 0 && candidate.memoryFull(request) {
+			continue
+		}
 		score := scoreOf(policy, candidate, request, mean, timeLeft)
+		if !candidate.SameZone {
+			score.total += crossing.penalty(&policy, candidate)
+		}
 		if score.total < bestScore.total {
 			best, bestScore = candidate, score
 		}
@@ -162,16 +175,13 @@
 }
 
 // scoreOf rates a candidate, given the mean answer time of all and the seconds until
-// the answer should begin.
+// the answer should begin. What another zone costs is added to it.
 func scoreOf(policy Policy, candidate *Candidate, request Request, mean time.Duration, timeLeft float64) score {
 	utilization := float64(candidate.Load.InFlight()+1) / float64(max(candidate.Slots, 1))
 	total := utilization + policy.FailPenalty*candidate.Load.FailureRate(request.Now) + policy.TieBreakWeight*candidate.TieBreak
 	if candidate.PrefillTokensPerSec > 0 {
 		total += policy.PromptWeight * float64(candidate.Load.PendingTokens()) / candidate.PrefillTokensPerSec / timeLeft
 	}
-	if !candidate.SameZone {
-		total += policy.CrossZonePenalty
-	}
 	if answerTime := candidate.Load.AnswerTime(); mean > 0 && answerTime > mean {
 		total += policy.SlowPenalty * math.Log2(float64(answerTime)/float64(mean))
 	}
--- a/core/reach/cold_test.go
+++ b/core/reach/cold_test.go
@@ -25,13 +25,13 @@
 }
 
 const (
-	replayTime   = 20 * time.Second
-	replayStep   = 5 * time.Millisecond
-	replayAnswer = 1200 * time.Millisecond // that an answer takes
-	replaySlots  = 20
-	replayPeriod = 13                     // seconds
-	replayNews   = 450 * time.Millisecond // at most, until a node knows that an endpoint has turned cold
-	replayDigest = 500 * time.Millisecond
+	replayTime     = 20 * time.Second
+	replayStep     = 5 * time.Millisecond
+	answerTime     = 1200 * time.Millisecond // that an answer takes
+	replaySlots    = 20
+	replayPeriod   = 13                     // seconds
+	replayNews     = 450 * time.Millisecond // at most, until a node knows that an endpoint has turned cold
+	digestInterval = 500 * time.Millisecond
 )
 
 func (coldreplay *coldReplay) run(seed uint64) {
@@ -64,7 +64,7 @@
 		for node := range pools {
 			coldreplay.learn(pools[node], members, node, at-news[node], start.Add(at))
 		}
-		if at%replayDigest == 0 {
+		if at%digestInterval == 0 {
 			for endpoint := range coldreplay.endpoints {
 				sum := 0
 				for node := range pools {
@@ -95,7 +95,7 @@
 			endpoint := slices.Index(pools[node].Plain, send.Candidate)
 			send.Candidate.Load.Begin()
 			inFlight[node][endpoint]++
-			ends = append(ends, end{at + replayAnswer, node, endpoint})
+			ends = append(ends, end{at + answerTime, node, endpoint})
 			coldreplay.arrivals[endpoint] = append(coldreplay.arrivals[endpoint], at)
 		}
 	}
--- a/core/reach/obstacle.go
+++ b/core/reach/obstacle.go
@@ -24,6 +24,8 @@
 	ObstacleLeaving     ObstacleReason = "leaving"
 	ObstacleLimited     ObstacleReason = "limited"
 	ObstacleInFlight    ObstacleReason = "in-flight"
+	ObstacleMemory      ObstacleReason = "memory-full"
+	ObstacleRegion      ObstacleReason = "other-region"
 )
 
 // Obstacles returns why the candidates for a request take none, the first maxCount of them.
@@ -32,7 +34,7 @@
 		return nil
 	}
 	var obstacles []Obstacle
-	for _, candidate := range servicepool.candidates(request.Model) {
+	for _, candidate := range servicepool.candidatesFor(request) {
 		if len(obstacles) == maxCount {
 			break
 		}
@@ -54,6 +56,8 @@
 		return found, true
 	}
 	switch {
+	case request.Homes.Restricted() && !request.Allows(candidate):
+		return obstacle(ObstacleRegion, 0)
 	case slices.Contains(request.Tried, candidate.ID):
 		return obstacle(ObstacleTried, 0)
 	case load.Unreachable(now):
@@ -68,6 +72,8 @@
 		return obstacle(ObstacleLimited, 0)
 	case candidate.MaxInFlight > 0 && load.OwnInFlight() >= candidate.MaxInFlight:
 		return obstacle(ObstacleInFlight, 0)
+	case candidate.memoryFull(request):
+		return obstacle(ObstacleMemory, 0)
 	}
 	return Obstacle{}, false
 }
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hickorybend/core/crash"
+	"hickorybend/core/homes"
 	"hickorybend/core/site"
 )
 
@@ -57,6 +58,9 @@
 	PrefillTokensPerSec float64  // 0 for a plain service
 	TieBreak            float64  // in [0,1), a constant of this node and the endpoint
 	Owners              []string // the nodes that may send it requests, if it is cold
+	Region              string   // empty if it is not known, or another node does not say that it keeps to home regions
+	Speed               Speed    // unknown for a plain service and another node
+	MemoryTokens        int      // of prompts and answers that it holds; 0 if not stated
 	Load                *Load
 }
 
@@ -71,6 +75,13 @@
 	SampleSize int       // candidates that are compared first; 0 for all
 	Tried      []string  // IDs of the candidates that it was sent to before
 	Random     float64   // random number in [0,1) for the sample and the retry delay
+
+	PromptTokens  int
+	Nodes         int         // that may send requests, this one included
+	AnswerTokens  int         // of its answer, at most
+	Bytes         int         // of its body and its answer, about
+	Homes         homes.Homes // of its route and team
+	CallersRegion string      // that of the node that the caller connected to; empty if not known
 }
 
 // Decision is Send or Reject.
@@ -101,5 +112,7 @@
 	ReasonFull       Reason = "full"              // the request would queue beyond its objective
 	ReasonNoService  Reason = "no-service"        // the configuration has no such service
 	ReasonCrashes    Reason = "crashes-endpoints" // an input crashes endpoints
+	ReasonNoHome     Reason = "no-home-endpoint"  // no endpoint in a home region is known
+	ReasonMemory     Reason = "memory-full"       // the request does not fit into the endpoints' memory
 	ReasonLimited    Reason = "limited"           // the endpoints have stated limits, and this node has had its turns
 )
--- a/core/site/index.go
+++ b/core/site/index.go
@@ -1,6 +1,10 @@
 package site
 
-import "strings"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Index finds routes, services and teams of one configuration.
 type Index struct {
@@ -64,6 +68,12 @@
 // is configured.
 func (index *Index) RequiresKey() bool { return len(index.Config.Teams) > 0 }
 
+// HasHomeRegions reports whether any route or team has home regions.
+func (index *Index) HasHomeRegions() bool {
+	return slices.ContainsFunc(index.Config.Routes, func(route Route) bool { return len(route.AllowedRegions) > 0 }) ||
+		slices.ContainsFunc(index.Config.Teams, func(team Team) bool { return len(team.AllowedRegions) > 0 })
+}
+
 // Team returns the team that owns an API key.
 func (index *Index) Team(key string) (*Team, bool) {
 	team, found := index.teams[key]
@@ -100,6 +110,25 @@
 	return Model{}, false
 }
 
+// DelayBetween returns the delay from one zone to another, and whether it is stated. One that is
+// stated the other way round counts too.
+func (engine *Engine) DelayBetween(from, to string) (time.Duration, bool) {
+	if from == to {
+		return 0, from != ""
+	}
+	for _, delay := range engine.Delays {
+		if delay.From == from && delay.To == to {
+			return delay.OneWay, true
+		}
+	}
+	for _, delay := range engine.Delays {
+		if delay.From == to && delay.To == from {
+			return delay.OneWay, true
+		}
+	}
+	return 0, false
+}
+
 func stripPort(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		return host[:colon]
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -78,6 +78,8 @@
 		if model, found := service.Engine.Model(replica.Model); found && model.TimeFactor > 0 {
 			candidate.PrefillTokensPerSec = service.Engine.PrefillTokensPerSec / model.TimeFactor
 		}
+		candidate.MemoryTokens = service.Engine.MemoryTokens
+		candidate.Speed = control.speedOf(service.Engine, replica)
 		servicepool.Models[replica.Model] = append(servicepool.Models[replica.Model], candidate)
 	}
 	return servicepool
@@ -94,6 +96,7 @@
 		ID: endpoint.ID, Address: endpoint.Address, StartedAt: endpoint.StartedAt, SameZone: endpoint.Zone == control.settings.Zone,
 		Slots: endpoint.Slots, MaxInFlight: control.connectionsTo(service, endpoint, nodes).Requests, Load: control.endpoints.load(endpoint.ID),
 		TieBreak: tieBreak(control.settings.Node, endpoint.ID), Owners: control.ownersOf(endpoint.ID, service.ColdPerSecond),
+		Region: control.settings.regions().RegionOf(endpoint.Zone),
 	}
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -25,46 +25,48 @@
 
 // request is the state of a caller's request while it is served.
 type request struct {
-	server       *Server
-	w            http.ResponseWriter
-	r            *http.Request
-	snapshot     *reach.Snapshot
-	receivedAt   time.Time
-	readAt       time.Time // when its body was whole
-	deadline     time.Time
-	header       platform.RequestHeader
-	route        *site.Route
-	team         string
-	priority     int
-	service      string
-	body         []byte
-	inputs       []crash.Input // that it is recognized by if it crashes endpoints, itself last
-	suspected    bool          // one of its inputs was in question before its latest attempt
-	trial        *crash.Trial  // that this request has claimed, or nil
-	ticket       uint64        // of the endpoint that the zone's leader has assigned; 0 for none, or once an attempt has it
-	ticketFor    string        // that endpoint
-	assigned     int           // attempts at endpoints that the leader has assigned
-	from         string        // the node that has sent it on; empty if it comes from a caller
-	counted      atomic.Bool   // by this node or another one
-	tried        []string      // IDs of the endpoints, and names of the nodes, that it was sent to
-	peersTried   int           // nodes among them
-	notRun       int           // attempts at them that did not run it
-	unreached    int           // attempts at endpoints that no byte of it has reached
-	arrivals     int           // attempts that an endpoint may have received, as far as they have ended
-	peerRetryAt  atomic.Int64  // when another node has room again, in Unix nanoseconds; 0 if none has said so
-	snapshotAge  time.Duration // how old the snapshot was when it was last used
-	mayHaveRun   bool          // an endpoint may have run it
-	broken       atomic.Bool   // an endpoint has broken off an attempt, or may have ended when it had just answered
-	whole        atomic.Bool   // an endpoint of this node has answered as a whole
-	status       int
-	outcome      string
-	sentAt       time.Time     // when the attempt began that brought the first event
-	otherZone    bool          // that event came from an endpoint in another zone
-	firstEventAt time.Time     // when the response headers of a stream were written
-	lastEventAt  time.Time     // when the last event was written
-	longestGap   time.Duration // longest time between two events
-	heldMutex    sync.Mutex
-	held         []*heldBytes // released when the request has ended
+	server         *Server
+	w              http.ResponseWriter
+	r              *http.Request
+	snapshot       *reach.Snapshot
+	receivedAt     time.Time
+	readAt         time.Time // when its body was whole
+	deadline       time.Time
+	header         platform.RequestHeader
+	route          *site.Route
+	team           string
+	priority       int
+	service        string
+	body           []byte
+	inputs         []crash.Input // that it is recognized by if it crashes endpoints, itself last
+	suspected      bool          // one of its inputs was in question before its latest attempt
+	trial          *crash.Trial  // that this request has claimed, or nil
+	ticket         uint64        // of the endpoint that the zone's leader has assigned; 0 for none, or once an attempt has it
+	ticketFor      string        // that endpoint
+	assigned       int           // attempts at endpoints that the leader has assigned
+	from           string        // the node that has sent it on; empty if it comes from a caller
+	counted        atomic.Bool   // by this node or another one
+	tried          []string      // IDs of the endpoints, and names of the nodes, that it was sent to
+	peersTried     int           // nodes among them
+	notRun         int           // attempts at them that did not run it
+	unreached      int           // attempts at endpoints that no byte of it has reached
+	arrivals       int           // attempts that an endpoint may have received, as far as they have ended
+	peerRetryAt    atomic.Int64  // when another node has room again, in Unix nanoseconds; 0 if none has said so
+	snapshotAge    time.Duration // how old the snapshot was when it was last used
+	mayHaveRun     bool          // an endpoint may have run it
+	broken         atomic.Bool   // an endpoint has broken off an attempt, or may have ended when it had just answered
+	whole          atomic.Bool   // an endpoint of this node has answered as a whole
+	status         int
+	outcome        string
+	sentAt         time.Time     // when the attempt began that brought the first event
+	otherZone      bool          // that event came from an endpoint in another zone
+	firstEventAt   time.Time     // when the response headers of a stream were written
+	lastEventAt    time.Time     // when the last event was written
+	longestGap     time.Duration // longest time between two events
+	heldMutex      sync.Mutex
+	held           []*heldBytes // released when the request has ended
+	teamRegions    []string     // home regions of the team
+	stoppedReading bool         // the caller was dropped for that
 }
 
 // admit checks the request and reads its body, before it is sent anywhere. If the
@@ -139,7 +141,7 @@
 func (request *request) authenticate(index *site.Index) bool {
 	team, found := index.Team(request.header.Key)
 	if request.header.HasKey && found {
-		request.team = team.Name
+		request.team, request.teamRegions = team.Name, team.AllowedRegions
 		if team.HasPriority {
 			request.priority = team.Priority
 		}
@@ -311,9 +313,27 @@
 	return reach.Request{
 		Model: request.header.Model, Now: time.Now(), Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
 		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
+		Nodes: request.snapshot.Nodes, PromptTokens: request.header.PromptTokens, AnswerTokens: request.answerTokens(), Bytes: len(request.body) + bytesPerToken*request.header.MaxAnswerTokens,
+		Homes: request.currentHomes(), CallersRegion: request.server.region,
 	}
 }
 
+// answerTokens returns the most tokens that the answer can have, or the usual number where the
+// caller states none.
+func (request *request) answerTokens() int {
+	index := request.server.newestIndex()
+	if request.header.MaxAnswerTokens > 0 || index == nil {
+		return request.header.MaxAnswerTokens
+	}
+	if service, found := index.Service(request.service); found && service.Engine != nil {
+		return service.Engine.UsualAnswerTokens
+	}
+	return 0
+}
+
+// bytesPerToken is about what a token of an answer takes.
+const bytesPerToken = 4
+
 // retriedTimeoutFraction is the fraction of a route's timeout below which a
 // request's timeout shows that its caller has sent it before.
 const retriedTimeoutFraction = 0.93
@@ -389,6 +409,9 @@
 // connection, so that a partial response can't look complete.
 func (request *request) abortDisconnected() {
 	request.outcome = "caller left"
+	if request.stoppedReading {
+		request.outcome = "caller stopped reading"
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -40,6 +40,7 @@
 	assigner      *assign.Client // asks the leader of this node's zone; nil if there are no leaders
 	self          string         // this node's name
 	peerKey       string
+	region        string           // of this node; empty if not known
 	soundParts    *crash.SoundUses // of parts of prompts
 	soundRequests *crash.SoundUses // of whole requests
 	crashPolicy   crash.Policy
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -63,6 +63,7 @@
 	Late             bool                 `cbor:"32,keyasint,omitempty"` // the node's periodic work has been late in the last second; in a sum, that of every node has
 	Placing          bool                 `cbor:"50,keyasint,omitempty"` // the node itself places replicas, and polls the store for all tables
 	CutOff           []string             `cbor:"26,keyasint,omitempty"` // nodes that endpoints do not answer, though they answer others
+	HeldTokens       map[string]int       `cbor:"51,keyasint,omitempty"` // tokens of the prompts and longest answers of the requests in InFlight, by endpoint
 	Usable           map[string]int       `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
 	Evacuations      *Evacuations         `cbor:"40,keyasint,omitempty"` // nil if the sender does not know
 	Evacuated        evacuate.State       `cbor:"-"`                     // the same with times of the node's own clock
