Invalid responses end an attempt at once

Callers saw: a status below 200 from an endpoint (000 with a length, an id and a receipt) was skipped like an interim response. Requests that may run once waited until their time limit and got 504, streams waited as well, and 600 and 999 were passed on. At engines, commands counted as rejected after such a status, calls passed it on, and without a length a call or probe waited until its end.

Cause: roundTrip treated each status below 200 as interim, and nothing looked at the upper end.

Change: io/pool checks the status where a head is read (readhead.go), so buffered requests, streams, peers and probes all get it. Errors are marked by ErrInvalidResponse besides ErrIncompleteResponse: the request may have run. A connection on which unsolicited interim responses have come is closed after its response. io/engine gets the same as an http.RoundTripper; heads there are limited to 64 KB.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -35,11 +35,11 @@
 // closes the connection without a response, although the first may have run.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	requests := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	probes := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleProbeConns, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	requests := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	probes := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleProbeConns, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
-		requests: &http.Client{Transport: requests, CheckRedirect: returnRedirect},
-		probes:   &http.Client{Transport: probes, CheckRedirect: returnRedirect},
+		requests: &http.Client{Transport: checkedTransport{requests}, CheckRedirect: returnRedirect},
+		probes:   &http.Client{Transport: checkedTransport{probes}, CheckRedirect: returnRedirect},
 	}
 }
 
@@ -66,6 +66,9 @@
 		return watch.Status{}, errors.Mark(errors.Wrap(err, "engine: building a probe"), ErrUnreached)
 	}
 	response, err := client.probes.Do(request)
+	if errors.Is(err, ErrIncompleteResponse) {
+		return watch.Status{}, errors.Wrap(err, "engine: probing")
+	}
 	if err != nil {
 		return watch.Status{}, errors.Mark(errors.Wrap(err, "engine: probing"), ErrUnreached)
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -29,6 +29,10 @@
 // its response has not.
 var ErrIncompleteResponse = errors.New("pool: the response is incomplete")
 
+// ErrInvalidResponse marks errors of responses whose head is none of HTTP, or whose status is not one of a
+// final response. They are marked by ErrIncompleteResponse too: the request may have run.
+var ErrInvalidResponse = errors.New("pool: the response is invalid")
+
 const (
 	dialTimeout        = 500 * time.Millisecond // a round trip between zones takes 10 ms
 	unackedDataTimeout = 3 * time.Second        // TCP_USER_TIMEOUT of connections to endpoints
@@ -85,16 +89,17 @@
 
 // connection is a TCP connection to an endpoint with its buffers.
 type connection struct {
-	conn      net.Conn
-	head      *headLimit
-	reader    *bufio.Reader // reads from head
-	writer    *bufio.Writer
-	openedAt  time.Time
-	expiresAt time.Time // when it may no longer be reused
-	safeUntil time.Time // when it may no longer be reused for a request that may run once at most
-	history   history
-	hasCopied bool // the endpoint has sent a copy of an earlier answer on it
-	headOnly  bool // it carries HEAD requests only, whose answers have no bodies
+	conn       net.Conn
+	head       *headLimit
+	reader     *bufio.Reader // reads from head
+	writer     *bufio.Writer
+	openedAt   time.Time
+	expiresAt  time.Time // when it may no longer be reused
+	safeUntil  time.Time // when it may no longer be reused for a request that may run once at most
+	history    history
+	hasCopied  bool // the endpoint has sent a copy of an earlier answer on it
+	hasInterim bool // the endpoint has sent an interim response on it, which no request asks for
+	headOnly   bool // it carries HEAD requests only, whose answers have no bodies
 }
 
 // headLimit limits the bytes of a head, which net/http reads without a limit. It
@@ -262,8 +267,6 @@
 	pool.onReset(reset)
 }
 
-var errProtocolSwitched = errors.New("pool: the endpoint has switched to another protocol")
-
 // roundTrip writes the request and reads the headers of the final response. It skips interim
 // responses, whatever they say, and copies of responses to earlier requests.
 func (pool *Pool) roundTrip(address string, connection *connection, request Request) (*http.Response, error) {
@@ -280,13 +283,12 @@
 	connection.head.limited, connection.head.left = true, maxHeadBytes
 	defer func() { connection.head.limited = false }()
 	for {
-		response, err := http.ReadResponse(connection.reader, httpRequest)
+		response, err := connection.readHead(httpRequest)
 		switch {
 		case err != nil:
 			return nil, err
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errProtocolSwitched // nobody has asked for it
 		case response.StatusCode < http.StatusOK:
+			connection.hasInterim = true
 			continue
 		}
 		switch skipped, err := pool.skipCopy(address, connection, request, response); {
@@ -356,7 +358,7 @@
 		_ = exchange.Response.Body.Close()
 		timeout := idleTimeout(exchange.Response.Header)
 		connection := exchange.connection
-		if !exchange.stop() || exchange.Response.Close || connection.reader.Buffered() > 0 || exchange.EndsWithConnection() || connection.hasCopied || connection.history.full() {
+		if !exchange.stop() || exchange.Response.Close || connection.reader.Buffered() > 0 || exchange.EndsWithConnection() || connection.hasCopied || connection.hasInterim || connection.history.full() {
 			timeout = 0
 		}
 		exchange.pool.put(exchange, timeout)
