What clients' connections cost counts, and they are waited for within limits

Callers saw: nodes with 284 MB ended with 1,500 connections whose heads are made of very many short fields, or with 60 heads of 1 MB at the readiness address.

Cause: a parsed field takes about 100 bytes that nothing counted; the servers for readiness, other nodes and operators had the library's limit of 1 MB; and net/http reads the rest of an unread body without a time limit, so that the connections stayed.

Change: io/gate, called by drain.Listener, counts heads by bytes and fields in the ledger of core/buffer (owner Source), limits connections at each address and closes those that make no progress, never one whose request is whole. All servers have limits for heads and for whole requests, and limit the time for 16 KB of a response. A client that pipelines more than 64 requests in a row has its connection closed after a response. Event 617, client_connections_closed.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for building, running and checking the project.
 
-.PHONY: build run run-muscat smoke test check bench month sizes members slopes soak faults faults-short faults-upgrade faults-breaks fuzz breaks experiment clean
+.PHONY: build run run-muscat smoke test check bench month sizes members slopes soak faults faults-short faults-upgrade faults-breaks crowd fuzz breaks experiment clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -76,6 +76,11 @@
 faults-breaks:
 	scripts/soak-breaks.sh
 
+# Sends crowds of misbehaving clients to a node's program and prints what they cost it, for docs/OPERATIONS.md.
+# HICKORYBEND_CROWD_BIN=/path/to/hickorybend make crowd runs another build.
+crowd:
+	HICKORYBEND_CROWD=1 go test ./platform/crowd -run TestCrowd -v -timeout 30m
+
 fuzz:
 	go test ./core/relay -run '^$$' -fuzz FuzzChunk -fuzztime 60s
 	go test ./core/jsonc -run '^$$' -fuzz FuzzDecode -fuzztime 60s
--- a/core/buffer/ledger.go
+++ b/core/buffer/ledger.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Owner is whose bytes are held: a sealed sum of Endpoint and Team.
+// Owner is whose bytes are held: a sealed sum of Endpoint, Team and Source.
 type Owner interface{ owner() }
 
 // Endpoint is the endpoint, or the other node, that answers.
@@ -14,22 +14,28 @@
 // Team is the team whose caller sends a body; its name is empty for callers without one.
 type Team struct{ Name string }
 
+// Source is the client's address from which a connection comes.
+type Source struct{ Address string }
+
 func (Endpoint) owner() {}
 func (Team) owner()     {}
+func (Source) owner()   {}
 
 // Policy holds the limits, in bytes.
 type Policy struct {
 	Limit         int64 // of all claims together
 	EndpointShare int64 // of one endpoint's
 	TeamShare     int64 // of one team's
+	SourceShare   int64 // of the connections of one client's address
 }
 
 // The limits as parts of a node's memory. What is held takes up to about two and a half times
 // its size while it grows, until the garbage collector has run.
 const (
-	limitFraction = 0.2
-	teamFraction  = 0.5     // of the limit
-	largestAnswer = 1 << 24 // bytes that a sound endpoint may need
+	limitFraction  = 0.2
+	teamFraction   = 0.5     // of the limit
+	sourceFraction = 0.5     // of the limit; all callers may come through one load balancer
+	largestAnswer  = 1 << 24 // bytes that a sound endpoint may need
 )
 
 // stallStep is the time without growth by which claims are told apart. Below it, a claim moves.
@@ -38,7 +44,7 @@
 // PolicyFor returns the limits for a node with some bytes of memory.
 func PolicyFor(memory int64) Policy {
 	limit := int64(limitFraction * float64(memory))
-	return Policy{Limit: limit, EndpointShare: min(largestAnswer, limit/2), TeamShare: int64(teamFraction * float64(limit))}
+	return Policy{Limit: limit, EndpointShare: min(largestAnswer, limit/2), TeamShare: int64(teamFraction * float64(limit)), SourceShare: int64(sourceFraction * float64(limit))}
 }
 
 // Ledger counts the bytes that a node holds. All request goroutines share it.
@@ -146,6 +152,8 @@
 		return policy.EndpointShare
 	case Team:
 		return policy.TeamShare
+	case Source:
+		return policy.SourceShare
 	default:
 		return policy.Limit
 	}
--- a/io/drain/listener.go
+++ b/io/drain/listener.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hickorybend/io/gate"
 )
 
 const (
@@ -22,6 +24,7 @@
 	*net.TCPListener
 	mutex       sync.Mutex
 	connections map[*connection]bool
+	gate        *gate.Gate // nil for none
 	stopping    bool
 	closed      chan struct{} // by Close
 	stopped     chan struct{} // once no further connection is accepted
@@ -29,14 +32,14 @@
 	stopOnce    sync.Once
 }
 
-// Listen listens on a TCP address.
-func Listen(address string) (*Listener, error) {
+// Listen listens on a TCP address. A gate, which may be nil, admits the connections.
+func Listen(address string, gate *gate.Gate) (*Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "drain: listening")
 	}
 	return &Listener{
-		TCPListener: listener.(*net.TCPListener), connections: map[*connection]bool{}, closed: make(chan struct{}), stopped: make(chan struct{}),
+		TCPListener: listener.(*net.TCPListener), gate: gate, connections: map[*connection]bool{}, closed: make(chan struct{}), stopped: make(chan struct{}),
 	}, nil
 }
 
@@ -48,7 +51,11 @@
 		conn, err := listener.AcceptTCP()
 		switch {
 		case err == nil:
-			return listener.track(conn), nil
+			if connection := listener.track(conn); connection != nil {
+				return connection, nil
+			}
+			accepted = true
+			continue
 		case !listener.isStopping() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case !accepted:
@@ -117,8 +124,15 @@
 	return listener.stopping
 }
 
+// track keeps track of a connection. It closes it and returns nil if the gate has no room for it.
 func (listener *Listener) track(conn *net.TCPConn) *connection {
 	connection := &connection{TCPConn: conn, listener: listener, openedAt: time.Now()}
+	if listener.gate != nil {
+		if connection.gated = listener.gate.Admit(conn, connection.openedAt); connection.gated == nil {
+			_ = conn.Close()
+			return nil
+		}
+	}
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
 	listener.connections[connection] = true
--- a/io/drain/listener_test.go
+++ b/io/drain/listener_test.go
@@ -29,7 +29,7 @@
 // newServer returns a server that listens and does not accept connections yet.
 func newServer(t *testing.T) *server {
 	t.Helper()
-	listener, err := drain.Listen("127.0.0.1:0")
+	listener, err := drain.Listen("127.0.0.1:0", nil)
 	assert.NilError(t, err)
 	server := &server{listener: listener}
 	server.http = &http.Server{ConnState: drain.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -197,7 +197,7 @@
 	address := server.listener.Addr().String()
 	assert.Equal(t, server.drain(), 0)
 	assert.NilError(t, server.http.Shutdown(t.Context()))
-	again, err := drain.Listen(address)
+	again, err := drain.Listen(address, nil)
 	assert.NilError(t, err)
 	assert.NilError(t, again.Close())
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -18,6 +18,7 @@
 	"hickorybend/io/drain"
 	"hickorybend/io/entry"
 	"hickorybend/io/event"
+	"hickorybend/io/gate"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
 	"hickorybend/io/pool"
@@ -88,12 +89,11 @@
 func run(lifecycle fx.Lifecycle, params params) {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(params.Settings.MemoryMB) * (1 << 20)))
-	callers := &http.Server{
-		Handler: params.Server, ReadHeaderTimeout: params.Settings.HeaderTimeout, IdleTimeout: callersIdleTimeout, MaxHeaderBytes: params.Settings.HeaderBytes,
-		ConnContext: entry.ConnContext, ConnState: drain.ConnState,
-	}
-	ready := &http.Server{Handler: readinessHandler(params.Control), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout}
-	peers := &http.Server{Handler: internalHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, ConnContext: entry.ConnContext, ConnState: drain.ConnState}
+	callers := newHTTPServer(params.Server, params.Settings, params.Settings.HeaderTimeout, callersIdleTimeout)
+	ready := newHTTPServer(readinessHandler(params.Control), params.Settings, headerTimeout, internalIdleTimeout)
+	peers := newHTTPServer(internalHandler(params), params.Settings, headerTimeout, internalIdleTimeout)
+	peers.MaxHeaderBytes += peerHeaderBytes
+	gates := newGates(params)
 	var callersListener, readyListener, peersListener *drain.Listener
 	ctx, cancel := context.WithCancel(context.Background())
 	params.Control.ctx = ctx
@@ -103,10 +103,14 @@
 			for _, binding := range []struct {
 				server   *http.Server
 				address  string
+				gate     *gate.Gate
 				listener **drain.Listener
-			}{{callers, params.Settings.CallersAddress, &callersListener}, {ready, params.Settings.ReadyAddress, &readyListener}, {peers, params.Settings.PeersAddress, &peersListener}} {
+			}{
+				{callers, params.Settings.CallersAddress, gates.callers, &callersListener}, {ready, params.Settings.ReadyAddress, gates.ready, &readyListener},
+				{peers, params.Settings.PeersAddress, gates.peers, &peersListener},
+			} {
 				var err error
-				if *binding.listener, err = listen(binding.server, binding.address, params); err != nil {
+				if *binding.listener, err = listen(binding.server, binding.address, binding.gate, params); err != nil {
 					cancel()
 					return err
 				}
@@ -117,6 +121,7 @@
 			}
 			go params.Control.Run(ctx)
 			go sweepConnections(ctx, params)
+			go gates.report(ctx, params.Meter)
 			go recheckSettings(ctx, params)
 			event.Log(params.Log, event.NodeStarted, zap.String("node", params.Settings.Node), zap.String("zone", params.Settings.Zone),
 				zap.String("callers", params.Settings.CallersAddress), zap.Bool("first-start", params.Settings.FirstStart))
@@ -133,8 +138,8 @@
 	})
 }
 
-func listen(server *http.Server, address string, params params) (*drain.Listener, error) {
-	listener, err := drain.Listen(address)
+func listen(server *http.Server, address string, gate *gate.Gate, params params) (*drain.Listener, error) {
+	listener, err := drain.Listen(address, gate)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "edge: listening on %s", address), ErrListen)
 	}
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -32,6 +32,11 @@
 	PlaceWithoutStore bool          `json:"place-without-store"` // continue placing while the store answers no node
 	HeaderTimeout     time.Duration `json:"header-time"`
 	HeaderBytes       int           `json:"header-bytes"`
+	HeaderFields      int           `json:"header-fields"`
+	BodyTime          time.Duration `json:"body-time"`              // from the beginning of a request to its end
+	WriteTime         time.Duration `json:"write-time"`             // for a client to take 16 KB of a response
+	Connections       int           `json:"connections"`            // of callers; 0 for a number that memory-mb gives
+	SourceConnections int           `json:"connections-per-source"` // of one caller's address; 0 for no limit, as all callers may come through one load balancer
 }
 
 // minBound is the shortest bound that nodes can keep: they exchange digests every
@@ -54,6 +59,7 @@
 		MemoryMB: 256, Grace: 8 * time.Second, DrainDelay: 3200 * time.Millisecond,
 		EndpointHeartbeat: 1200 * time.Millisecond, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, StallTimeout: 6 * time.Second,
 		Retry: Retry{Ratio: 0.1, Extra: 20, Window: 10 * time.Second}, HeaderTimeout: 10 * time.Second, HeaderBytes: 64 << 10,
+		HeaderFields: 4096, BodyTime: 12 * time.Second, WriteTime: 20 * time.Second,
 	}
 }
 
@@ -95,6 +101,9 @@
 	if settings.MemoryMB < 32 {
 		doc.AddFault("memory-mb", "at least 32", "less")
 	}
+	if settings.HeaderFields < 0 || settings.Connections < 0 || settings.SourceConnections < 0 {
+		doc.AddFault("header-fields, connections and connections-per-source", "0 or more", "less")
+	}
 	if settings.Processor < 0 {
 		doc.AddFault("processor", "0 or more", "less")
 	}
--- a/io/entry/heldbytes.go
+++ b/io/entry/heldbytes.go
@@ -30,6 +30,9 @@
 	return func(server *Server) { server.ledger = buffer.NewLedger(buffer.PolicyFor(bytes)) }
 }
 
+// Ledger returns the budget for the bytes that this node holds for others.
+func (server *Server) Ledger() *buffer.Ledger { return server.ledger }
+
 // HeldBytes returns the bytes that this node holds for others, and how many answers and bodies
 // have been ended for want of room since the start.
 func (server *Server) HeldBytes() (held, ended int64) { return server.ledger.Held() }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -156,18 +156,18 @@
 	}}
 	request.keep(held)
 	body, err := held.read(request.r.Body, math.MaxInt64, request.r.ContentLength) // MaxBytesReader limits it
-	_ = controller.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
 		request.body, request.readAt = body, time.Now()
 		return true
 	}
+	request.w.Header().Set("Connection", "close") // the server would wait for the rest of the body, which may never come
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		request.fail(http.StatusRequestEntityTooLarge, "the body is larger than the limit")
 		return false
 	case !held.complete():
-		request.w.Header().Set("Connection", "close") // the rest of the body may never come
 		request.reject("this node has no memory for the body", memoryRetryDelay)
 		return false
 	}
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -90,6 +90,7 @@
 	AttemptNotRun         = Event{614, "endpoint or other node states that it has not run a request", zap.InfoLevel}
 	NotRunContradicted    = Event{615, "answer states that a request has not run and contradicts that", zap.WarnLevel}
 	AnswerCopySkipped     = Event{616, "copy of the answer to an earlier request skipped", zap.WarnLevel}
+	ClientsClosed         = Event{617, "clients' connections closed or refused, as they cost too much", zap.WarnLevel}
 	EndpointUnreached     = Event{620, "no connection to an endpoint could be opened", zap.WarnLevel}
 	NoEndpointTakes       = Event{621, "request rejected, as no endpoint takes it", zap.InfoLevel}
 )
@@ -104,7 +105,7 @@
 		ReplicaReturned, HostHandedBack, ActionRejected,
 		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
-		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun, NotRunContradicted, AnswerCopySkipped, EndpointUnreached, NoEndpointTakes,
+		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun, NotRunContradicted, AnswerCopySkipped, ClientsClosed, EndpointUnreached, NoEndpointTakes,
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -22,6 +22,7 @@
 	"hickorybend/io/engine"
 	"hickorybend/io/event"
 	"hickorybend/io/front"
+	"hickorybend/io/gate"
 	"hickorybend/io/hosts"
 	"hickorybend/io/meter"
 	"hickorybend/io/peers"
@@ -120,6 +121,7 @@
 
 const (
 	headerTimeout  = 5 * time.Second
+	readTimeout    = 15 * time.Second // of a whole request; longer than the limit that the front has for a body by default
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 )
@@ -127,11 +129,14 @@
 // run starts the servers and control with the application, and drains and stops them
 // with it.
 func run(lifecycle fx.Lifecycle, params params) {
+	gates := newGates(params)
 	callerServer := &http.Server{
-		Handler: params.Front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: drain.ConnState,
+		Handler: gate.Handler(params.Front.Handler()), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: gate.ConnContext, ConnState: drain.ConnState,
 	}
 	controlServer := &http.Server{
-		Handler: controlHandler(params), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, TLSConfig: params.ControlTLS.config,
+		Handler: gate.Handler(controlHandler(params)), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		TLSConfig: params.ControlTLS.config, ConnContext: gate.ConnContext, ConnState: drain.ConnState,
 	}
 	var callers *drain.Listener
 	ctx, cancel := context.WithCancel(context.Background())
@@ -139,12 +144,12 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			var err error
-			if callers, err = drain.Listen(params.Settings.CallersAddress); err != nil {
+			if callers, err = drain.Listen(params.Settings.CallersAddress, gates.callers); err != nil {
 				cancel()
 				return errors.Mark(errors.Wrapf(err, "node: listening on %s", params.Settings.CallersAddress), ErrListen)
 			}
 			serve(callerServer, callers, params)
-			if err := listenControl(controlServer, params); err != nil {
+			if err := listenControl(controlServer, gates.control, params); err != nil {
 				cancel()
 				return err
 			}
@@ -167,9 +172,14 @@
 	})
 }
 
-func listenControl(server *http.Server, params params) error {
+// listenControl listens for nodes and operators. The gate cannot count what is encrypted.
+func listenControl(server *http.Server, gate *gate.Gate, params params) error {
 	address := params.Settings.ControlAddress
-	listener, err := net.Listen("tcp", address)
+	if params.ControlTLS.config != nil {
+		gate = nil
+	}
+	var listener net.Listener
+	listener, err := drain.Listen(address, gate)
 	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "node: listening on %s", address), ErrListen)
 	}
