Reject what would be late everywhere, also without a leader (reject-late)

What callers saw: in meshes too, once prompts wait at all replicas, each further request is late and makes those after it late; requests are rejected by slots only.

With the setting reject-late a node rejects a request if the first event would come too late at every replica by core/batch, unless a replica is quiet, for a resumed stream never.

Also mended: a node whose leader changed while a call to the former one was pending never reported to the new one (TestNewLeaderLearnsRequests failed once by it; now TestLeaderChangesDuringReport).

--- a/core/queue/replay_test.go
+++ b/core/queue/replay_test.go
@@ -288,17 +288,18 @@
 
 // byStale chooses as nodes do by themselves: the best of a sample by stale figures.
 type byStale struct {
-	world *world
-	pools []*reach.ServicePool
+	world  *world
+	policy reach.Policy
+	pools  []*reach.ServicePool
 }
 
 func newStale(world *world) chooser {
-	stale := &byStale{world: world}
+	stale := &byStale{world: world, policy: reach.DefaultPolicy()}
 	for node := range world.load.nodes {
 		pool := &reach.ServicePool{Service: "s", Engine: engine, Models: map[string][]*reach.Candidate{}}
 		for _, sim := range world.sims {
 			pool.Models["m"] = append(pool.Models["m"], &reach.Candidate{
-				ID: sim.id, SameZone: sim.zone == node*zones/world.load.nodes, Slots: engine.Slots, PrefillTokensPerSec: engine.PrefillTokensPerSec / world.load.factor, TieBreak: world.choice.Float64(), Load: &reach.Load{}})
+				ID: sim.id, SameZone: sim.zone == node*zones/world.load.nodes, Slots: engine.Slots, PrefillTokensPerSec: engine.PrefillTokensPerSec / world.load.factor, TieBreak: world.choice.Float64(), Speed: sim.speed, Load: &reach.Load{}})
 		}
 		stale.pools = append(stale.pools, pool)
 		world.at(world.start.Add(time.Duration(world.choice.Float64()*float64(time.Second))), func(now time.Time) { stale.refresh(node, now) })
@@ -320,8 +321,8 @@
 }
 
 func (stale *byStale) arrive(call *call, now time.Time) {
-	decision := reach.Choose(reach.DefaultPolicy(), stale.pools[call.node], reach.Request{
-		Model: "m", Now: now, Deadline: call.arrivedAt.Add(call.kind.objective), Priority: call.kind.priority, SampleSize: 3, Random: stale.world.choice.Float64()})
+	decision := reach.Choose(stale.policy, stale.pools[call.node], reach.Request{
+		Model: "m", Now: now, Deadline: call.arrivedAt.Add(call.kind.objective), Priority: call.kind.priority, SampleSize: 3, Random: stale.world.choice.Float64(), PromptTokens: call.work.PromptTokens})
 	switch decision := decision.(type) {
 	case reach.Send:
 		for i, sim := range stale.world.sims {
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -42,6 +42,9 @@
 		if bestScore.utilization > limit {
 			return Reject{Reason: ReasonFull, RetryAt: request.Now.Add(retryDelay(policy, candidates, request))}
 		}
+		if policy.late(candidates, request) {
+			return Reject{Reason: ReasonLate, RetryAt: request.Now.Add(retryDelay(policy, candidates, request))}
+		}
 		if best.Load.TakeTurn(request.Now) {
 			return Send{Candidate: best}
 		}
--- a/core/reach/policy.go
+++ b/core/reach/policy.go
@@ -18,6 +18,7 @@
 	UrgentQueueAllowance float64       // added to either for each step of priority above the normal one
 	PlainQueueAllowance  float64       // requests over the slots of a plain service's endpoint, as a fraction of the slots
 	FailPenalty          float64       // added to the score where every request fails; at a lower failure rate, that fraction of it
+	LateMargin           float64       // factor on the estimate of the first event where requests are rejected that would be late everywhere; 0 if they are not
 	MinRetryDelay        time.Duration // shortest delay that a rejected caller is given before it retries
 	MaxRetryDelay        time.Duration // longest such delay
 	InitialAnswerTime    time.Duration // mean answer time that is assumed before the first sample
@@ -32,6 +33,10 @@
 	}
 }
 
+// LateMargin is the margin of nodes whose settings have them reject late requests. With 0.8 the
+// replays serve less beyond the capacity, and with 1.2 or 1.5 less just below it.
+const LateMargin = 1
+
 // SampleSizeFor returns how many candidates are compared first for a request
 // when there are this many nodes, or 0 for all.
 func (policy Policy) SampleSizeFor(nodes int) int {
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"hickorybend/core/batch"
 	"hickorybend/core/crash"
 	"hickorybend/core/site"
 )
@@ -51,25 +52,27 @@
 	IsPeer              bool   // it is another node
 	Address             string
 	StartedAt           time.Time
-	SameZone            bool    // in the zone of this node
-	Slots               int     // requests that it runs at once
-	MaxInFlight         int     // limit of this node's requests in flight there; 0 for none
-	PrefillTokensPerSec float64 // 0 for a plain service
-	TieBreak            float64 // in [0,1), a constant of this node and the endpoint
+	SameZone            bool          // in the zone of this node
+	Slots               int           // requests that it runs at once
+	MaxInFlight         int           // limit of this node's requests in flight there; 0 for none
+	PrefillTokensPerSec float64       // 0 for a plain service
+	Speed               batch.Replica // of a replica; unknown for a plain service
+	TieBreak            float64       // in [0,1), a constant of this node and the endpoint
 	Load                *Load
 }
 
 // Request is what the choice needs to know of a request.
 type Request struct {
-	Model      string
-	Now        time.Time
-	Deadline   time.Time // when its answer should begin, by the latency objective
-	Priority   int       // 0 is the most urgent
-	Retried    bool      // it was rejected before and the caller retries it
-	Resumed    bool      // part of its answer has been delivered
-	SampleSize int       // candidates that are compared first; 0 for all
-	Tried      []string  // IDs of the candidates that it was sent to before
-	Random     float64   // random number in [0,1) for the sample and the retry delay
+	Model        string
+	Now          time.Time
+	Deadline     time.Time // when its answer should begin, by the latency objective
+	Priority     int       // 0 is the most urgent
+	Retried      bool      // it was rejected before and the caller retries it
+	Resumed      bool      // part of its answer has been delivered
+	PromptTokens int       // of its prompt
+	SampleSize   int       // candidates that are compared first; 0 for all
+	Tried        []string  // IDs of the candidates that it was sent to before
+	Random       float64   // random number in [0,1) for the sample and the retry delay
 }
 
 // Decision is Send or Reject.
@@ -97,6 +100,7 @@
 // The reasons for a rejection.
 const (
 	ReasonNoEndpoint Reason = "no-endpoint"       // no complete replica or no endpoint is usable
+	ReasonLate       Reason = "late"              // no candidate would begin the answer within the objective
 	ReasonFull       Reason = "full"              // the request would queue beyond its objective
 	ReasonNoService  Reason = "no-service"        // the configuration has no such service
 	ReasonCrashes    Reason = "crashes-endpoints" // an input crashes endpoints
--- a/io/assign/assign_test.go
+++ b/io/assign/assign_test.go
@@ -180,6 +180,26 @@
 	expectCounts(t, next.desk, 2)               // after the report that renews what the node has
 }
 
+// TestLeaderChangesDuringReport guards against a node that never reports to a new leader because a call to
+// the one before was pending when that changed.
+func TestLeaderChangesDuringReport(t *testing.T) {
+	const slow = 300 * time.Millisecond
+	called := make(chan struct{}, 100)
+	former := newZone(t, newView(), func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			called <- struct{}{}
+			time.Sleep(slow)
+		})
+	})
+	next := newZone(t, newView(), nil)
+	keepLeading(t, next.desk)
+	client := newNode("n1", former)
+	client.Begin(0, "s", "m", "b", work, time.Now().Add(time.Minute))
+	<-called
+	client.SetLeader("next", next.address, nil)
+	expectCounts(t, next.desk, 1)
+}
+
 // TestSilentNodeIsCountedByDigest guards against replicas that stay full of the requests of a node that
 // has ended, and against nodes of an older build that count for nothing.
 func TestSilentNodeIsCountedByDigest(t *testing.T) {
--- a/io/assign/client.go
+++ b/io/assign/client.go
@@ -216,10 +216,13 @@
 	if carries {
 		client.reporting = false
 	}
+	now := time.Now()
 	if leader != client.leader {
+		if client.leader != nil && len(client.live) > 0 {
+			client.schedule(now) // a report to the new leader has waited for this call
+		}
 		return
 	}
-	now := time.Now()
 	switch {
 	case reply == nil:
 		client.full = client.full || carries
--- a/io/edge/assignment.go
+++ b/io/edge/assignment.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"hickorybend/core/batch"
 	"hickorybend/core/queue"
 	"hickorybend/core/reach"
 	"hickorybend/core/topo"
@@ -21,6 +20,15 @@
 	return assignment{desk: assign.NewDesk(queue.DefaultPolicy()), client: assign.NewClient(settings.Node, settings.PeerKey)}
 }
 
+// routingPolicy returns the weights by which this node chooses where no leader decides.
+func routingPolicy(settings Settings) reach.Policy {
+	policy := reach.DefaultPolicy()
+	if settings.RejectLate {
+		policy.LateMargin = reach.LateMargin
+	}
+	return policy
+}
+
 // updateAssignment sets whom this node asks, and what it knows as a leader. In a mesh nodes know
 // each other's requests soon enough, and ask nobody. groups are those of peers.sources.
 func (control *Control) updateAssignment(groups [][]topo.Source, now time.Time) {
@@ -53,14 +61,12 @@
 			continue
 		}
 		for model, candidates := range servicepool.Models {
-			described, _ := servicepool.Engine.Model(model)
-			speed := batch.Replica{Engine: servicepool.Engine, Model: described}
-			if !speed.Known() {
-				continue
-			}
 			for _, candidate := range candidates {
+				if !candidate.Speed.Known() {
+					continue
+				}
 				key := reach.PoolKey(name, model)
-				pools[key] = append(pools[key], queue.Replica{ID: candidate.ID, Speed: speed, Slots: candidate.Slots, SameZone: candidate.SameZone})
+				pools[key] = append(pools[key], queue.Replica{ID: candidate.ID, Speed: candidate.Speed, Slots: candidate.Slots, SameZone: candidate.SameZone})
 			}
 		}
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -58,7 +58,7 @@
 		entry.WithLog(log), entry.WithMeter(meter), entry.WithSuspect(control.Suspect), entry.WithConfirm(control.Confirm), entry.WithLeaving(control.Leaving), entry.WithCrashes(control.AttemptBroken, control.TrialEnded), entry.WithLimits(control.LimitStated), entry.WithUnreachable(control.Unreachable), entry.WithLateness(control.LateBy),
 		entry.WithMemory(int64(settings.MemoryMB)<<20),
 		entry.WithPeers(control.Peers, settings.Node, settings.PeerKey),
-		entry.WithAssigner(control.assignment.client),
+		entry.WithAssigner(control.assignment.client), entry.WithRouting(routingPolicy(settings)),
 		entry.WithRetryBudget(retry.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, UsableShare: usableBudgetShare}))
 	control.hadRequests = server.HadRequests
 	control.localDemand = server.Demand
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"hickorybend/core/batch"
 	"hickorybend/core/fleet"
 	"hickorybend/core/reach"
 	"hickorybend/core/site"
@@ -68,6 +69,7 @@
 		candidate := control.newCandidate(service, replica.FirstHost, nodes)
 		candidate.Slots = service.Engine.Slots
 		if model, found := service.Engine.Model(replica.Model); found && model.TimeFactor > 0 {
+			candidate.Speed = batch.Replica{Engine: service.Engine, Model: model}
 			candidate.PrefillTokensPerSec = service.Engine.PrefillTokensPerSec / model.TimeFactor
 		}
 		servicepool.Models[replica.Model] = append(servicepool.Models[replica.Model], candidate)
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -30,6 +30,7 @@
 	StallTimeout      time.Duration `json:"stall"`              // how long a replica that lost a member stalls before it breaks
 	Retry             Retry         `json:"retry"`
 	Assignment        bool          `json:"assignment"`          // where nodes form no mesh, the leader of each zone assigns requests to replicas
+	RejectLate        bool          `json:"reject-late"`         // a node rejects a request that no replica would begin to answer within its objective
 	PlaceWithoutStore bool          `json:"place-without-store"` // continue placing while the store answers no node
 	HeaderTimeout     time.Duration `json:"header-time"`
 	HeaderBytes       int           `json:"header-bytes"`
--- a/io/entry/assigned.go
+++ b/io/entry/assigned.go
@@ -34,7 +34,7 @@
 		}
 		request.returnTicket()
 	case assign.Reject:
-		return reach.Reject{Reason: reach.ReasonFull, RetryAt: advice.RetryAt}
+		return reach.Reject{Reason: reach.ReasonLate, RetryAt: advice.RetryAt}
 	}
 	return request.chooseAlone(servicepool, routed)
 }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -310,7 +310,7 @@
 func (request *request) routingRequest(resumed bool) reach.Request {
 	return reach.Request{
 		Model: request.header.Model, Now: time.Now(), Deadline: request.receivedAt.Add(request.route.LatencyObjective), Priority: request.priority,
-		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
+		Retried: request.retriedByCaller(), Resumed: resumed, Tried: request.tried, PromptTokens: request.header.PromptTokens, SampleSize: request.server.routing.SampleSizeFor(request.snapshot.Nodes), Random: rand.Float64(),
 	}
 }
 
