--- a/io/edge/assignment.go
+++ b/io/edge/assignment.go
@@ -3,10 +3,13 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"hickorybend/core/queue"
 	"hickorybend/core/reach"
 	"hickorybend/core/topo"
 	"hickorybend/io/assign"
+	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 )
 
@@ -14,6 +17,7 @@
 type assignment struct {
 	desk   *assign.Desk   // answers while this node leads its zone
 	client *assign.Client // asks the leader of its zone
+	asked  string         // the name of that, or empty
 }
 
 func newAssignment(settings Settings) assignment {
@@ -32,7 +36,7 @@
 // updateAssignment sets whom this node asks, and what it knows as a leader. In a mesh nodes know
 // each other's requests soon enough, and ask nobody. groups are those of peers.sources.
 func (control *Control) updateAssignment(groups [][]topo.Source, now time.Time) {
-	peers, assignment := control.peers, control.assignment
+	peers, assignment := control.peers, &control.assignment
 	active := control.settings.Assignment && !peers.role.Mesh
 	leads := active && peers.role.IsLeader && !control.draining && !control.cutoff.CutOff()
 	view := assign.View{Leading: leads}
@@ -41,15 +45,21 @@
 		addCounts(view.Others, control.otherZones(groups))
 	}
 	assignment.desk.Update(view, now)
-	leader := peers.nodes[peers.role.Leader]
-	switch {
+	asked := ""
+	switch leader := peers.nodes[peers.role.Leader]; {
 	case leads:
-		assignment.client.SetLeader(peers.self, "", assignment.desk)
+		asked = peers.self
+		assignment.client.SetLeader(asked, "", assignment.desk)
 	case active && leader != nil:
-		assignment.client.SetLeader(peers.role.Leader, leader.address, nil)
+		asked = peers.role.Leader
+		assignment.client.SetLeader(asked, leader.address, nil)
 	default:
 		assignment.client.SetLeader("", "", nil)
 	}
+	if asked != assignment.asked {
+		assignment.asked = asked
+		event.Log(control.log, event.AssignerChanged, zap.String("assigner", asked))
+	}
 }
 
 // replicaPools returns the replicas that take requests and whose speed is configured, by
--- a/io/entry/assigned.go
+++ b/io/entry/assigned.go
@@ -30,11 +30,16 @@
 		request.ticket, request.ticketFor = advice.Ticket, advice.Endpoint
 		if candidate := reach.Take(servicepool, routed, advice.Endpoint); candidate != nil {
 			request.assigned++
+			request.server.meter.Count("assignments", "assigned")
 			return reach.Send{Candidate: candidate}
 		}
 		request.returnTicket()
+		request.server.meter.Count("assignments", "not-usable")
 	case assign.Reject:
+		request.server.meter.Count("assignments", "rejected")
 		return reach.Reject{Reason: reach.ReasonLate, RetryAt: advice.RetryAt}
+	case assign.None:
+		request.server.meter.Count("assignments", "decided-alone")
 	}
 	return request.chooseAlone(servicepool, routed)
 }
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -67,6 +67,7 @@
 	CutOffChanged         = Event{423, "whether this node is cut off from the endpoints changed", zap.WarnLevel}
 	ConnectionsReset      = Event{430, "endpoint reset new connections", zap.WarnLevel}
 	ConnectionsUnusable   = Event{431, "unusable max_connections of a service", zap.WarnLevel}
+	AssignerChanged       = Event{440, "node that assigns this node's requests changed", zap.InfoLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -102,7 +103,7 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable, AssignerChanged,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun, NotRunContradicted, AnswerCopySkipped, EndpointUnreached, NoEndpointTakes,
 	}
