--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -101,7 +101,7 @@
 }
 
 func newRemote(client *http.Client, address, peerKey string) *remote {
-	options := wire.ClientOptions(peerKey)
+	options := append(wire.ClientOptions(peerKey), connect.WithAcceptCompression("gzip", nil, nil)) // compressing a small reply costs more than sending it
 	return &remote{
 		placing:   connect.NewClient[placeRequest, placeReply](client, "http://"+address+procedurePlace, options...),
 		reporting: connect.NewClient[reportRequest, reportReply](client, "http://"+address+procedureReport, options...),
