Favor kinds of requests that are assigned rarely (core/queue)

While capacity is short, rejecting what would be late favors short prompts, whose first events are earlier. A kind (team, priority, size of prompt) that is assigned less than 0.4 times as often as the one assigned most often now gets a smaller margin.

--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -40,8 +40,9 @@
 	return time.Duration(float64(over) * between)
 }
 
-// estimate returns the estimate for a request at a replica.
-func (queue *Queue) estimate(replica *replica, request Request, now time.Time) estimate {
+// estimate returns the estimate for a request at a replica. The margin is the factor on the time to the
+// first event with which that must be on time.
+func (queue *Queue) estimate(replica *replica, request Request, margin float64, now time.Time) estimate {
 	load := replica.load(request.Work)
 	firstEvent := replica.Speed.FirstEvent(load, request.Work.PromptTokens) + replica.slotWait(load, request.Work)
 	cost := firstEvent
@@ -49,7 +50,7 @@
 		firstEvent += queue.policy.ZoneDelay
 		cost = firstEvent + time.Duration(queue.policy.OtherZonePenalty*float64(firstEvent))
 	}
-	inTime := !now.Add(time.Duration(queue.policy.margin(request) * float64(firstEvent))).After(request.FirstBy)
+	inTime := !now.Add(time.Duration(margin * float64(firstEvent))).After(request.FirstBy)
 	if request.Pause > 0 {
 		load.Running++
 		load.PendingTokens += request.Work.PromptTokens
@@ -60,7 +61,7 @@
 
 // best returns the replica that serves a request on time the soonest, or without one the
 // soonest, or nil if the node can use none.
-func (queue *Queue) best(request Request, now time.Time) (*replica, estimate) {
+func (queue *Queue) best(request Request, margin float64, now time.Time) (*replica, estimate) {
 	var best *replica
 	var bestEstimate estimate
 	for _, id := range queue.order {
@@ -68,7 +69,7 @@
 		if slices.Contains(request.Unusable, id) {
 			continue
 		}
-		estimate := queue.estimate(replica, request, now)
+		estimate := queue.estimate(replica, request, margin, now)
 		if best == nil || estimate.inTime && !bestEstimate.inTime || estimate.inTime == bestEstimate.inTime && estimate.cost < bestEstimate.cost {
 			best, bestEstimate = replica, estimate
 		}
--- a/core/queue/policy.go
+++ b/core/queue/policy.go
@@ -8,6 +8,9 @@
 	OtherZonePenalty float64       // added to the time to the first event at a replica in another zone, as a fraction of it; figures on those are older, and with 0.15 the replays serve 0.02 to 0.03 less
 	Margin           float64       // factor on the estimate of the first event, for prompts that come from other zones meanwhile; with 1 the replays serve 0.02 to 0.05 less
 	UrgentStep       float64       // subtracted from it for each step of priority above the normal one
+	FairShare        float64       // a kind of requests that is assigned less than this fraction as often as the one assigned most gets a smaller margin
+	MostFavor        float64       // least factor on its margin
+	ShareHalfLife    time.Duration // after which a request counts half in its kind's share
 	QuietShare       float64       // of a replica's slots, up to which it serves late requests if no prompt waits there
 	RetryDelay       time.Duration // shortest time after which a caller that is rejected is to return
 	MaxRetryDelay    time.Duration // longest such time
@@ -19,7 +22,7 @@
 // DefaultPolicy suits latency objectives of some hundred milliseconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		ZoneDelay: 2 * time.Millisecond, OtherZonePenalty: 1, Margin: 1.5, UrgentStep: 0.1, QuietShare: 0.3,
+		ZoneDelay: 2 * time.Millisecond, OtherZonePenalty: 1, Margin: 1.5, UrgentStep: 0.1, FairShare: 0.4, MostFavor: 0.6, ShareHalfLife: 3 * time.Second, QuietShare: 0.3,
 		RetryDelay: 300 * time.Millisecond, MaxRetryDelay: 5 * time.Second, RetryRate: 1, StartGrace: 2 * time.Second, ReportGrace: time.Second,
 	}
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -88,12 +88,13 @@
 	replicas map[string]*replica
 	order    []string // IDs of the replicas, sorted
 	entries  map[Key]*entry
+	shares   map[kind]*share
 	promised time.Time // when the last caller that was rejected is to return
 }
 
 // New creates a queue without replicas.
 func New(policy Policy) *Queue {
-	return &Queue{policy: policy, replicas: map[string]*replica{}, entries: map[Key]*entry{}}
+	return &Queue{policy: policy, replicas: map[string]*replica{}, entries: map[Key]*entry{}, shares: map[kind]*share{}}
 }
 
 // SetReplicas sets which replicas take requests. Requests at one that no longer does are
@@ -149,13 +150,16 @@
 // where that keeps no other request from being on time, and if it resumes a stream, part of
 // which its caller has.
 func (queue *Queue) Place(request Request, now time.Time) Decision {
-	best, estimate := queue.best(request, now)
+	kind := kindOf(request)
+	best, estimate := queue.best(request, queue.policy.margin(request)*queue.favor(kind), now)
 	switch {
 	case best == nil:
 		return None{}
 	case !estimate.inTime && !request.Resumed && !best.quiet(queue.policy):
+		queue.countOffer(kind, false, now)
 		return Reject{RetryAt: queue.promise(now)}
 	}
+	queue.countOffer(kind, true, now)
 	queue.put(request.Key, &entry{replica: best.ID, work: request.Work, deadline: request.Deadline, expiresAt: request.FirstBy.Add(queue.policy.StartGrace)})
 	return Assign{Replica: best.ID}
 }
@@ -200,9 +204,10 @@
 	}
 }
 
-// Expire forgets the requests whose time is over and that nobody has reported the end of.
+// Expire forgets kinds of requests that no longer come, and the requests whose time is over and that nobody has reported the end of.
 // It returns how many there were.
 func (queue *Queue) Expire(now time.Time) int {
+	queue.forgetShares(now)
 	expired := 0
 	for key, entry := range queue.entries {
 		if !now.Before(entry.expiresAt) {
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -105,3 +105,40 @@
 	request.Resumed = true
 	expectAssigned(t, each, request, "r0")
 }
+
+// TestRareKindIsFavored guards against capacity that goes to short prompts alone while it is short: their
+// first events are earlier, so that a long one would never be on time.
+func TestRareKindIsFavored(t *testing.T) {
+	short, long := newRequest(0), newRequest(0)
+	short.Work.PromptTokens, long.Work.PromptTokens = 400, 3500
+	for _, test := range []struct {
+		name   string
+		served bool // long requests have been assigned as often as short ones
+		want   bool
+	}{{"as often", true, false}, {"never", false, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			each := newQueue(1, 0)
+			id := uint64(0)
+			place := func(request queue.Request) bool {
+				id++
+				request.Key.ID = id
+				_, assigned := each.Place(request, now).(queue.Assign)
+				if assigned {
+					each.Ended(request.Key)
+				}
+				return assigned
+			}
+			for range 20 {
+				assert.Assert(t, place(short))
+				hopeless := long
+				if !test.served {
+					each.SetOthers("r0", queue.Counts{InFlight: 34, PendingTokens: 30000})
+				}
+				assert.Equal(t, place(hopeless), test.served)
+				each.SetOthers("r0", queue.Counts{})
+			}
+			each.SetOthers("r0", queue.Counts{InFlight: 10, PendingTokens: 6000}) // 0.43 s to the first event of a long one
+			assert.Equal(t, place(long), test.want)
+		})
+	}
+}
--- a/core/queue/replay_test.go
+++ b/core/queue/replay_test.go
@@ -475,11 +475,22 @@
 	urgent.kinds[1].priority = 0
 	returning := largeModel(1.3, 3, 3, 3)
 	returning.allRetry = true
+	sizes := func(scale float64) load {
+		load := largeModel(scale, 3, 3, 3)
+		load.kinds = []kind{
+			{name: "short", work: batch.Work{PromptTokens: 400, AnswerTokens: 60}, perSecond: 100, objective: 500 * time.Millisecond, priority: 2},
+			{name: "huge", work: batch.Work{PromptTokens: 3500, AnswerTokens: 60}, perSecond: 22, objective: 500 * time.Millisecond, priority: 2},
+		}
+		return load
+	}
 	for _, test := range []struct {
 		name string
 		load load
 		gain float64 // in value over nodes that choose alone
 	}{
+		{"short and huge prompts 1.0", sizes(1), 0},
+		{"short and huge prompts 1.3", sizes(1.3), 0.1},
+		{"short and huge prompts 2.0", sizes(2), 0.1},
 		{"large 0.8, 9 replicas", largeModel(0.8, 3, 3, 3), 0.05},
 		{"large 1.0, 9 replicas", largeModel(1, 3, 3, 3), 0.1},
 		{"large 1.0, 9 replicas unevenly", largeModel(1, 5, 3, 1), 0.1},
