Advice keeps to whatever the node's own choice asks for; promises to callers who wait

- reach.Take and Unusable ask pick itself, so that a rule added there holds for assigned endpoints too.
- A rejected caller that would have to wait for more than a third of its time takes no turn among those who return.

--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -78,20 +78,27 @@
 }
 
 // promise returns when a caller that is rejected is to return. Those who return come one after
-// the other, at the rate of RetryRate for each replica, MaxRetryDelay later at the most.
-func (queue *Queue) promise(now time.Time) time.Time {
-	earliest := now.Add(queue.policy.RetryDelay)
+// the other, at the rate of RetryRate for each replica, MaxRetryDelay later at the most. One that
+// would have to wait for longer than callers do gives up, and takes no one's turn.
+func (queue *Queue) promise(request Request, now time.Time) time.Time {
+	earliest, latest := now.Add(queue.policy.RetryDelay), now.Add(queue.policy.MaxRetryDelay)
 	gap := time.Duration(float64(time.Second) / queue.policy.RetryRate / float64(max(1, len(queue.replicas))))
-	queue.promised = queue.promised.Add(gap)
-	if queue.promised.Before(earliest) {
-		queue.promised = earliest
+	next := queue.promised.Add(gap)
+	if next.Before(earliest) {
+		next = earliest
 	}
-	if latest := now.Add(queue.policy.MaxRetryDelay); queue.promised.After(latest) {
-		queue.promised = latest
+	if next.Sub(now) <= request.Deadline.Sub(now)/patience {
+		queue.promised = next
 	}
-	return queue.promised
+	if next.After(latest) {
+		return latest
+	}
+	return next
 }
 
+// patience is the part of its remaining time for which a caller waits at most before it returns.
+const patience = 3
+
 // quiet reports whether a late request at a replica keeps no other from being on time.
 func (replica *replica) quiet(policy Policy) bool {
 	inFlight := replica.inFlight + replica.others.InFlight
--- a/core/queue/policy.go
+++ b/core/queue/policy.go
@@ -22,7 +22,7 @@
 // DefaultPolicy suits latency objectives of some hundred milliseconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		ZoneDelay: 2 * time.Millisecond, OtherZonePenalty: 1, Margin: 1.5, UrgentStep: 0.1, FairShare: 0.4, MostFavor: 0.6, ShareHalfLife: 3 * time.Second, QuietShare: 0.3,
+		ZoneDelay: 2 * time.Millisecond, OtherZonePenalty: 1, Margin: 1.5, UrgentStep: 0.1, FairShare: 0.4, MostFavor: 0.75, ShareHalfLife: 3 * time.Second, QuietShare: 0.3,
 		RetryDelay: 300 * time.Millisecond, MaxRetryDelay: 5 * time.Second, RetryRate: 1, StartGrace: 2 * time.Second, ReportGrace: time.Second,
 	}
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -157,7 +157,7 @@
 		return None{}
 	case !estimate.inTime && !request.Resumed && !best.quiet(queue.policy):
 		queue.countOffer(kind, false, now)
-		return Reject{RetryAt: queue.promise(now)}
+		return Reject{RetryAt: queue.promise(request, now)}
 	}
 	queue.countOffer(kind, true, now)
 	queue.put(request.Key, &entry{replica: best.ID, work: request.Work, deadline: request.Deadline, expiresAt: request.FirstBy.Add(queue.policy.StartGrace)})
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -101,7 +101,12 @@
 		assert.Assert(t, rejected)
 		assert.Assert(t, reject.RetryAt.Sub(last) >= 300*time.Millisecond, "%s after the one before", reject.RetryAt.Sub(last))
 		last = reject.RetryAt
+		if last.Sub(now) > 1200*time.Millisecond {
+			break
+		}
 	}
+	first := each.Place(request, now)
+	assert.Equal(t, each.Place(request, now), first, "who cannot wait so long takes a turn")
 	request.Resumed = true
 	expectAssigned(t, each, request, "r0")
 }
--- a/core/reach/advised.go
+++ b/core/reach/advised.go
@@ -3,7 +3,7 @@
 // Take returns the candidate with an ID if the request may be sent there, and takes this node's
 // turn at it, as Choose does. Another node has chosen it, and may not know what this node
 // holds against it.
-func Take(servicepool *ServicePool, request Request, id string) *Candidate {
+func Take(policy Policy, servicepool *ServicePool, request Request, id string) *Candidate {
 	if servicepool == nil {
 		return nil
 	}
@@ -11,7 +11,7 @@
 		if candidate.ID != id {
 			continue
 		}
-		if _, found := candidate.obstacle(request); found || !candidate.Load.TakeTurn(request.Now) {
+		if !candidate.usable(policy, request) || !candidate.Load.TakeTurn(request.Now) {
 			return nil
 		}
 		return candidate
@@ -20,15 +20,21 @@
 }
 
 // Unusable returns the IDs of the candidates that the request may not be sent to.
-func Unusable(servicepool *ServicePool, request Request) []string {
+func Unusable(policy Policy, servicepool *ServicePool, request Request) []string {
 	if servicepool == nil {
 		return nil
 	}
 	var ids []string
 	for _, candidate := range servicepool.candidates(request.Model) {
-		if _, found := candidate.obstacle(request); found {
+		if !candidate.usable(policy, request) {
 			ids = append(ids, candidate.ID)
 		}
 	}
 	return ids
 }
+
+// usable reports whether Choose could send the request to the candidate, by whatever pick asks for.
+func (candidate *Candidate) usable(policy Policy, request Request) bool {
+	picked, _ := pick(policy, []*Candidate{candidate}, request)
+	return picked != nil
+}
--- a/core/reach/advised_test.go
+++ b/core/reach/advised_test.go
@@ -39,10 +39,10 @@
 			test.candidate.ID = "a"
 			pool := &reach.ServicePool{Engine: &site.Engine{}, Models: map[string][]*reach.Candidate{"m": {&test.candidate}}}
 			request := reach.Request{Model: "m", Now: now, Tried: test.tried}
-			assert.Equal(t, len(reach.Unusable(pool, request)) == 0, test.want)
-			assert.Equal(t, reach.Take(pool, request, "a") != nil, test.want)
-			assert.Assert(t, reach.Take(pool, request, "b") == nil)
+			assert.Equal(t, len(reach.Unusable(reach.DefaultPolicy(), pool, request)) == 0, test.want)
+			assert.Equal(t, reach.Take(reach.DefaultPolicy(), pool, request, "a") != nil, test.want)
+			assert.Assert(t, reach.Take(reach.DefaultPolicy(), pool, request, "b") == nil)
 		})
 	}
-	assert.Assert(t, reach.Take(nil, reach.Request{}, "a") == nil)
+	assert.Assert(t, reach.Take(reach.DefaultPolicy(), nil, reach.Request{}, "a") == nil)
 }
--- a/core/reach/estimate.go
+++ b/core/reach/estimate.go
@@ -22,7 +22,7 @@
 	}
 	timeLeft := float64(request.Deadline.Sub(request.Now))
 	for _, candidate := range candidates {
-		if _, found := candidate.obstacle(request); found {
+		if !candidate.usable(policy, request) {
 			continue
 		}
 		first := candidate.Speed.FirstEvent(candidate.load(request), request.PromptTokens)
--- a/io/entry/assigned.go
+++ b/io/entry/assigned.go
@@ -28,7 +28,7 @@
 	switch advice := request.server.assigner.Place(request.r.Context(), request.question(servicepool, routed)).(type) {
 	case assign.Send:
 		request.ticket, request.ticketFor = advice.Ticket, advice.Endpoint
-		if candidate := reach.Take(servicepool, routed, advice.Endpoint); candidate != nil {
+		if candidate := reach.Take(request.server.routing, servicepool, routed, advice.Endpoint); candidate != nil {
 			request.assigned++
 			request.server.meter.Count("assignments", "assigned")
 			return reach.Send{Candidate: candidate}
@@ -48,7 +48,7 @@
 func (request *request) question(servicepool *reach.ServicePool, routed reach.Request) assign.Question {
 	question := assign.Question{
 		Service: request.service, Model: routed.Model, Work: request.work(), FirstBy: routed.Deadline, Deadline: request.deadline,
-		Priority: request.priority, Team: request.team, Resumed: routed.Resumed, Unusable: reach.Unusable(servicepool, routed),
+		Priority: request.priority, Team: request.team, Resumed: routed.Resumed, Unusable: reach.Unusable(request.server.routing, servicepool, routed),
 	}
 	if stream, ok := request.route.Kind.(site.Stream); ok {
 		question.Pause = stream.PauseObjective
