--- a/io/assign/assign_test.go
+++ b/io/assign/assign_test.go
@@ -223,3 +223,22 @@
 		assert.Equal(t, endpoint, "b")
 	}
 }
+
+// TestTwoLeaders guards against two leaders of a zone for a moment that each take the replicas for idle which
+// the other has filled, or count the requests of their own nodes twice, by reports and by digests.
+func TestTwoLeaders(t *testing.T) {
+	first, second := newZone(t, newView(), nil), newZone(t, newView(), nil)
+	one, other := newNode("n1", first), newNode("n2", second)
+	endpoint, _ := first.begin(t, one, newView())
+	filled := map[string]queue.Counts{endpoint: {InFlight: 20, PendingTokens: 9000}}
+	view := newView()
+	view.Nodes = map[string]map[string]queue.Counts{"n1": filled}
+	for range 3 {
+		got, _ := second.begin(t, other, view)
+		assert.Assert(t, got != endpoint, "the second leader does not know what the first has assigned")
+	}
+	got, _ := first.begin(t, one, view)
+	assert.Assert(t, got != endpoint)
+	got, _ = first.begin(t, one, view)
+	assert.Equal(t, got, endpoint, "the first leader counts its node by the digest too")
+}
