--- a/core/reach/advised.go
+++ b/core/reach/advised.go
@@ -11,7 +11,7 @@
 		if candidate.ID != id {
 			continue
 		}
-		if _, found := candidate.obstacle(request); found || !candidate.Load.TakeTurn(request.Now) {
+		if !candidate.usable(request) || !candidate.Load.TakeTurn(request.Now) {
 			return nil
 		}
 		return candidate
@@ -26,9 +26,15 @@
 	}
 	var ids []string
 	for _, candidate := range servicepool.candidates(request.Model) {
-		if _, found := candidate.obstacle(request); found {
+		if !candidate.usable(request) {
 			ids = append(ids, candidate.ID)
 		}
 	}
 	return ids
 }
+
+// usable reports whether nothing keeps Choose from sending the request to the candidate.
+func (candidate *Candidate) usable(request Request) bool {
+	_, found := candidate.obstacle(request)
+	return !found
+}
--- a/core/reach/snapshot.go
+++ b/core/reach/snapshot.go
@@ -109,6 +109,7 @@
 // The reasons for a rejection.
 const (
 	ReasonNoEndpoint Reason = "no-endpoint"       // no complete replica or no endpoint is usable
+	ReasonLate       Reason = "late"              // no candidate would begin the answer within the objective
 	ReasonFull       Reason = "full"              // the request would queue beyond its objective
 	ReasonNoService  Reason = "no-service"        // the configuration has no such service
 	ReasonCrashes    Reason = "crashes-endpoints" // an input crashes endpoints
--- a/io/assign/assign_test.go
+++ b/io/assign/assign_test.go
@@ -180,6 +180,26 @@
 	expectCounts(t, next.desk, 2)               // after the report that renews what the node has
 }
 
+// TestLeaderChangesDuringReport guards against a node that never reports to a new leader because a call to
+// the one before was pending when that changed.
+func TestLeaderChangesDuringReport(t *testing.T) {
+	const slow = 300 * time.Millisecond
+	called := make(chan struct{}, 100)
+	former := newZone(t, newView(), func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			called <- struct{}{}
+			time.Sleep(slow)
+		})
+	})
+	next := newZone(t, newView(), nil)
+	keepLeading(t, next.desk)
+	client := newNode("n1", former)
+	client.Begin(0, "s", "m", "b", work, time.Now().Add(time.Minute))
+	<-called
+	client.SetLeader("next", next.address, nil)
+	expectCounts(t, next.desk, 1)
+}
+
 // TestSilentNodeIsCountedByDigest guards against replicas that stay full of the requests of a node that
 // has ended, and against nodes of an older build that count for nothing.
 func TestSilentNodeIsCountedByDigest(t *testing.T) {
@@ -203,3 +223,22 @@
 		assert.Equal(t, endpoint, "b")
 	}
 }
+
+// TestTwoLeaders guards against two leaders of a zone for a moment that each take the replicas for idle which
+// the other has filled, or count the requests of their own nodes twice, by reports and by digests.
+func TestTwoLeaders(t *testing.T) {
+	first, second := newZone(t, newView(), nil), newZone(t, newView(), nil)
+	one, other := newNode("n1", first), newNode("n2", second)
+	endpoint, _ := first.begin(t, one, newView())
+	filled := map[string]queue.Counts{endpoint: {InFlight: 20, PendingTokens: 9000}}
+	view := newView()
+	view.Nodes = map[string]map[string]queue.Counts{"n1": filled}
+	for range 3 {
+		got, _ := second.begin(t, other, view)
+		assert.Assert(t, got != endpoint, "the second leader does not know what the first has assigned")
+	}
+	got, _ := first.begin(t, one, view)
+	assert.Assert(t, got != endpoint)
+	got, _ = first.begin(t, one, view)
+	assert.Equal(t, got, endpoint, "the first leader counts its node by the digest too")
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -60,7 +60,7 @@
 		entry.WithMemory(int64(settings.MemoryMB)<<20),
 		entry.WithRegion(settings.regions().Own()),
 		entry.WithPeers(control.Peers, settings.Node, settings.PeerKey),
-		entry.WithAssigner(control.assignment.client),
+		entry.WithAssigner(control.assignment.client), entry.WithRouting(routingPolicy(settings)),
 		entry.WithRetryBudget(retry.Policy{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window, UsableShare: usableBudgetShare}))
 	control.hadRequests = server.HadRequests
 	control.localDemand = server.Demand
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -44,6 +44,7 @@
 	WriteTime         time.Duration     `json:"write-time"`             // for a client to take 16 KB of a response
 	Connections       int               `json:"connections"`            // of callers; 0 for a number that memory-mb gives
 	SourceConnections int               `json:"connections-per-source"` // of one caller's address; 0 for no limit, as all callers may come through one load balancer
+	RejectLate        bool              `json:"reject-late"`            // a node rejects a request that no replica would begin to answer within its objective
 }
 
 // minBound is the shortest bound that nodes can keep: they exchange digests every
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -73,6 +73,7 @@
 	EndpointCold          = Event{432, "endpoint is cold and takes fewer requests", zap.InfoLevel}
 	EndpointWarm          = Event{433, "endpoint is no longer cold", zap.InfoLevel}
 	ColdUnusable          = Event{434, "unusable time for which an endpoint is cold", zap.WarnLevel}
+	AssignerChanged       = Event{440, "node that assigns this node's requests changed", zap.InfoLevel}
 	ConfigAccepted        = Event{501, "configuration accepted", zap.InfoLevel}
 	ConfigInForce         = Event{502, "configuration in force on this node", zap.InfoLevel}
 	ConfigConflict        = Event{503, "configuration change conflicts", zap.InfoLevel}
@@ -110,7 +111,7 @@
 		LeaseAcquired, LeaseLost, LeaseReleased,
 		ReplicaChanged, ReplicaChangeRejected, CommandFailed, MemberLost, ReplicaEjected,
 		ReplicaReturned, HostHandedBack, ActionRejected,
-		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable, EndpointCold, EndpointWarm, ColdUnusable,
+		EndpointChanged, EndpointGone, EndpointUnresponsive, CommandAnswered, ReplicasServing, PlacementStats, EndpointCrashed, InputBlocked, InputAllowed, InputTrial, EndpointLimited, EndpointUnlimited, BlockLifted, PlacementProblem, CutOffChanged, ConnectionsReset, ConnectionsUnusable, EndpointCold, EndpointWarm, ColdUnusable, AssignerChanged,
 		ConfigAccepted, ConfigInForce, ConfigConflict, ConfigUnreadable, ConfigUnconfirmed, ConfigConfirmed, PeerNotNotified, RegionUnknown,
 		StreamResumed, AnswerIncomplete, ChunkMismatched, CallInDoubt, RecordLate, RequestEnded, RetryAfterUnusable, AttemptBroken, LimitUnusable, AttemptSilent, AttemptHandover, RequestGivenUp, BytesRefused, AttemptNotRun, NotRunContradicted, AnswerCopySkipped, ClientsClosed, EndpointUnreached, NoEndpointTakes,
 	}
