--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -150,6 +150,8 @@
 break_one "an answer with an id taken for that to a request without one" io/pool/pool.go 'case request.ID == noID:' 'case false:' ./io/pool TestAnswerWithIDPassesForOneWithout
 break_one "an interim answer taken for the final one" io/pool/pool.go 'case response.StatusCode < http.StatusOK:' 'case response.StatusCode == http.StatusContinue:' ./platform/fakes TestInterimAnswerPassesForRejection
 break_one "an invalid status taken for a valid one" io/pool/readhead.go 'case !validStatus(response):' 'case false:' ./platform/fakes TestInvalidStatusIsAwaited
+break_one "heads that nothing counts" io/gate/conn.go 'cost > uncountedCost' 'false' ./io/gate TestHeadsTakeMoreThanBudget
+break_one "a whole request closed for want of room" io/gate/conn.go '!conn.whole && stalled > 0' 'stalled > 0' ./io/gate TestFullGateClosesBehavingClient
 break_one "a contradicted rejection believed" platform/headers.go 'responseheader.NotExecuted = responseheader.agreesNotRun(response)' 'responseheader.NotExecuted = true' ./platform/fakes TestContradictionPassesForRejection
 break_one "a rejection with an answer behind it believed" io/entry/buffered.go '(candidate.IsPeer || exchange.HasUnread())' 'candidate.IsPeer' ./platform/fakes TestContradictionPassesForRejection
 break_one "an answer with two request ids believed" platform/headers.go '> 1 {' '> 100 {' ./platform/fakes TestContradictionPassesForRejection
