Faults that reviews found in assignment, cold endpoints and clients' limits

- A body that broke off because the gate closed its connection read as whole (its error was marked as the end of input) and could have been sent to an endpoint: TestBodyOfClosedConnectionCountsAsWhole.
- A slow reader of a stream was dropped after write-time (20 s) where an endpoint waits, not after 2 s: TestShorterWriteDeadlineIsLost.
- Where all nodes restart, each owned the whole quota of a cold endpoint for a moment by its first list of nodes.
That list settles like a changed one now.
- An assigned request counted at its leader only until two seconds after its first event was due, and a full report that crossed the assignment dropped it; the beginning is reported now.
Reports that were sent before others and arrive after them are left out.
A model whose replicas are gone for a moment keeps its counts.
Callers that leave say nothing of a leader.
- Token counts that callers state are bounded, so that estimates stay finite.
- Late requests are rejected by the leader only with reject-late, like by nodes.

--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -77,6 +77,14 @@
 	return best, bestEstimate
 }
 
+// refuses reports whether a replica takes no request that would be late there.
+func (replica *replica) refuses(policy Policy) bool {
+	if policy.RejectLate {
+		return !replica.quiet(policy)
+	}
+	return float64(replica.inFlight+replica.others.InFlight+1) > float64(replica.Slots)*(1+policy.QueueAllowance)
+}
+
 // promise returns when a caller that is rejected is to return. Those who return come one after
 // the other, at the rate of RetryRate for each replica, MaxRetryDelay later at the most. One that
 // would have to wait for longer than callers do gives up, and takes no one's turn.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -145,17 +145,16 @@
 
 // Place decides on a request. It counts a request that it assigns.
 //
-// A request that no replica would serve on time is rejected: it would make those after it late
-// too. The caller has its full value if it returns when there is capacity. It is served late
-// where that keeps no other request from being on time, and if it resumes a stream, part of
-// which its caller has.
+// A request that no replica would serve on time is rejected if the replicas are full, or, where the
+// policy says so, if it would make those after it late too. The caller has its full value if it
+// returns when there is capacity. The rest of a stream, part of which its caller has, is never rejected.
 func (queue *Queue) Place(request Request, now time.Time) Decision {
 	kind := kindOf(request)
 	best, estimate := queue.best(request, queue.policy.margin(request)*queue.favor(kind), now)
 	switch {
 	case best == nil:
 		return None{}
-	case !estimate.inTime && !request.Resumed && !best.quiet(queue.policy):
+	case !estimate.inTime && !request.Resumed && best.refuses(queue.policy):
 		queue.countOffer(kind, false, now)
 		return Reject{RetryAt: queue.promise(request, now)}
 	}
@@ -218,6 +217,9 @@
 	return expired
 }
 
+// Empty reports whether the queue counts no request.
+func (queue *Queue) Empty() bool { return len(queue.entries) == 0 }
+
 // InFlight returns the requests that the queue counts at each replica.
 func (queue *Queue) InFlight() map[string]Counts {
 	counts := make(map[string]Counts, len(queue.replicas))
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -14,9 +14,16 @@
 
 var now = time.Unix(1000, 0)
 
+// rejecting returns the policy with rejections of late requests.
+func rejecting() queue.Policy {
+	policy := queue.DefaultPolicy()
+	policy.RejectLate = true
+	return policy
+}
+
 // newQueue returns a queue with replicas in its zone and in another one.
 func newQueue(here, elsewhere int) *queue.Queue {
-	each := queue.New(queue.DefaultPolicy())
+	each := queue.New(rejecting())
 	var replicas []queue.Replica
 	for i := range here + elsewhere {
 		replicas = append(replicas, queue.Replica{ID: fmt.Sprintf("r%d", i), Speed: batch.Replica{Engine: engine, Model: site.Model{TimeFactor: 1}}, Slots: engine.Slots, SameZone: i < here})
--- a/core/queue/replay_test.go
+++ b/core/queue/replay_test.go
@@ -380,7 +380,7 @@
 func newLeaders(world *world) chooser {
 	leaders := &byLeader{world: world, byID: map[string]*sim{}}
 	for zone := range zones {
-		each := queue.New(queue.DefaultPolicy())
+		each := queue.New(rejecting())
 		var replicas []queue.Replica
 		for _, sim := range world.sims {
 			leaders.byID[sim.id] = sim
--- a/io/assign/client.go
+++ b/io/assign/client.go
@@ -74,6 +74,7 @@
 	unanswered int       // questions in a row
 	epoch      int64     // the leader's, as last heard
 	full       bool      // the leader needs a report on all requests
+	number     int64     // of the last call with reports
 	reporting  bool      // a call that takes reports along is pending, so that they come in order
 	lastID     uint64
 	live       map[uint64]request
@@ -102,7 +103,7 @@
 func NewClient(node, peerKey string) *Client {
 	dialer := &net.Dialer{Timeout: reportTimeout}
 	return &Client{
-		node: node, key: peerKey, live: map[uint64]request{},
+		node: node, key: peerKey, live: map[uint64]request{}, number: time.Now().UnixNano(), // above that of the node's last process
 		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}},
 	}
 }
@@ -141,15 +142,15 @@
 	id, leader := client.lastID, client.leader
 	reports, carries := client.takeReports(now)
 	client.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	limited, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	reply, err := leader.place(ctx, &placeRequest{
+	reply, err := leader.place(limited, &placeRequest{
 		reportRequest: reports, ID: id, Service: question.Service, Model: question.Model, Prompt: question.Work.PromptTokens, Answer: question.Work.AnswerTokens,
 		FirstLeft: int64(question.FirstBy.Sub(now)), Left: int64(question.Deadline.Sub(now)), Pause: int64(question.Pause), Priority: question.Priority, Team: question.Team, Resumed: question.Resumed, Unusable: question.Unusable,
 	})
 	if err != nil {
 		client.settle(leader, nil, carries)
-		client.handleUnanswered(leader, id, err)
+		client.handleUnanswered(leader, id, err, ctx.Err() != nil)
 		return None{}
 	}
 	client.settle(leader, &reply.reportReply, carries)
@@ -163,14 +164,18 @@
 }
 
 // handleUnanswered handles a question without an answer. The leader may have counted the
-// request, or may do so yet. One of an older build does not know the call.
-func (client *Client) handleUnanswered(leader leader, id uint64, err error) {
+// request, or may do so yet. One of an older build does not know the call. A caller that has left
+// says nothing of the leader.
+func (client *Client) handleUnanswered(leader leader, id uint64, err error, callerLeft bool) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	if leader != client.leader {
 		return
 	}
 	client.record(id, stageEnded)
+	if callerLeft {
+		return
+	}
 	if client.unanswered++; client.unanswered >= maxUnanswered || connect.CodeOf(err) == connect.CodeUnimplemented {
 		client.askAfter, client.unanswered = time.Now().Add(leaderBackoff), 0
 	}
@@ -184,6 +189,8 @@
 		return reports, false
 	}
 	client.reporting = true
+	client.number++
+	reports.Number = client.number
 	if client.full {
 		reports.Full, client.full, client.changes = true, false, client.changes[:0]
 		for id, request := range client.live {
@@ -295,15 +302,12 @@
 func (client *Client) Begin(ticket uint64, service, model, replica string, work batch.Work, deadline time.Time) uint64 {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	assigned := ticket != 0
-	if !assigned {
+	if ticket == 0 {
 		client.lastID++
 		ticket = client.lastID
 	}
 	client.live[ticket] = request{service: service, model: model, replica: replica, work: work, deadline: deadline, stage: stageBegun}
-	if !assigned {
-		client.record(ticket, stageBegun)
-	}
+	client.record(ticket, stageBegun) // also of an assigned one, which a full report may have passed on its way
 	return ticket
 }
 
--- a/io/assign/desk.go
+++ b/io/assign/desk.go
@@ -31,13 +31,19 @@
 	viewEnd  time.Time // when the view counts no longer
 	epoch    int64     // since when this node has led, in Unix nanoseconds; 0 if it does not lead
 	queues   map[string]*queue.Queue
-	sessions map[string]time.Time // until when what a node has reported counts
+	sessions map[string]session
 	expired  int
 }
 
+// session is what a desk keeps of a node that reports.
+type session struct {
+	until  time.Time // when what it has reported counts no longer
+	number int64     // of the last call with reports
+}
+
 // NewDesk creates a desk of a node that does not lead.
 func NewDesk(policy queue.Policy) *Desk {
-	return &Desk{policy: policy, queues: map[string]*queue.Queue{}, sessions: map[string]time.Time{}}
+	return &Desk{policy: policy, queues: map[string]*queue.Queue{}, sessions: map[string]session{}}
 }
 
 // Update sets the view. A node that begins to lead knows nothing of the requests at replicas
@@ -56,8 +62,12 @@
 	}
 	desk.view, desk.viewEnd = view, now.Add(viewTTL)
 	desk.endSessions(now)
-	for key := range desk.queues {
-		if view.Pools[key] == nil {
+	for key, each := range desk.queues {
+		if view.Pools[key] == nil { // for a moment, perhaps: its requests still run
+			each.SetReplicas(nil)
+			desk.expired += each.Expire(now)
+		}
+		if view.Pools[key] == nil && each.Empty() {
 			delete(desk.queues, key)
 		}
 	}
@@ -75,8 +85,8 @@
 
 // endSessions forgets the requests of nodes that have reported nothing for long.
 func (desk *Desk) endSessions(now time.Time) {
-	for node, until := range desk.sessions {
-		if now.Before(until) {
+	for node, session := range desk.sessions {
+		if now.Before(session.until) {
 			continue
 		}
 		delete(desk.sessions, node)
@@ -136,10 +146,13 @@
 	if !desk.leads(now) {
 		return reportReply{}
 	}
-	_, known := desk.sessions[request.Node]
+	session, known := desk.sessions[request.Node]
 	if request.Epoch != desk.epoch {
 		known = false
 	}
+	if request.Number > 0 && request.Number <= session.number {
+		return reportReply{Epoch: desk.epoch, Unknown: !known} // its time was over, and the node has reported anew since
+	}
 	if request.Full {
 		for _, each := range desk.queues {
 			each.DropNode(request.Node)
@@ -149,7 +162,11 @@
 		desk.apply(request.Node, report, now)
 	}
 	if known || request.Full {
-		desk.sessions[request.Node] = now.Add(sessionTTL)
+		session.until, session.number = now.Add(sessionTTL), max(session.number, request.Number)
+		desk.sessions[request.Node] = session
+	}
+	if !known && request.Full {
+		desk.setOthers() // its digest counts no longer
 	}
 	return reportReply{Epoch: desk.epoch, Unknown: !known && !request.Full}
 }
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -46,6 +46,7 @@
 	Epoch   int64    `cbor:"2,keyasint,omitempty"` // the leader's, as the node knows it
 	Full    bool     `cbor:"3,keyasint,omitempty"` // the reports are on all requests that the node has
 	Reports []report `cbor:"4,keyasint,omitempty"`
+	Number  int64    `cbor:"5,keyasint,omitempty"` // higher than that of all calls with reports before; 0 without reports
 }
 
 // reportReply is the answer to a reportRequest.
--- a/io/drain/connection.go
+++ b/io/drain/connection.go
@@ -60,6 +60,14 @@
 	return connection.TCPConn.Write(buffer)
 }
 
+// SetWriteDeadline sets until when the client has to take what is written.
+func (connection *connection) SetWriteDeadline(deadline time.Time) error {
+	if connection.gated != nil {
+		return connection.gated.SetWriteDeadline(deadline)
+	}
+	return connection.TCPConn.SetWriteDeadline(deadline)
+}
+
 // Close closes the connection.
 func (connection *connection) Close() error {
 	connection.listener.forget(connection)
--- a/io/edge/assignment.go
+++ b/io/edge/assignment.go
@@ -21,7 +21,9 @@
 }
 
 func newAssignment(settings Settings) assignment {
-	return assignment{desk: assign.NewDesk(queue.DefaultPolicy()), client: assign.NewClient(settings.Node, settings.PeerKey)}
+	policy := queue.DefaultPolicy()
+	policy.RejectLate = settings.RejectLate
+	return assignment{desk: assign.NewDesk(policy), client: assign.NewClient(settings.Node, settings.PeerKey)}
 }
 
 // routingPolicy returns the weights by which this node chooses where no leader decides.
--- a/io/edge/cold.go
+++ b/io/edge/cold.go
@@ -284,14 +284,18 @@
 
 // coldShare returns how many requests a second this node may send to a cold endpoint.
 // Shortly after a change of the list it is what both lists permit: other nodes may still
-// go by the one before.
+// go by the one before. A node's first list may be one of few nodes, where all of them start again.
 func (control *Control) coldShare(id string, perSecond float64, now time.Time) float64 {
 	cold, self, quota := &control.cold, control.settings.Node, control.coldQuota(perSecond)
 	share := limit.ColdShare(id, self, quota, cold.members)
-	if share > 0 && len(cold.before) > 0 && now.Before(cold.changedAt.Add(listSettleTime)) {
-		share = min(share, limit.ColdShare(id, self, quota, cold.before))
+	switch settles := now.Before(cold.changedAt.Add(listSettleTime)); {
+	case !settles || share == 0:
+		return share
+	case len(cold.before) == 0:
+		return 0
+	default:
+		return min(share, limit.ColdShare(id, self, quota, cold.before))
 	}
-	return share
 }
 
 // firstTurn returns how long a node waits for its first turn at an endpoint that has turned
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -380,6 +380,9 @@
 	}
 	if confirmation != nil && !confirmation.at.IsZero() && confirmation.version.Era() == published.CompactedVersion.Era() {
 		changes.Age, changes.Complete = int64(max(1, time.Since(confirmation.at))), confirmation.version
+		if table == tableConfig {
+			changes.Age += int64(tickInterval) // the evacuations are those of the last digest
+		}
 	}
 	return changes
 }
--- a/io/entry/assigned.go
+++ b/io/entry/assigned.go
@@ -58,7 +58,7 @@
 
 // work returns what the request asks of a replica.
 func (request *request) work() batch.Work {
-	return batch.Work{PromptTokens: request.header.PromptTokens, AnswerTokens: request.header.MaxAnswerTokens}
+	return batch.Work{PromptTokens: request.header.PromptTokens, AnswerTokens: request.answerTokens()}
 }
 
 // beginAssigned has the leader told of an attempt that begins now, and returns its ticket.
--- a/io/gate/conn.go
+++ b/io/gate/conn.go
@@ -13,8 +13,9 @@
 	"hickorybend/io/pool"
 )
 
-// errClosed ends the reading of a connection that the gate has closed.
-var errClosed = errors.Mark(errors.New("gate: the connection was closed"), io.EOF)
+// errClosed ends the reading of a connection that the gate has closed. It is no end of what the client
+// sends: a body that breaks off so has not come whole.
+var errClosed = errors.Mark(errors.New("gate: the connection was closed"), net.ErrClosed)
 
 // refusal answers a head with too many fields. It promises nothing.
 const refusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -36,6 +37,7 @@
 	bytes      int64
 	fields     int
 	progressAt time.Time
+	writeBy    time.Time // when the server wants what it writes to have been taken; zero for no such time
 	claim      *buffer.Claim
 
 	received  bool // bytes have come since the last response
@@ -134,12 +136,17 @@
 
 // Whole records that the present request has come whole. Its connection is not closed any more for want of room.
 func (conn *Conn) Whole() {
+	if !conn.markWhole() {
+		conn.end(ReasonMemory) // it was to be closed before
+	}
+}
+
+// markWhole reports whether the connection was not to be closed for want of room.
+func (conn *Conn) markWhole() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.whole, conn.served = true, true
-	if conn.claim != nil {
-		conn.claim.Complete()
-	}
+	return conn.claim == nil || conn.claim.Complete()
 }
 
 func (conn *Conn) isWhole() bool {
@@ -148,13 +155,30 @@
 	return conn.whole
 }
 
+// SetWriteDeadline sets until when the client has to take what is written, or ends that with the zero time.
+func (conn *Conn) SetWriteDeadline(deadline time.Time) error {
+	conn.mutex.Lock()
+	conn.writeBy = deadline
+	conn.mutex.Unlock()
+	return conn.tcp.SetWriteDeadline(deadline)
+}
+
+// writeDeadline returns until when the client has to take the next piece: within WriteTime, and by the time that
+// the server has set.
+func (conn *Conn) writeDeadline(now time.Time) time.Time {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	deadline := conn.writeBy
+	if limit := conn.gate.limits.WriteTime; limit > 0 && (deadline.IsZero() || now.Add(limit).Before(deadline)) {
+		deadline = now.Add(limit)
+	}
+	return deadline
+}
+
 // Write writes to the client piece by piece, each of which it has to take within WriteTime.
 func (conn *Conn) Write(data []byte) (written int, err error) {
-	limit := conn.gate.limits.WriteTime
 	for err == nil && written < len(data) {
-		if limit > 0 {
-			_ = conn.tcp.SetWriteDeadline(time.Now().Add(limit)) // if it fails, so does the write
-		}
+		_ = conn.tcp.SetWriteDeadline(conn.writeDeadline(time.Now())) // if it fails, so does the write
 		var count int
 		count, err = conn.tcp.Write(data[written:min(len(data), written+writePiece)])
 		written += count
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -139,7 +139,8 @@
 		conn := &fakeConn{source: "a"}
 		err := gate.Admit(conn, start).Received([]byte("GET / HTTP/1.1\r\n"+strings.Repeat("x:\r\n", fields)+"\r\n"), start)
 		refused := fields > 10
-		assert.Equal(t, errors.Is(err, io.EOF), refused, "%v", err)
+		assert.Equal(t, errors.Is(err, net.ErrClosed), refused, "%v", err)
+		assert.Assert(t, !errors.Is(err, io.EOF), "a body that breaks off counts as whole")
 		assert.Equal(t, conn.closed, refused)
 		assert.Equal(t, len(closed), map[bool]int{true: 1}[refused])
 	}
@@ -192,3 +193,27 @@
 		assert.Equal(t, ended, map[bool]int{false: 1}[waits])
 	}
 }
+
+// TestBodyOfClosedConnectionCountsAsWhole guards against a body that breaks off as the gate closes its connection,
+// counts as whole since the read ends like one at the end, and is sent to an endpoint that runs it.
+func TestBodyOfClosedConnectionCountsAsWhole(t *testing.T) {
+	gate := New(Limits{}, buffer.NewLedger(buffer.Policy{}), func(Closed) {})
+	conn := gate.Admit(&fakeConn{source: "a"}, start)
+	assert.NilError(t, conn.Received([]byte("POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nfour"), start))
+	conn.end(ReasonMemory)
+	err := conn.Received([]byte("more"), start)
+	assert.Assert(t, errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF), "%v", err)
+}
+
+// TestShorterWriteDeadlineIsLost guards against a slow reader of a stream that is dropped only after
+// WriteTime, since each write replaces the deadline that the server has set for it.
+func TestShorterWriteDeadlineIsLost(t *testing.T) {
+	gate := New(Limits{WriteTime: 20 * time.Second}, buffer.NewLedger(buffer.Policy{}), func(Closed) {})
+	conn := gate.Admit(&fakeConn{source: "a"}, start)
+	for _, test := range []struct{ set, want time.Time }{
+		{time.Time{}, start.Add(20 * time.Second)}, {start.Add(2 * time.Second), start.Add(2 * time.Second)}, {start.Add(time.Minute), start.Add(20 * time.Second)},
+	} {
+		assert.NilError(t, conn.SetWriteDeadline(test.set))
+		assert.Equal(t, conn.writeDeadline(start), test.want)
+	}
+}
