--- a/core/reach/spill.go
+++ b/core/reach/spill.go
@@ -65,7 +65,10 @@
 	asked := spill.Request{PromptTokens: request.PromptTokens}
 	var sum, count time.Duration
 	for _, candidate := range candidates {
-		if candidate.SameZone && candidate.Speed.Replica.Known() && candidate.takesRequests(request.Now) {
+		switch {
+		case !candidate.SameZone && !candidate.Speed.DelayKnown:
+			return false // a constant decides what leaves the zone
+		case candidate.SameZone && candidate.Speed.Replica.Known() && candidate.takesRequests(request.Now):
 			sum, count = sum+candidate.spillReplica().FirstEvent(asked), count+1
 		}
 	}
--- a/io/edge/speed.go
+++ b/io/edge/speed.go
@@ -7,11 +7,11 @@
 	"hickorybend/core/site"
 )
 
-// speedOf returns what the configuration states of a replica's speed and of the way there. It is empty
-// where no delays between zones are stated: a constant decides there.
+// speedOf returns what the configuration states of a replica's speed and of the way there. Where no
+// delays between zones are stated, a constant decides whether requests leave the zone.
 func (control *Control) speedOf(engine *site.Engine, replica fleet.Replica) reach.Speed {
 	model, found := engine.Model(replica.Model)
-	if !found || len(engine.Delays) == 0 {
+	if !found {
 		return reach.Speed{}
 	}
 	speed := reach.Speed{Replica: batch.Replica{Engine: engine, Model: model}}
--- a/io/edge/speed_test.go
+++ b/io/edge/speed_test.go
@@ -10,8 +10,8 @@
 	"hickorybend/core/site"
 )
 
-// TestSpeedOfReplicas guards against deployments without delays whose traffic between zones is
-// decided in another way than before, and against unknown delays that count as none.
+// TestSpeedOfReplicas guards against unknown delays that count as none. What leaves the zone where
+// none are stated is checked by TestZonesWithoutDelays of core/reach.
 func TestSpeedOfReplicas(t *testing.T) {
 	control := &Control{settings: Settings{Zone: "a"}}
 	engine := func(delays ...site.Delay) *site.Engine {
@@ -26,7 +26,7 @@
 		delay  time.Duration
 		stated bool // the delay
 	}{
-		{"no delays", engine(), "b", false, 0, false},
+		{"no delays", engine(), "b", true, 0, false},
 		{"another zone", engine(stated), "b", true, 3 * time.Millisecond, true},
 		{"this zone", engine(stated), "a", true, 0, true},
 		{"a zone that is left out", engine(stated), "c", true, 0, false},
