--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -149,7 +149,7 @@
 	bestScore := score{total: math.Inf(1)}
 	mean := meanAnswerTime(candidates)
 	timeLeft := max(request.Deadline.Sub(request.Now), policy.MinTimeLeft).Seconds()
-	crossing := newCrossing(candidates, request, timeLeft)
+	crosszone := newCrossZone(candidates, request, timeLeft)
 	for _, candidate := range candidates {
 		if slices.Contains(request.Tried, candidate.ID) || !candidate.takesRequests(request.Now) {
 			continue
@@ -162,7 +162,7 @@
 		}
 		score := scoreOf(policy, candidate, request, mean, timeLeft)
 		if !candidate.SameZone {
-			score.total += crossing.penalty(&policy, candidate)
+			score.total += crosszone.penalty(&policy, candidate)
 		}
 		if score.total < bestScore.total {
 			best, bestScore = candidate, score
--- a/core/reach/spill.go
+++ b/core/reach/spill.go
@@ -17,17 +17,17 @@
 	DelayKnown bool          // of a replica in another zone
 }
 
-// crossing is what another zone costs a request, as pick compares candidates.
-type crossing struct {
+// crosszone is what another zone costs a request, as pick compares candidates.
+type crosszone struct {
 	known   bool          // the speed of this zone's candidates is known
 	home    time.Duration // until the first event there, on the mean: the best of old figures is no longer it
 	request spill.Request
 	random  float64
 }
 
-// newCrossing looks at the candidates of this zone that take the request.
-func newCrossing(candidates []*Candidate, request Request, timeLeft float64) crossing {
-	crossing := crossing{
+// newCrossZone looks at the candidates of this zone that take the request.
+func newCrossZone(candidates []*Candidate, request Request, timeLeft float64) crosszone {
+	crosszone := crosszone{
 		request: spill.Request{PromptTokens: request.PromptTokens, TimeLeft: time.Duration(timeLeft * float64(time.Second)), Bytes: request.Bytes},
 	}
 	var sum, count time.Duration
@@ -35,21 +35,21 @@
 		if !candidate.SameZone || !candidate.Speed.Replica.Known() || slices.Contains(request.Tried, candidate.ID) || !candidate.takesRequests(request.Now) {
 			continue
 		}
-		sum, count = sum+candidate.spillReplica().FirstEvent(crossing.request), count+1
+		sum, count = sum+candidate.spillReplica().FirstEvent(crosszone.request), count+1
 	}
 	if count > 0 {
-		crossing.known, crossing.home = true, sum/count
-		crossing.random = rand.New(rand.NewPCG(math.Float64bits(request.Random), 1)).Float64() // the sample is drawn by Random itself
+		crosszone.known, crosszone.home = true, sum/count
+		crosszone.random = rand.New(rand.NewPCG(math.Float64bits(request.Random), 1)).Float64() // the sample is drawn by Random itself
 	}
-	return crossing
+	return crosszone
 }
 
 // penalty returns what is added to the score of a candidate in another zone.
-func (crossing *crossing) penalty(policy *Policy, candidate *Candidate) float64 {
-	if !crossing.known || !candidate.Speed.DelayKnown || !candidate.Speed.Replica.Known() {
+func (crosszone *crosszone) penalty(policy *Policy, candidate *Candidate) float64 {
+	if !crosszone.known || !candidate.Speed.DelayKnown || !candidate.Speed.Replica.Known() {
 		return policy.CrossZonePenalty
 	}
-	if crossing.random < spill.Share(policy.Spill, crossing.home, candidate.spillReplica().FirstEvent(crossing.request), crossing.request) {
+	if crosszone.random < spill.Share(policy.Spill, crosszone.home, candidate.spillReplica().FirstEvent(crosszone.request), crosszone.request) {
 		return 0
 	}
 	return policy.StayPenalty
--- a/io/assign/assign_test.go
+++ b/io/assign/assign_test.go
@@ -30,21 +30,21 @@
 
 // zone is a leader and what the nodes of its zone reach it by.
 type zone struct {
-	desk    *assign.Desk
+	server  *assign.Server
 	address string
 }
 
 // newZone starts a leader. The function wrap may come before its handler.
 func newZone(t *testing.T, view assign.View, wrap func(http.Handler) http.Handler) zone {
-	desk := assign.NewDesk(queue.DefaultPolicy())
-	desk.Update(view, time.Now())
-	_, handler := assign.Handler(desk, peerKey)
+	server := assign.NewServer(queue.DefaultPolicy())
+	server.Update(view, time.Now())
+	_, handler := assign.Handler(server, peerKey)
 	if wrap != nil {
 		handler = wrap(handler)
 	}
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-	return zone{desk: desk, address: strings.TrimPrefix(server.URL, "http://")}
+	listening := httptest.NewServer(handler)
+	t.Cleanup(listening.Close)
+	return zone{server: server, address: strings.TrimPrefix(listening.URL, "http://")}
 }
 
 // newNode returns the client of a node that asks a leader.
@@ -69,7 +69,7 @@
 	var send assign.Send
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		var sent bool
-		zone.desk.Update(view, time.Now())
+		zone.server.Update(view, time.Now())
 		if send, sent = ask(client, unusable...).(assign.Send); !sent {
 			return poll.Continue("no advice")
 		}
@@ -79,10 +79,10 @@
 }
 
 // expectCounts waits until a leader counts requests in flight at the two replicas.
-func expectCounts(t *testing.T, desk *assign.Desk, want int) {
+func expectCounts(t *testing.T, server *assign.Server, want int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		counts, _ := desk.InFlight()
+		counts, _ := server.InFlight()
 		if got := counts["a"].InFlight + counts["b"].InFlight; got != want {
 			return poll.Continue("%d in flight, not %d", got, want)
 		}
@@ -91,13 +91,13 @@
 }
 
 // keepLeading renews a leader's view as its control loop does, until the test ends.
-func keepLeading(t *testing.T, desk *assign.Desk) {
+func keepLeading(t *testing.T, server *assign.Server) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			desk.Update(newView(), time.Now())
+			server.Update(newView(), time.Now())
 			time.Sleep(50 * time.Millisecond)
 		}
 	}()
@@ -117,11 +117,11 @@
 	assert.Assert(t, one != other, "both at %s", one)
 	first.Started(ticket)
 	first.End(ticket)
-	expectCounts(t, zone.desk, 1)
+	expectCounts(t, zone.server, 1)
 	usable, ticket := zone.begin(t, first, newView(), one)
 	assert.Equal(t, usable, other, "an endpoint that the node cannot use")
 	first.End(ticket)
-	expectCounts(t, zone.desk, 1)
+	expectCounts(t, zone.server, 1)
 }
 
 // TestNodeDecidesWithoutLeader guards against requests that wait for a leader which is gone, hangs, is of
@@ -159,7 +159,7 @@
 // what it knew before.
 func TestLateViewIsNoAdvice(t *testing.T) {
 	zone := newZone(t, newView(), nil)
-	zone.desk.Update(newView(), time.Now().Add(-time.Second))
+	zone.server.Update(newView(), time.Now().Add(-time.Second))
 	assert.Equal(t, ask(newNode("n1", zone)), assign.None{})
 }
 
@@ -168,16 +168,16 @@
 func TestNewLeaderLearnsRequests(t *testing.T) {
 	former, next := newZone(t, newView(), nil), newZone(t, newView(), nil)
 	client := newNode("n1", former)
-	keepLeading(t, former.desk)
+	keepLeading(t, former.server)
 	_, first := former.begin(t, client, newView())
 	client.Started(first)
 	client.Begin(0, "s", "m", "b", work, time.Now().Add(4*time.Second))
-	expectCounts(t, former.desk, 2)
+	expectCounts(t, former.server, 2)
 	client.SetLeader("next", next.address, nil)
-	keepLeading(t, next.desk)
-	expectCounts(t, next.desk, 2)
-	next.desk.Update(assign.View{}, time.Now()) // until it is renewed
-	expectCounts(t, next.desk, 2)               // after the report that renews what the node has
+	keepLeading(t, next.server)
+	expectCounts(t, next.server, 2)
+	next.server.Update(assign.View{}, time.Now()) // until it is renewed
+	expectCounts(t, next.server, 2)               // after the report that renews what the node has
 }
 
 // TestLeaderChangesDuringReport guards against a node that never reports to a new leader because a call to
@@ -192,12 +192,12 @@
 		})
 	})
 	next := newZone(t, newView(), nil)
-	keepLeading(t, next.desk)
+	keepLeading(t, next.server)
 	client := newNode("n1", former)
 	client.Begin(0, "s", "m", "b", work, time.Now().Add(time.Minute))
 	<-called
 	client.SetLeader("next", next.address, nil)
-	expectCounts(t, next.desk, 1)
+	expectCounts(t, next.server, 1)
 }
 
 // TestSilentNodeIsCountedByDigest guards against replicas that stay full of the requests of a node that
@@ -205,14 +205,14 @@
 func TestSilentNodeIsCountedByDigest(t *testing.T) {
 	zone := newZone(t, newView(), nil)
 	local := assign.NewClient("leader", peerKey)
-	local.SetLeader("leader", "", zone.desk)
+	local.SetLeader("leader", "", zone.server)
 	for range 4 {
 		zone.begin(t, local, newView())
 	}
-	expectCounts(t, zone.desk, 4)
+	expectCounts(t, zone.server, 4)
 	later := time.Now().Add(3 * time.Second)
-	zone.desk.Update(newView(), later)
-	counts, nodes := zone.desk.InFlight()
+	zone.server.Update(newView(), later)
+	counts, nodes := zone.server.InFlight()
 	assert.Equal(t, counts["a"].InFlight+counts["b"].InFlight, 0)
 	assert.Equal(t, len(nodes), 0)
 
--- a/io/assign/bench_test.go
+++ b/io/assign/bench_test.go
@@ -12,15 +12,15 @@
 
 // BenchmarkPlace measures a question with the reports that go with it, both ends together.
 func BenchmarkPlace(b *testing.B) {
-	desk := assign.NewDesk(queue.DefaultPolicy())
-	_, handler := assign.Handler(desk, peerKey)
-	server := httptest.NewServer(handler)
-	defer server.Close()
-	client := newNode("n1", zone{address: strings.TrimPrefix(server.URL, "http://")})
+	server := assign.NewServer(queue.DefaultPolicy())
+	_, handler := assign.Handler(server, peerKey)
+	listening := httptest.NewServer(handler)
+	defer listening.Close()
+	client := newNode("n1", zone{address: strings.TrimPrefix(listening.URL, "http://")})
 	b.ReportAllocs()
 	unanswered := 0
 	for b.Loop() {
-		desk.Update(newView(), time.Now())
+		server.Update(newView(), time.Now())
 		send, sent := ask(client).(assign.Send)
 		if !sent {
 			unanswered++
--- a/io/assign/client.go
+++ b/io/assign/client.go
@@ -109,8 +109,8 @@
 }
 
 // SetLeader sets the leader that the client asks, by its name and address. Without a name it asks
-// nobody. A desk is that of this node itself.
-func (client *Client) SetLeader(name, address string, desk *Desk) {
+// nobody. A server is given if this node leads itself.
+func (client *Client) SetLeader(name, address string, server *Server) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	if name == client.leaderName && address == client.address {
@@ -120,8 +120,8 @@
 	client.askAfter, client.unanswered, client.epoch, client.full = time.Time{}, 0, 0, true
 	client.changes = nil
 	switch {
-	case desk != nil:
-		client.leader = desk
+	case server != nil:
+		client.leader = server
 	case name != "":
 		client.leader = newRemote(client.http, address, client.key)
 	}
--- a/io/assign/desk.go
+++ b/io/assign/server.go
@@ -23,8 +23,8 @@
 	Nodes   map[string]map[string]queue.Counts // requests of this zone's nodes, by node and replica
 }
 
-// Desk answers the nodes of a zone for its leader.
-type Desk struct {
+// Server answers the nodes of a zone for its leader.
+type Server struct {
 	mutex    sync.Mutex
 	policy   queue.Policy
 	view     View
@@ -35,62 +35,62 @@
 	expired  int
 }
 
-// session is what a desk keeps of a node that reports.
+// session is what a server keeps of a node that reports.
 type session struct {
 	until  time.Time // when what it has reported counts no longer
 	number int64     // of the last call with reports
 }
 
-// NewDesk creates a desk of a node that does not lead.
-func NewDesk(policy queue.Policy) *Desk {
-	return &Desk{policy: policy, queues: map[string]*queue.Queue{}, sessions: map[string]session{}}
+// NewServer creates a server of a node that does not lead.
+func NewServer(policy queue.Policy) *Server {
+	return &Server{policy: policy, queues: map[string]*queue.Queue{}, sessions: map[string]session{}}
 }
 
 // Update sets the view. A node that begins to lead knows nothing of the requests at replicas
 // but what digests say, until the nodes of its zone have reported theirs.
-func (desk *Desk) Update(view View, now time.Time) {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
+func (server *Server) Update(view View, now time.Time) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
 	if !view.Leading {
-		desk.epoch = 0
-		clear(desk.queues)
-		clear(desk.sessions)
+		server.epoch = 0
+		clear(server.queues)
+		clear(server.sessions)
 		return
 	}
-	if desk.epoch == 0 {
-		desk.epoch = now.UnixNano()
+	if server.epoch == 0 {
+		server.epoch = now.UnixNano()
 	}
-	desk.view, desk.viewEnd = view, now.Add(viewTTL)
-	desk.endSessions(now)
-	for key, each := range desk.queues {
+	server.view, server.viewEnd = view, now.Add(viewTTL)
+	server.endSessions(now)
+	for key, each := range server.queues {
 		if view.Pools[key] == nil { // for a moment, perhaps: its requests still run
 			each.SetReplicas(nil)
-			desk.expired += each.Expire(now)
+			server.expired += each.Expire(now)
 		}
 		if view.Pools[key] == nil && each.Empty() {
-			delete(desk.queues, key)
+			delete(server.queues, key)
 		}
 	}
 	for key, replicas := range view.Pools {
-		each := desk.queues[key]
+		each := server.queues[key]
 		if each == nil {
-			each = queue.New(desk.policy)
-			desk.queues[key] = each
+			each = queue.New(server.policy)
+			server.queues[key] = each
 		}
 		each.SetReplicas(replicas)
-		desk.expired += each.Expire(now)
+		server.expired += each.Expire(now)
 	}
-	desk.setOthers()
+	server.setOthers()
 }
 
 // endSessions forgets the requests of nodes that have reported nothing for long.
-func (desk *Desk) endSessions(now time.Time) {
-	for node, session := range desk.sessions {
+func (server *Server) endSessions(now time.Time) {
+	for node, session := range server.sessions {
 		if now.Before(session.until) {
 			continue
 		}
-		delete(desk.sessions, node)
-		for _, each := range desk.queues {
+		delete(server.sessions, node)
+		for _, each := range server.queues {
 			each.DropNode(node)
 		}
 	}
@@ -98,89 +98,91 @@
 
 // setOthers sets the requests of other zones, and of the nodes of this zone that do not
 // report theirs.
-func (desk *Desk) setOthers() {
-	for key, replicas := range desk.view.Pools {
+func (server *Server) setOthers() {
+	for key, replicas := range server.view.Pools {
 		for _, replica := range replicas {
-			sum := desk.view.Others[replica.ID]
-			for node, counts := range desk.view.Nodes {
-				if _, reports := desk.sessions[node]; !reports {
+			sum := server.view.Others[replica.ID]
+			for node, counts := range server.view.Nodes {
+				if _, reports := server.sessions[node]; !reports {
 					sum.InFlight += counts[replica.ID].InFlight
 					sum.PendingTokens += counts[replica.ID].PendingTokens
 				}
 			}
-			desk.queues[key].SetOthers(replica.ID, sum)
+			server.queues[key].SetOthers(replica.ID, sum)
 		}
 	}
 }
 
-// InFlight returns the requests at each replica that nodes have reported or the desk has
+// InFlight returns the requests at each replica that nodes have reported or the server has
 // assigned, and whose they are: those of the nodes that report.
-func (desk *Desk) InFlight() (counts map[string]queue.Counts, nodes map[string]bool) {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
+func (server *Server) InFlight() (counts map[string]queue.Counts, nodes map[string]bool) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
 	counts, nodes = map[string]queue.Counts{}, map[string]bool{}
-	for _, each := range desk.queues {
+	for _, each := range server.queues {
 		for id, count := range each.InFlight() {
 			counts[id] = count
 		}
 	}
-	for node := range desk.sessions {
+	for node := range server.sessions {
 		nodes[node] = true
 	}
 	return counts, nodes
 }
 
-// leads reports whether the desk answers now.
-func (desk *Desk) leads(now time.Time) bool { return desk.epoch != 0 && now.Before(desk.viewEnd) }
+// leads reports whether the server answers now.
+func (server *Server) leads(now time.Time) bool {
+	return server.epoch != 0 && now.Before(server.viewEnd)
+}
 
 // report handles a node's reports.
-func (desk *Desk) report(_ context.Context, request *reportRequest) (*reportReply, error) {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
-	reply := desk.accept(request, time.Now())
+func (server *Server) report(_ context.Context, request *reportRequest) (*reportReply, error) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	reply := server.accept(request, time.Now())
 	return &reply, nil
 }
 
 // accept applies a node's reports.
-func (desk *Desk) accept(request *reportRequest, now time.Time) reportReply {
-	if !desk.leads(now) {
+func (server *Server) accept(request *reportRequest, now time.Time) reportReply {
+	if !server.leads(now) {
 		return reportReply{}
 	}
-	session, known := desk.sessions[request.Node]
-	if request.Epoch != desk.epoch {
+	session, known := server.sessions[request.Node]
+	if request.Epoch != server.epoch {
 		known = false
 	}
 	if request.Number > 0 && request.Number <= session.number {
-		return reportReply{Epoch: desk.epoch, Unknown: !known} // its time was over, and the node has reported anew since
+		return reportReply{Epoch: server.epoch, Unknown: !known} // its time was over, and the node has reported anew since
 	}
 	if request.Full {
-		for _, each := range desk.queues {
+		for _, each := range server.queues {
 			each.DropNode(request.Node)
 		}
 	}
 	for _, report := range request.Reports {
-		desk.apply(request.Node, report, now)
+		server.apply(request.Node, report, now)
 	}
 	if known || request.Full {
 		session.until, session.number = now.Add(sessionTTL), max(session.number, request.Number)
-		desk.sessions[request.Node] = session
+		server.sessions[request.Node] = session
 	}
 	if !known && request.Full {
-		desk.setOthers() // its digest counts no longer
+		server.setOthers() // its digest counts no longer
 	}
-	return reportReply{Epoch: desk.epoch, Unknown: !known && !request.Full}
+	return reportReply{Epoch: server.epoch, Unknown: !known && !request.Full}
 }
 
 // apply applies a report.
-func (desk *Desk) apply(node string, report report, now time.Time) {
+func (server *Server) apply(node string, report report, now time.Time) {
 	key := queue.Key{Node: node, ID: report.ID}
 	if report.Stage == stageEnded {
-		for _, each := range desk.queues {
+		for _, each := range server.queues {
 			each.Ended(key)
 		}
 		return
 	}
-	each := desk.queues[reach.PoolKey(report.Service, report.Model)]
+	each := server.queues[reach.PoolKey(report.Service, report.Model)]
 	if each == nil {
 		return
 	}
@@ -191,12 +193,12 @@
 }
 
 // place decides on a request. Of a caller that has given up meanwhile it counts nothing.
-func (desk *Desk) place(ctx context.Context, request *placeRequest) (*placeReply, error) {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
+func (server *Server) place(ctx context.Context, request *placeRequest) (*placeReply, error) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
 	now := time.Now()
-	reply := &placeReply{reportReply: desk.accept(&request.reportRequest, now)}
-	each := desk.queues[reach.PoolKey(request.Service, request.Model)]
+	reply := &placeReply{reportReply: server.accept(&request.reportRequest, now)}
+	each := server.queues[reach.PoolKey(request.Service, request.Model)]
 	if reply.Epoch == 0 || each == nil || ctx.Err() != nil {
 		return reply, nil
 	}
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -81,15 +81,15 @@
 }
 
 // Handler returns the path prefix and the handler of calls from other nodes.
-func Handler(desk *Desk, peerKey string) (string, http.Handler) {
+func Handler(server *Server, peerKey string) (string, http.Handler) {
 	options := wire.HandlerOptions([]wire.Key{{Name: "peer", SHA256: wire.HashKey(peerKey)}})
 	mux := http.NewServeMux()
 	mux.Handle(procedurePlace, connect.NewUnaryHandler(procedurePlace, func(ctx context.Context, request *connect.Request[placeRequest]) (*connect.Response[placeReply], error) {
-		reply, err := desk.place(ctx, request.Msg)
+		reply, err := server.place(ctx, request.Msg)
 		return connect.NewResponse(reply), err
 	}, options...))
 	mux.Handle(procedureReport, connect.NewUnaryHandler(procedureReport, func(ctx context.Context, request *connect.Request[reportRequest]) (*connect.Response[reportReply], error) {
-		reply, err := desk.report(ctx, request.Msg)
+		reply, err := server.report(ctx, request.Msg)
 		return connect.NewResponse(reply), err
 	}, options...))
 	return "/hickorybend.assign/", mux
--- a/io/edge/assignment.go
+++ b/io/edge/assignment.go
@@ -15,7 +15,7 @@
 
 // assignment is this node's part in the assignment of requests to replicas; see package assign.
 type assignment struct {
-	desk   *assign.Desk   // answers while this node leads its zone
+	server *assign.Server // answers while this node leads its zone
 	client *assign.Client // asks the leader of its zone
 	asked  string         // the name of that, or empty
 }
@@ -23,7 +23,7 @@
 func newAssignment(settings Settings) assignment {
 	policy := queue.DefaultPolicy()
 	policy.RejectLate = settings.RejectLate
-	return assignment{desk: assign.NewDesk(policy), client: assign.NewClient(settings.Node, settings.PeerKey)}
+	return assignment{server: assign.NewServer(policy), client: assign.NewClient(settings.Node, settings.PeerKey)}
 }
 
 // routingPolicy returns the weights by which this node chooses where no leader decides.
@@ -46,12 +46,12 @@
 		view.Pools, view.Others, view.Nodes = control.replicaPools(), map[string]queue.Counts{}, control.zoneCounts(groups)
 		addCounts(view.Others, control.otherZones(groups))
 	}
-	assignment.desk.Update(view, now)
+	assignment.server.Update(view, now)
 	asked := ""
 	switch leader := peers.nodes[peers.role.Leader]; {
 	case leads:
 		asked = peers.self
-		assignment.client.SetLeader(asked, "", assignment.desk)
+		assignment.client.SetLeader(asked, "", assignment.server)
 	case active && leader != nil:
 		asked = peers.role.Leader
 		assignment.client.SetLeader(asked, leader.address, nil)
@@ -126,7 +126,7 @@
 // would send requests where those of this zone already wait. Nodes that report nothing count by
 // their digests.
 func (control *Control) countExactly(zoneDigest *gossip.Digest, groups [][]topo.Source) {
-	exact, reporters := control.assignment.desk.InFlight()
+	exact, reporters := control.assignment.server.InFlight()
 	if len(reporters) == 0 {
 		return
 	}
--- a/io/edge/assignment_test.go
+++ b/io/edge/assignment_test.go
@@ -27,10 +27,10 @@
 	}
 	control.refreshDigest()
 	engine := &site.Engine{Slots: 34, StepTime: 6 * time.Millisecond, PrefillTokensPerSec: 46000}
-	desk := control.assignment.desk
-	desk.Update(assign.View{Leading: true, Pools: map[string][]queue.Replica{"s/m": {{ID: "a-000", Speed: batch.Replica{Engine: engine}, Slots: 34, SameZone: true}}}}, now)
+	server := control.assignment.server
+	server.Update(assign.View{Leading: true, Pools: map[string][]queue.Replica{"s/m": {{ID: "a-000", Speed: batch.Replica{Engine: engine}, Slots: 34, SameZone: true}}}}, now)
 	client := assign.NewClient("a1", "key")
-	client.SetLeader("a0", "", desk)
+	client.SetLeader("a0", "", server)
 	for range 3 {
 		_, sent := client.Place(context.Background(), assign.Question{Service: "s", Model: "m", Work: batch.Work{PromptTokens: 100}, FirstBy: now.Add(time.Hour), Deadline: now.Add(time.Hour)}).(assign.Send)
 		assert.Assert(t, sent)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -171,7 +171,7 @@
 	routes := http.NewServeMux()
 	path, handler := gossip.Handler(params.Control, params.Settings.PeerKey)
 	routes.Handle(path, handler)
-	path, handler = assign.Handler(params.Control.assignment.desk, params.Settings.PeerKey)
+	path, handler = assign.Handler(params.Control.assignment.server, params.Settings.PeerKey)
 	routes.Handle(path, handler)
 	routes.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
