--- a/io/edge/cold.go
+++ b/io/edge/cold.go
@@ -284,12 +284,13 @@
 
 // coldShare returns how many requests a second this node may send to a cold endpoint.
 // Shortly after a change of the list it is what both lists permit: other nodes may still
-// go by the one before. A node's first list may be one of few nodes, where all of them start again.
+// go by the one before. A node's first list may be one of few nodes, where all of them start again; at the
+// first start no endpoint is cold yet.
 func (control *Control) coldShare(id string, perSecond float64, now time.Time) float64 {
 	cold, self, quota := &control.cold, control.settings.Node, control.coldQuota(perSecond)
 	share := limit.ColdShare(id, self, quota, cold.members)
 	switch settles := now.Before(cold.changedAt.Add(listSettleTime)); {
-	case !settles || share == 0:
+	case !settles || share == 0 || len(cold.before) == 0 && control.settings.FirstStart:
 		return share
 	case len(cold.before) == 0:
 		return 0
--- a/io/edge/cold_test.go
+++ b/io/edge/cold_test.go
@@ -211,3 +211,24 @@
 	control.refreshCold(now.Add(listSettleTime))
 	assert.Assert(t, control.cold.shares["p-1"] > 0)
 }
+
+// TestFirstListOfFewNodes guards against nodes that all start again while an endpoint is cold, and
+// each own the whole quota by their first lists, which name few nodes.
+func TestFirstListOfFewNodes(t *testing.T) {
+	now := time.Now()
+	for _, firstStart := range []bool{false, true} {
+		control, _ := newColdControl(now, true)
+		control.settings.FirstStart = firstStart
+		for name := range control.peers.rows {
+			if name != control.settings.Node {
+				delete(control.peers.rows, name)
+			}
+		}
+		control.cold.members, control.cold.before = nil, nil
+		control.updateOwners(now)
+		control.applyColdTable(false, now, coldRow("p-1", now.Add(-time.Minute), 2, 60_000))
+		assert.Equal(t, control.cold.shares["p-1"] > 0, firstStart)
+		control.refreshCold(now.Add(listSettleTime))
+		assert.Assert(t, control.cold.shares["p-1"] > 0)
+	}
+}
