A request with home regions goes to owners of cold endpoints that may get it

Callers saw: 503 although a node of a home region had a turn at a cold endpoint there.

Cause: ChooseOwner compared all peers and all endpoints of the service, not those of the home regions. A warm endpoint outside them ended the search, and an owner outside them was chosen; the check before the send held that one back, so that the body left for no wrong region, but the request was given up.

Change: ChooseOwner uses candidatesFor and Allows, as Choose and ChoosePeer do.

--- a/core/reach/owner.go
+++ b/core/reach/owner.go
@@ -5,7 +5,7 @@
 // ChooseOwner returns another node that may send requests to a cold endpoint, if all
 // endpoints that this node reaches are cold and it may send to none of them now; otherwise
 // nil. That node may have used its turns up, and then rejects the request. It skips nodes
-// that the request was sent to before.
+// that the request was sent to before, and nodes outside its home regions.
 //
 // For example, after a zone has restarted, all 4 endpoints of a small service are cold, and
 // 13 of 79 nodes own the quota of each. About half of the nodes own none of the four.
@@ -14,7 +14,7 @@
 		return nil
 	}
 	owners := map[string]bool{}
-	for _, candidate := range servicepool.candidates(request.Model) {
+	for _, candidate := range servicepool.candidatesFor(request) {
 		if candidate.Load.Unreachable(request.Now) || slices.Contains(request.Tried, candidate.ID) {
 			continue
 		}
@@ -27,7 +27,7 @@
 	}
 	var candidates []*Candidate
 	for _, peer := range peers.List {
-		if owners[peer.Candidate.ID] {
+		if owners[peer.Candidate.ID] && request.Allows(peer.Candidate) {
 			candidates = append(candidates, peer.Candidate)
 		}
 	}
--- a/core/reach/owner_test.go
+++ b/core/reach/owner_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickorybend/core/homes"
 	"hickorybend/core/reach"
 )
 
@@ -67,3 +68,38 @@
 	assert.Assert(t, load.Limited(now.Add(399*time.Millisecond)), "an earlier time does not shorten the wait")
 	assert.Assert(t, load.TakeTurn(now.Add(400*time.Millisecond)))
 }
+
+// TestOwnerWithinHomes guards against a request that is sent to an owner which may not get it, and
+// against one that is rejected because an endpoint outside its home regions is warm.
+func TestOwnerWithinHomes(t *testing.T) {
+	cold := inRegion(&reach.Candidate{ID: "cold", Slots: 4, Load: &reach.Load{}, Owners: []string{"us-node", "eu-node", "unknown-node"}}, "eu")
+	cold.Load.SetRate(0)
+	warm := inRegion(&reach.Candidate{ID: "warm", Slots: 4, Load: &reach.Load{}}, "us")
+	peer := func(id, region string, inFlight int) reach.Peer {
+		candidate := inRegion(&reach.Candidate{ID: id, IsPeer: true, Slots: 10, Load: &reach.Load{}}, region)
+		candidate.Load.SetPeerLoad(inFlight, 0)
+		return reach.Peer{Candidate: candidate}
+	}
+	peers := &reach.Peers{List: []reach.Peer{peer("us-node", "us", 0), peer("unknown-node", "", 1), peer("eu-node", "eu", 2)}}
+	for _, test := range []struct {
+		name  string
+		plain []*reach.Candidate
+		route []string
+		want  string
+	}{
+		{"no home regions", []*reach.Candidate{cold}, nil, "us-node"},
+		{"a home region", []*reach.Candidate{cold}, []string{"eu"}, "eu-node"},
+		{"a warm endpoint outside of it", []*reach.Candidate{cold, warm}, []string{"eu"}, "eu-node"},
+		{"a warm endpoint", []*reach.Candidate{cold, warm}, nil, ""},
+		{"no endpoint in the home region", []*reach.Candidate{cold}, []string{"asia"}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			request := reach.Request{Now: start, Homes: homes.Of(test.route, nil), CallersRegion: "asia"}
+			got := ""
+			if owner := reach.ChooseOwner(reach.DefaultPolicy(), peers, &reach.ServicePool{Service: "app", Plain: test.plain}, request); owner != nil {
+				got = owner.ID
+			}
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
