One function each for what keeps a request from an endpoint, and for estimates from digests

Cause: pick, newCrossZone and obstacle each held the list of reasons for which an endpoint takes no request, and a reason added to one was missed in another (home regions in ChooseOwner). The number of prompts that are pending, and when a replica is quiet, were computed in core/reach and in core/queue.

Change: pick asks usable, which asks obstacle; obstacle returns only the reason, and its end is computed for the log alone. batch.Waiting and batch.Quiet serve both packages. What another zone costs is compared only if a candidate of another zone is seen. The replays of core/queue follow a decision in one place. Fields that nothing read (queue.Request.Retried, estimate.firstEvent) are gone.

All replays of core/reach and core/queue give what they gave.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -26,6 +26,24 @@
 	AnswerTokens int
 }
 
+// quietShare is the fraction of its slots up to which a replica is quiet.
+const quietShare = 0.3
+
+// Waiting estimates how many prompts are pending at a replica, given their tokens together. Nodes
+// report no number of prompts, so each is assumed to be as long as promptTokens.
+func Waiting(pendingTokens, promptTokens int) int {
+	if pendingTokens <= 0 {
+		return 0
+	}
+	return 1 + pendingTokens/max(1, promptTokens)
+}
+
+// Quiet reports whether a late request at a replica keeps no other from being on time: no prompt
+// is pending there, and few requests are in flight.
+func Quiet(inFlight, pendingTokens, slots int) bool {
+	return pendingTokens <= 0 && float64(inFlight) < quietShare*float64(slots)
+}
+
 // Known reports whether the configuration states the engine's speed.
 func (replica Replica) Known() bool {
 	engine := replica.Engine
--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -10,19 +10,14 @@
 // estimate is when a request would get its first event at a replica, and whether it and the
 // requests there would be on time.
 type estimate struct {
-	firstEvent time.Duration // from now on
-	inTime     bool
-	cost       time.Duration // by which replicas are compared: firstEvent and what speaks against the replica
+	inTime bool
+	cost   time.Duration // by which replicas are compared: the time to the first event and what speaks against the replica
 }
 
 // load returns what the replica works on. The requests of others whose prompts are pending
-// are not running; digests give the tokens of these prompts, not their number.
+// are not running.
 func (replica *replica) load(work batch.Work) batch.Load {
-	waiting := 0
-	if replica.others.PendingTokens > 0 {
-		waiting = 1 + replica.others.PendingTokens/max(1, work.PromptTokens)
-	}
-	othersRunning := max(0, replica.others.InFlight-waiting)
+	othersRunning := max(0, replica.others.InFlight-batch.Waiting(replica.others.PendingTokens, work.PromptTokens))
 	return batch.Load{
 		Running: min(replica.running+othersRunning, max(1, replica.Slots)), PendingTokens: replica.pendingTokens + replica.others.PendingTokens,
 		ContextTokens: replica.contextTokens + othersRunning*(work.PromptTokens+work.AnswerTokens/2),
@@ -56,7 +51,7 @@
 		load.PendingTokens += request.Work.PromptTokens
 		inTime = inTime && replica.Speed.Pause(load) <= request.Pause
 	}
-	return estimate{firstEvent: firstEvent, inTime: inTime, cost: cost}
+	return estimate{inTime: inTime, cost: cost}
 }
 
 // best returns the replica that serves a request on time the soonest, or without one the
@@ -80,7 +75,7 @@
 // refuses reports whether a replica takes no request that would be late there.
 func (replica *replica) refuses(policy Policy) bool {
 	if policy.RejectLate {
-		return !replica.quiet(policy)
+		return !replica.quiet()
 	}
 	return float64(replica.inFlight+replica.others.InFlight+1) > float64(replica.Slots)*(1+policy.QueueAllowance)
 }
@@ -108,7 +103,6 @@
 const patience = 3
 
 // quiet reports whether a late request at a replica keeps no other from being on time.
-func (replica *replica) quiet(policy Policy) bool {
-	inFlight := replica.inFlight + replica.others.InFlight
-	return replica.pendingTokens+replica.others.PendingTokens == 0 && float64(inFlight) < policy.QuietShare*float64(replica.Slots)
+func (replica *replica) quiet() bool {
+	return batch.Quiet(replica.inFlight+replica.others.InFlight, replica.pendingTokens+replica.others.PendingTokens, replica.Slots)
 }
--- a/core/queue/mesh_test.go
+++ b/core/queue/mesh_test.go
@@ -58,19 +58,7 @@
 func (mesh *byMesh) arrive(call *call, now time.Time) {
 	decision := reach.Choose(mesh.policy, mesh.pools[call.node], reach.Request{
 		Model: "m", Now: now, Deadline: call.arrivedAt.Add(call.kind.objective), Priority: call.kind.priority, Retried: call.retried, Random: mesh.world.choice.Float64(), PromptTokens: call.work.PromptTokens})
-	switch decision := decision.(type) {
-	case reach.Send:
-		for i, sim := range mesh.world.sims {
-			if sim.id == decision.Candidate.ID {
-				mesh.load(call, i).Begin()
-				mesh.load(call, i).AddPendingTokens(call.work.PromptTokens)
-				call.key.ID = uint64(i)
-				mesh.world.send(call, sim, now)
-			}
-		}
-	case reach.Reject:
-		mesh.world.reject(call, decision.RetryAt, now)
-	}
+	mesh.world.follow(decision, call, mesh.load, now)
 }
 
 // meshLoad returns two kinds of requests at six nodes of a mesh, at a multiple of what their replicas serve.
--- a/core/queue/policy.go
+++ b/core/queue/policy.go
@@ -13,7 +13,6 @@
 	ShareHalfLife    time.Duration // after which a request counts half in its kind's share
 	RejectLate       bool          // a request that would be late everywhere is rejected though the replicas have free slots
 	QueueAllowance   float64       // otherwise, requests over a replica's slots that may wait there, as a fraction of the slots
-	QuietShare       float64       // of a replica's slots, up to which it serves late requests if no prompt waits there
 	RetryDelay       time.Duration // shortest time after which a caller that is rejected is to return
 	MaxRetryDelay    time.Duration // longest such time
 	RetryRate        float64       // callers a second and replica that are told to return
@@ -24,7 +23,7 @@
 // DefaultPolicy suits latency objectives of some hundred milliseconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		ZoneDelay: 2 * time.Millisecond, OtherZonePenalty: 1, Margin: 1.5, UrgentStep: 0.1, FairShare: 0.4, MostFavor: 0.75, ShareHalfLife: 3 * time.Second, QueueAllowance: 0.06, QuietShare: 0.3,
+		ZoneDelay: 2 * time.Millisecond, OtherZonePenalty: 1, Margin: 1.5, UrgentStep: 0.1, FairShare: 0.4, MostFavor: 0.75, ShareHalfLife: 3 * time.Second, QueueAllowance: 0.06,
 		RetryDelay: 300 * time.Millisecond, MaxRetryDelay: 5 * time.Second, RetryRate: 1, StartGrace: 2 * time.Second, ReportGrace: time.Second,
 	}
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -29,7 +29,6 @@
 	Deadline time.Time     // after which its caller does not wait
 	Pause    time.Duration // objective for the longest pause between two events; 0 for none
 	Priority int           // 0 is the most urgent
-	Retried  bool          // it was rejected before and its caller retries it
 	Resumed  bool          // part of its answer has been delivered
 	Team     string
 	Unusable []string // replicas that the node cannot send it to
--- a/core/queue/replay_test.go
+++ b/core/queue/replay_test.go
@@ -323,18 +323,23 @@
 func (stale *byStale) arrive(call *call, now time.Time) {
 	decision := reach.Choose(stale.policy, stale.pools[call.node], reach.Request{
 		Model: "m", Now: now, Deadline: call.arrivedAt.Add(call.kind.objective), Priority: call.kind.priority, SampleSize: 3, Random: stale.world.choice.Float64(), PromptTokens: call.work.PromptTokens})
+	stale.world.follow(decision, call, stale.load, now)
+}
+
+// follow sends or rejects a call as package reach has decided. load returns what a call's node knows of a replica.
+func (world *world) follow(decision reach.Decision, call *call, load func(call *call, sim int) *reach.Load, now time.Time) {
 	switch decision := decision.(type) {
 	case reach.Send:
-		for i, sim := range stale.world.sims {
+		for i, sim := range world.sims {
 			if sim.id == decision.Candidate.ID {
-				stale.load(call, i).Begin()
-				stale.load(call, i).AddPendingTokens(call.work.PromptTokens)
+				load(call, i).Begin()
+				load(call, i).AddPendingTokens(call.work.PromptTokens)
 				call.key.ID = uint64(i)
-				stale.world.send(call, sim, now)
+				world.send(call, sim, now)
 			}
 		}
 	case reach.Reject:
-		stale.world.reject(call, decision.RetryAt, now)
+		world.reject(call, decision.RetryAt, now)
 	}
 }
 
--- a/core/reach/advised.go
+++ b/core/reach/advised.go
@@ -34,7 +34,4 @@
 }
 
 // usable reports whether nothing keeps Choose from sending the request to the candidate.
-func (candidate *Candidate) usable(request Request) bool {
-	_, found := candidate.obstacle(request)
-	return !found
-}
+func (candidate *Candidate) usable(request Request) bool { return candidate.obstacle(request) == "" }
--- a/core/reach/choose.go
+++ b/core/reach/choose.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -142,26 +141,22 @@
 }
 
 // pick returns the candidate with the lowest score, or nil if there is none. It
-// skips candidates that the request was sent to before, that take no requests now,
-// or where this node has as many requests in flight as it may.
+// skips those that are not usable for the request.
 func pick(policy Policy, candidates []*Candidate, request Request) (*Candidate, score) {
 	var best *Candidate
 	bestScore := score{total: math.Inf(1)}
 	mean := meanAnswerTime(candidates)
 	timeLeft := max(request.Deadline.Sub(request.Now), policy.MinTimeLeft).Seconds()
-	crosszone := newCrossZone(candidates, request, timeLeft)
+	var crosszone crosszone
 	for _, candidate := range candidates {
-		if slices.Contains(request.Tried, candidate.ID) || !candidate.takesRequests(request.Now) {
-			continue
-		}
-		if candidate.MaxInFlight > 0 && candidate.Load.OwnInFlight() >= candidate.MaxInFlight {
-			continue
-		}
-		if candidate.MemoryTokens > 0 && candidate.memoryFull(request) {
+		if !candidate.usable(request) {
 			continue
 		}
 		score := scoreOf(policy, candidate, request, mean, timeLeft)
 		if !candidate.SameZone {
+			if !crosszone.compared {
+				crosszone = newCrossZone(candidates, request, timeLeft)
+			}
 			score.total += crosszone.penalty(&policy, candidate)
 		}
 		if score.total < bestScore.total {
--- a/core/reach/estimate.go
+++ b/core/reach/estimate.go
@@ -2,14 +2,10 @@
 
 import "hickorybend/core/batch"
 
-// load returns what the candidate works on. Nodes tell the tokens of the prompts that are
-// pending there, not their number, so these are taken for as long as the request's own.
+// load returns what the candidate works on.
 func (candidate *Candidate) load(request Request) batch.Load {
 	pendingTokens := max(0, candidate.Load.PendingTokens())
-	waiting := 0
-	if pendingTokens > 0 {
-		waiting = 1 + pendingTokens/max(1, request.PromptTokens)
-	}
+	waiting := batch.Waiting(pendingTokens, request.PromptTokens)
 	return batch.Load{Running: min(max(0, candidate.Load.InFlight()-waiting), candidate.Slots), PendingTokens: pendingTokens}
 }
 
@@ -33,11 +29,7 @@
 	return true
 }
 
-// quietShare is the fraction of its slots up to which a replica serves late requests if no prompt
-// waits there.
-const quietShare = 0.3
-
 // quiet reports whether a late request keeps no other from being on time.
 func (candidate *Candidate) quiet() bool {
-	return candidate.Load.PendingTokens() <= 0 && float64(candidate.Load.InFlight()) < quietShare*float64(candidate.Slots)
+	return batch.Quiet(candidate.Load.InFlight(), candidate.Load.PendingTokens(), candidate.Slots)
 }
--- a/core/reach/obstacle.go
+++ b/core/reach/obstacle.go
@@ -38,42 +38,52 @@
 		if len(obstacles) == maxCount {
 			break
 		}
-		if obstacle, found := candidate.obstacle(request); found {
-			obstacles = append(obstacles, obstacle)
+		if reason := candidate.obstacle(request); reason != "" {
+			obstacles = append(obstacles, Obstacle{Candidate: candidate.ID, Reason: reason, Until: candidate.obstacleEnd(reason)})
 		}
 	}
 	return obstacles
 }
 
-// obstacle returns the first obstacle for a request, in the order in which pick asks for them.
-func (candidate *Candidate) obstacle(request Request) (Obstacle, bool) {
+// obstacle returns the first reason for which the candidate does not take a request, or "".
+func (candidate *Candidate) obstacle(request Request) ObstacleReason {
 	load, now := candidate.Load, request.Now
-	obstacle := func(reason ObstacleReason, until int64) (Obstacle, bool) {
-		found := Obstacle{Candidate: candidate.ID, Reason: reason}
-		if until != 0 {
-			found.Until = time.Unix(0, until)
-		}
-		return found, true
-	}
 	switch {
 	case request.Homes.Restricted() && !request.Allows(candidate):
-		return obstacle(ObstacleRegion, 0)
+		return ObstacleRegion
 	case slices.Contains(request.Tried, candidate.ID):
-		return obstacle(ObstacleTried, 0)
+		return ObstacleTried
 	case load.Unreachable(now):
-		return obstacle(ObstacleUnreachable, load.unreachableUntil.Load())
+		return ObstacleUnreachable
 	case load.Avoided(now):
-		return obstacle(ObstacleAvoided, load.avoidUntil.Load())
+		return ObstacleAvoided
 	case load.BackedOff(now):
-		return obstacle(ObstacleBackedOff, load.backoffEnd.Load())
+		return ObstacleBackedOff
 	case load.Leaving(candidate.StartedAt):
-		return obstacle(ObstacleLeaving, 0)
+		return ObstacleLeaving
 	case load.Limited(now):
-		return obstacle(ObstacleLimited, 0)
+		return ObstacleLimited
 	case candidate.MaxInFlight > 0 && load.OwnInFlight() >= candidate.MaxInFlight:
-		return obstacle(ObstacleInFlight, 0)
-	case candidate.memoryFull(request):
-		return obstacle(ObstacleMemory, 0)
+		return ObstacleInFlight
+	case candidate.MemoryTokens > 0 && candidate.memoryFull(request):
+		return ObstacleMemory
+	}
+	return ""
+}
+
+// obstacleEnd returns when an obstacle of the candidate ends, or the zero time.
+func (candidate *Candidate) obstacleEnd(reason ObstacleReason) time.Time {
+	until := int64(0)
+	switch reason {
+	case ObstacleUnreachable:
+		until = candidate.Load.unreachableUntil.Load()
+	case ObstacleAvoided:
+		until = candidate.Load.avoidUntil.Load()
+	case ObstacleBackedOff:
+		until = candidate.Load.backoffEnd.Load()
+	}
+	if until == 0 {
+		return time.Time{}
 	}
-	return Obstacle{}, false
+	return time.Unix(0, until)
 }
--- a/core/reach/spill.go
+++ b/core/reach/spill.go
@@ -19,16 +19,18 @@
 
 // crosszone is what another zone costs a request, as pick compares candidates.
 type crosszone struct {
-	known   bool          // the speed of this zone's candidates is known
-	home    time.Duration // until the first event there, on the mean: the best of old figures is no longer it
-	request spill.Request
-	random  float64
+	compared bool          // the candidates of this zone were looked at
+	known    bool          // the speed of this zone's candidates is known
+	home     time.Duration // until the first event there, on the mean: the best of old figures is no longer it
+	request  spill.Request
+	random   float64
 }
 
 // newCrossZone looks at the candidates of this zone that take the request.
 func newCrossZone(candidates []*Candidate, request Request, timeLeft float64) crosszone {
 	crosszone := crosszone{
-		request: spill.Request{PromptTokens: request.PromptTokens, TimeLeft: time.Duration(timeLeft * float64(time.Second)), Bytes: request.Bytes},
+		compared: true,
+		request:  spill.Request{PromptTokens: request.PromptTokens, TimeLeft: time.Duration(timeLeft * float64(time.Second)), Bytes: request.Bytes},
 	}
 	var sum, count time.Duration
 	for _, candidate := range candidates {
