Owners of cold endpoints and needs of models are computed in one place, once

Cause: ColdShare and ColdOwners each computed how many owners there are. A planning pass computed the hosts that each model needs up to five times, also where replicas follow no target; each is a search by bisection over the estimate of a queue.

Change: Cold.ownersShare serves both. A pass keeps the needs, and computes them only for a target.

Ruled out: needs kept between passes; the configuration, the objectives and the peak may change.

--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -29,7 +29,6 @@
 func (pass *pass) needs() []need {
 	usable := float64(len(pass.Endpoints)) * (1 - pass.planner.policy.SpareFraction)
 	var needs []need
-	hostNeeds := pass.hostNeeds()
 	for m, model := range pass.models {
 		share := shareOf(model, len(pass.Endpoints), pass.planner.policy.SharePrior, pass.Demand)
 		need := need{model: model, wanted: usable * share / float64(max(model.ReplicaSize, 1))}
@@ -45,7 +44,7 @@
 			need.wanted = max(need.wanted, float64(need.replicas)+1)
 		}
 		if pass.hasTarget() {
-			need.wanted = hostNeeds[m] / float64(max(model.ReplicaSize, 1))
+			need.wanted = pass.hostNeeds()[m] / float64(max(model.ReplicaSize, 1))
 		}
 		needs = append(needs, need)
 	}
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -113,6 +113,7 @@
 	domainSizes map[string]int      // endpoints of each domain
 	models      []site.Model        // those that replicas are formed of
 	commands    []Command           // to send
+	peakNeeds   []float64           // of hostNeeds, once it was called
 }
 
 // newPass returns a pass that has observed no endpoint yet.
--- a/core/fleet/target.go
+++ b/core/fleet/target.go
@@ -65,6 +65,13 @@
 // Until a period of the load has been seen, the configured shares of all hosts but the
 // spares fill in for what is not known yet.
 func (pass *pass) hostNeeds() []float64 {
+	if pass.peakNeeds == nil {
+		pass.peakNeeds = pass.computeHostNeeds()
+	}
+	return pass.peakNeeds
+}
+
+func (pass *pass) computeHostNeeds() []float64 {
 	usable := float64(len(pass.Endpoints)) * (1 - pass.planner.policy.SpareFraction)
 	shares := 0.0
 	for _, model := range pass.models {
--- a/core/limit/cold.go
+++ b/core/limit/cold.go
@@ -20,6 +20,15 @@
 // most returns how many requests may arrive in any second.
 func (cold Cold) most() int { return int(cold.PerSecond*cold.Over + cold.Slack) }
 
+// ownersShare returns how many requests the owners together may send in any second, which is also
+// how many owners there are at most. It is 0 for an endpoint that takes none.
+func (cold Cold) ownersShare() int {
+	if cold.most() < 1 || cold.PerSecond <= 0 {
+		return 0
+	}
+	return max(1, cold.most()/2)
+}
+
 // ColdShare returns how many requests a second the node self may send to a cold endpoint.
 // It is 0 for all nodes but the owners of the endpoint's quota, which are the members that
 // come first by a hash of their names and the endpoint's, and 0 for a node that is not
@@ -36,16 +45,12 @@
 // partition changes no row. While rows are removed or added, the nodes that take
 // themselves for owners are those of the oldest list in use and those of the newest.
 func ColdShare(endpoint, self string, cold Cold, members []string) float64 {
-	most := cold.most()
-	if most < 1 || cold.PerSecond <= 0 {
-		return 0
-	}
-	half := max(1, most/2)
-	owners := min(len(members), half)
-	if !ranksWithin(endpoint, self, members, owners) {
+	ownersShare := cold.ownersShare()
+	owners := min(len(members), ownersShare)
+	if owners == 0 || !ranksWithin(endpoint, self, members, owners) {
 		return 0
 	}
-	share := float64(half/owners) / coldSpacing.Seconds()
+	share := float64(ownersShare/owners) / coldSpacing.Seconds()
 	return min(share, cold.PerSecond/float64(owners))
 }
 
@@ -69,8 +74,8 @@
 
 // ColdOwners returns the members that may send requests to a cold endpoint; see ColdShare.
 func ColdOwners(endpoint string, cold Cold, members []string) []string {
-	most := cold.most()
-	if most < 1 || cold.PerSecond <= 0 {
+	most := cold.ownersShare()
+	if most == 0 {
 		return nil
 	}
 	prefix := append([]byte(endpoint), '/')
@@ -80,7 +85,7 @@
 	}
 	slices.SortFunc(ordered, ranked.compare)
 	owners := []string{}
-	for _, ranked := range ordered[:min(len(ordered), max(1, most/2))] {
+	for _, ranked := range ordered[:min(len(ordered), most)] {
 		owners = append(owners, ranked.node.Name)
 	}
 	return owners
