Closed connections are counted and invalid heads are told from ended ones in one place

Cause: io/edge and io/node had the same count and log of connections that gates close, and io/pool and io/engine the same question whether an error is the connection's or that of an invalid head.

Ruled out: one transport for both clients. io/pool reads heads itself so that it can keep to one request a connection; io/engine uses the standard client.

--- a/io/edge/gates.go
+++ b/io/edge/gates.go
@@ -4,27 +4,23 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
-	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"hickorybend/io/drain"
 	"hickorybend/io/entry"
-	"hickorybend/io/event"
 	"hickorybend/io/gate"
 	"hickorybend/io/meter"
 )
 
 const (
-	connectionsPerMB  = 12       // of callers; one without a request takes about 20 KB
-	readyConnections  = 256      // of load balancers
-	peerConnections   = 2048     // of other nodes
-	keptDescriptors   = 0.5      // of the process's, for peers, the store, endpoints and files
-	peerHeaderBytes   = 16 << 10 // that a request has more when another node sends it on
-	closedLogInterval = time.Second
-	gatesInterval     = time.Second
+	connectionsPerMB = 12       // of callers; one without a request takes about 20 KB
+	readyConnections = 256      // of load balancers
+	peerConnections  = 2048     // of other nodes
+	keptDescriptors  = 0.5      // of the process's, for peers, the store, endpoints and files
+	peerHeaderBytes  = 16 << 10 // that a request has more when another node sends it on
+	gatesInterval    = time.Second
 )
 
 // newHTTPServer returns a server that waits neither for a head nor for a body for good.
@@ -44,10 +40,10 @@
 }
 
 func newGates(params params) gates {
-	settings, closures := params.Settings, &closures{log: params.Log, meter: params.Meter}
+	settings, closures := params.Settings, gate.NewClosures(params.Log, params.Meter)
 	create := func(address string, connections, perSource int) *gate.Gate {
 		limits := gate.Limits{Connections: connections, PerSource: perSource, Fields: settings.HeaderFields, WriteTime: settings.WriteTime}
-		return gate.New(limits, params.Server.Ledger(), func(closed gate.Closed) { closures.add(address, closed) })
+		return gate.New(limits, params.Server.Ledger(), func(closed gate.Closed) { closures.Add(address, closed) })
 	}
 	connections := settings.Connections
 	if connections == 0 {
@@ -77,26 +73,3 @@
 		sleep(ctx, gatesInterval)
 	}
 }
-
-// closures counts connections that were closed or refused, and logs them once in closedLogInterval at most.
-type closures struct {
-	log       *zap.Logger
-	meter     *meter.Meter
-	mutex     sync.Mutex
-	count     int
-	nextLogAt time.Time
-}
-
-func (closures *closures) add(address string, closed gate.Closed) {
-	closures.meter.Count("client_connections_closed", string(closed.Reason))
-	closures.mutex.Lock()
-	defer closures.mutex.Unlock()
-	closures.count++
-	now := time.Now()
-	if now.Before(closures.nextLogAt) {
-		return
-	}
-	event.Log(closures.log, event.ClientsClosed, zap.String("address", address), zap.String("reason", string(closed.Reason)), zap.String("source", closed.Source),
-		zap.Int64("bytes", closed.Cost), zap.Int("fields", closed.Fields), zap.Int("count", closures.count))
-	closures.count, closures.nextLogAt = 0, now.Add(closedLogInterval)
-}
--- a/io/engine/checked.go
+++ b/io/engine/checked.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -10,10 +9,11 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"hickorybend/io/pool"
 )
 
 const (
-	maxStatus      = 599      // of a response
 	maxHeadBytes   = 64 << 10 // of a response
 	maxInterim     = 32       // interim responses before one response
 	lengthHeader   = "Content-Length"
@@ -43,13 +43,13 @@
 	trace := &httptrace.ClientTrace{GotConn: exchange.gotConn, GotFirstResponseByte: exchange.gotByte, Got1xxResponse: exchange.gotInterim}
 	response, err := checkedtransport.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	switch {
-	case err != nil && exchange.hasBegun() && !endedInHead(err):
+	case err != nil && exchange.hasBegun() && !pool.EndedInHead(err):
 		exchange.close()
 		return nil, errors.Mark(err, ErrIncompleteResponse)
 	case err != nil:
 		return nil, err
 	}
-	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+	if response.StatusCode < http.StatusOK || response.StatusCode > pool.MaxStatus {
 		exchange.close()
 		_ = response.Body.Close()
 		return nil, errors.Mark(errors.Wrapf(errInvalidStatus, "%03d", response.StatusCode), ErrIncompleteResponse)
@@ -60,12 +60,6 @@
 	return response, nil
 }
 
-// endedInHead reports whether an error is one of the connection or of the context, rather than of what has come.
-func endedInHead(err error) bool {
-	var netError net.Error
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, context.Canceled) || errors.As(err, &netError)
-}
-
 func (exchange *exchange) gotByte() {
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
--- a/io/pool/readhead.go
+++ b/io/pool/readhead.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,15 +10,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxStatus is the highest status of a response.
-const maxStatus = 599
+// MaxStatus is the highest status of a response.
+const MaxStatus = 599
 
 // readHead reads the head of an interim or a final response. Nothing follows an invalid one that could belong
 // to the request.
 func (connection *connection) readHead(httpRequest *http.Request) (*http.Response, error) {
 	response, err := http.ReadResponse(connection.reader, httpRequest)
 	switch {
-	case err != nil && !endedInHead(err):
+	case err != nil && !EndedInHead(err):
 		return nil, errors.Mark(err, ErrInvalidResponse)
 	case err != nil:
 		return nil, err
@@ -27,10 +28,11 @@
 	return response, nil
 }
 
-// endedInHead reports whether an error is one of the connection, rather than of what has come on it.
-func endedInHead(err error) bool {
+// EndedInHead reports whether an error while a head was read is one of the connection or of the context, rather than of
+// what has come on the connection.
+func EndedInHead(err error) bool {
 	var netError net.Error
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, os.ErrDeadlineExceeded) || errors.As(err, &netError)
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, os.ErrDeadlineExceeded, context.Canceled) || errors.As(err, &netError)
 }
 
 // validStatus reports whether a status is one of a final response, or of an interim one that needs no request for
@@ -42,6 +44,6 @@
 	case status >= http.StatusContinue && status < http.StatusOK:
 		return len(response.Header["Content-Length"]) == 0 && len(response.Header["Transfer-Encoding"]) == 0 && len(response.TransferEncoding) == 0
 	default:
-		return status >= http.StatusOK && status <= maxStatus
+		return status >= http.StatusOK && status <= MaxStatus
 	}
 }
