Package evac; code without use removed; comments in terms of the field

A receiver bears its type's name. Only platform/ spells the field of rows that are cold. Comments say what is counted, how old it is and who sends it.

Ruled out: a use for Ledger now; the leaders of zones would have to own the memory of endpoints, which docs/design/endpoint-memory.md leaves open.

--- a/core/evac/evac.go
+++ b/core/evac/evac.go
@@ -1,4 +1,4 @@
-package evacuate
+package evac
 
 import (
 	"cmp"
--- a/core/evac/evac_test.go
+++ b/core/evac/evac_test.go
@@ -1,4 +1,4 @@
-package evacuate_test
+package evac_test
 
 import (
 	"fmt"
@@ -9,25 +9,25 @@
 
 	"gotest.tools/v3/assert"
 
-	"hickorybend/core/evacuate"
+	"hickorybend/core/evac"
 	"hickorybend/core/rows"
 )
 
 var start = time.Unix(1000, 0)
 
 // state returns a state from a text such as "a@3 b@5", complete up to a version.
-func state(version rows.Version, text string) evacuate.State {
-	var changes []evacuate.Change
+func state(version rows.Version, text string) evac.State {
+	var changes []evac.Change
 	for _, field := range strings.Fields(text) {
 		zone, number, _ := strings.Cut(field, "@")
 		var at int64
 		_, _ = fmt.Sscan(number, &at)
-		changes = append(changes, evacuate.Change{Zone: zone, Version: rows.NewVersion(version.Era(), at)})
+		changes = append(changes, evac.Change{Zone: zone, Version: rows.NewVersion(version.Era(), at)})
 	}
-	return evacuate.Read(changes, version, start)
+	return evac.Read(changes, version, start)
 }
 
-func describe(state evacuate.State) string {
+func describe(state evac.State) string {
 	var names []string
 	for _, zone := range state.Zones {
 		names = append(names, zone.Name)
@@ -35,7 +35,7 @@
 	return fmt.Sprintf("%d.%d %s", state.Version.Era(), state.Version.Number(), strings.Join(names, " "))
 }
 
-func expectState(t *testing.T, got evacuate.State, want string) {
+func expectState(t *testing.T, got evac.State, want string) {
 	t.Helper()
 	assert.Equal(t, strings.TrimSpace(describe(got)), want)
 }
@@ -46,11 +46,11 @@
 	era := func(number int64) rows.Version { return rows.NewVersion(1, number) }
 	for _, test := range []struct {
 		name       string
-		own, other evacuate.State
+		own, other evac.State
 		want       string
 	}{
-		{"nothing known", evacuate.State{}, evacuate.State{}, "0.0"},
-		{"first news", evacuate.State{}, state(5, "a@3"), "0.5 a"},
+		{"nothing known", evac.State{}, evac.State{}, "0.0"},
+		{"first news", evac.State{}, state(5, "a@3"), "0.5 a"},
 		{"a newer row", state(4, "a@3"), state(6, "a@3 b@6"), "0.6 a b"},
 		{"an older copy without the row", state(6, "a@6"), state(4, ""), "0.6 a"},
 		{"a newer copy without the row", state(6, "a@6"), state(9, ""), "0.9"},
@@ -70,28 +70,28 @@
 
 // TestFollow checks changes as the store reports them, also late and twice.
 func TestFollow(t *testing.T) {
-	put := func(zone string, version rows.Version) evacuate.Change {
-		return evacuate.Change{Zone: zone, Version: version}
+	put := func(zone string, version rows.Version) evac.Change {
+		return evac.Change{Zone: zone, Version: version}
 	}
-	removed := func(zone string, version rows.Version) evacuate.Change {
-		return evacuate.Change{Zone: zone, Version: version, Removed: true}
+	removed := func(zone string, version rows.Version) evac.Change {
+		return evac.Change{Zone: zone, Version: version, Removed: true}
 	}
 	for _, test := range []struct {
 		name    string
-		own     evacuate.State
-		changes []evacuate.Change
+		own     evac.State
+		changes []evac.Change
 		version rows.Version
 		want    string
 	}{
-		{"before the first read", evacuate.State{}, []evacuate.Change{put("a", 3)}, 3, "0.0"},
+		{"before the first read", evac.State{}, []evac.Change{put("a", 3)}, 3, "0.0"},
 		{"no change", state(4, "a@3"), nil, 9, "0.9 a"},
-		{"a row", state(4, ""), []evacuate.Change{put("a", 5)}, 5, "0.5 a"},
-		{"two zones", state(4, ""), []evacuate.Change{put("b", 6), put("a", 5)}, 6, "0.6 a b"},
-		{"one of two removed", state(4, "a@2 b@3"), []evacuate.Change{removed("a", 7)}, 7, "0.7 b"},
-		{"put and removed", state(4, ""), []evacuate.Change{removed("a", 7), put("a", 5)}, 7, "0.7"},
-		{"removed and put", state(4, "a@3"), []evacuate.Change{removed("a", 5), put("a", 6)}, 6, "0.6 a"},
-		{"a late answer", state(8, ""), []evacuate.Change{put("a", 5)}, 6, "0.8"},
-		{"another era", state(8, "a@3"), []evacuate.Change{removed("a", rows.NewVersion(1, 9))}, rows.NewVersion(1, 9), "0.8 a"},
+		{"a row", state(4, ""), []evac.Change{put("a", 5)}, 5, "0.5 a"},
+		{"two zones", state(4, ""), []evac.Change{put("b", 6), put("a", 5)}, 6, "0.6 a b"},
+		{"one of two removed", state(4, "a@2 b@3"), []evac.Change{removed("a", 7)}, 7, "0.7 b"},
+		{"put and removed", state(4, ""), []evac.Change{removed("a", 7), put("a", 5)}, 7, "0.7"},
+		{"removed and put", state(4, "a@3"), []evac.Change{removed("a", 5), put("a", 6)}, 6, "0.6 a"},
+		{"a late answer", state(8, ""), []evac.Change{put("a", 5)}, 6, "0.8"},
+		{"another era", state(8, "a@3"), []evac.Change{removed("a", rows.NewVersion(1, 9))}, rows.NewVersion(1, 9), "0.8 a"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			expectState(t, test.own.Follow(test.changes, test.version, start), test.want)
@@ -103,11 +103,11 @@
 // each node that learns of it.
 func TestSinceIsTheEarliest(t *testing.T) {
 	early := state(5, "a@3")
-	late := evacuate.Read([]evacuate.Change{{Zone: "a", Version: 3}}, 6, start.Add(time.Minute))
-	for _, merged := range []evacuate.State{early.Merge(late), late.Merge(early)} {
+	late := evac.Read([]evac.Change{{Zone: "a", Version: 3}}, 6, start.Add(time.Minute))
+	for _, merged := range []evac.State{early.Merge(late), late.Merge(early)} {
 		assert.Equal(t, merged.Zones[0].Since, start)
 	}
-	rewritten := early.Follow([]evacuate.Change{{Zone: "a", Version: 9}}, 9, start.Add(time.Hour))
+	rewritten := early.Follow([]evac.Change{{Zone: "a", Version: 9}}, 9, start.Add(time.Hour))
 	assert.Equal(t, rewritten.Zones[0].Since, start)
 }
 
@@ -118,20 +118,20 @@
 func TestReplay(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		nodes := make([]evacuate.State, 7)
-		var store, snapshot evacuate.State
+		nodes := make([]evac.State, 7)
+		var store, snapshot evac.State
 		store = state(1, "")
 		snapshot = store
 		for step := range 300 {
 			version := rows.NewVersion(store.Version.Era(), store.Version.Number()+1)
-			change := evacuate.Change{Zone: string(rune('a' + random.IntN(3))), Version: version, Removed: random.IntN(2) == 0}
+			change := evac.Change{Zone: string(rune('a' + random.IntN(3))), Version: version, Removed: random.IntN(2) == 0}
 			switch random.IntN(6) {
 			case 0:
 				previous := store
-				store = store.Follow([]evacuate.Change{change}, version, start)
+				store = store.Follow([]evac.Change{change}, version, start)
 				follower := random.IntN(len(nodes))
 				if nodes[follower].Version == previous.Version {
-					nodes[follower] = nodes[follower].Follow([]evacuate.Change{change}, version, start)
+					nodes[follower] = nodes[follower].Follow([]evac.Change{change}, version, start)
 				}
 			case 1:
 				reader := random.IntN(len(nodes))
--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -64,29 +64,3 @@
 	}
 	window.sent = window.sent[kept:]
 }
-
-// Ledger is what one owner of a fixed share of each memory has given out. Owners need not know of
-// each other: their shares together are the memory.
-type Ledger struct {
-	owners int
-	held   map[string]int // tokens by endpoint
-}
-
-// NewLedger returns the ledger of one of so many owners.
-func NewLedger(owners int) *Ledger { return &Ledger{owners: max(1, owners), held: map[string]int{}} }
-
-// Take gives out tokens of an endpoint's memory, and reports whether the share has them.
-func (ledger *Ledger) Take(endpoint string, memoryTokens, tokens int) bool {
-	if memoryTokens > 0 && ledger.held[endpoint]+tokens > memoryTokens/ledger.owners {
-		return false
-	}
-	ledger.held[endpoint] += tokens
-	return true
-}
-
-// Return takes tokens back that were given out.
-func (ledger *Ledger) Return(endpoint string, tokens int) {
-	if ledger.held[endpoint] -= tokens; ledger.held[endpoint] <= 0 {
-		delete(ledger.held, endpoint)
-	}
-}
--- a/core/hold/hold_test.go
+++ b/core/hold/hold_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
 
 	"hickorybend/core/hold"
 )
@@ -42,30 +41,3 @@
 	assert.Equal(t, window.Lately(start.Add(hold.Unknown)), 50)
 	assert.Equal(t, window.Lately(start.Add(2*hold.Unknown)), 0)
 }
-
-// TestOwnersStayWithinTheMemory guards against owners that know nothing of each other and together
-// give out more than a memory.
-func TestOwnersStayWithinTheMemory(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		count := rapid.IntRange(1, 5).Draw(t, "owners")
-		memory := rapid.IntRange(1, 50000).Draw(t, "memory")
-		ledgers, held, taken := make([]*hold.Ledger, count), 0, make([][]int, count)
-		for i := range ledgers {
-			ledgers[i] = hold.NewLedger(count)
-		}
-		for range rapid.IntRange(0, 200).Draw(t, "steps") {
-			owner := rapid.IntRange(0, count-1).Draw(t, "owner")
-			if given := taken[owner]; len(given) > 0 && rapid.Bool().Draw(t, "returns") {
-				ledgers[owner].Return("e", given[0])
-				held, taken[owner] = held-given[0], given[1:]
-				continue
-			}
-			if tokens := rapid.IntRange(1, 5000).Draw(t, "tokens"); ledgers[owner].Take("e", memory, tokens) {
-				held, taken[owner] = held+tokens, append(taken[owner], tokens)
-			}
-			if held > memory {
-				t.Fatalf("%d tokens of %d", held, memory)
-			}
-		}
-	})
-}
--- a/core/site/config.go
+++ b/core/site/config.go
@@ -98,8 +98,6 @@
 	MemoryTokens        int           // tokens of prompts and answers that a replica's memory holds
 	UsualPromptTokens   int           // mean of all requests
 	UsualAnswerTokens   int           // mean of all requests
-	FormTime            time.Duration // from the order to open a replica until it serves
-	SplitFactor         float64       // factor on the times of a replica that spans fabric domains
 	Delays              []Delay       // between zones, as far as stated
 }
 
--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -68,29 +68,3 @@
 	advantage := float64(here-there) / float64(left)
 	return min(1, policy.Damping*math.Max(0, advantage))
 }
-
-// Choose returns the index of the replica that a request is sent to among those of this zone (here true) or
-// of the others, and -1 if there is none. random is a number in [0,1).
-func Choose(policy Policy, here, there []Replica, request Request, random float64) (isHere bool, index int) {
-	home, homeTime := soonest(here, request)
-	away, awayTime := soonest(there, request)
-	switch {
-	case away < 0:
-		return true, home
-	case home < 0 || random < Share(policy, homeTime, awayTime, request):
-		return false, away
-	default:
-		return true, home
-	}
-}
-
-// soonest returns the replica that would serve a request the soonest, or -1.
-func soonest(replicas []Replica, request Request) (best int, at time.Duration) {
-	best = -1
-	for i, replica := range replicas {
-		if first := replica.FirstEvent(request); best < 0 || first < at {
-			best, at = i, first
-		}
-	}
-	return best, at
-}
--- a/core/spill/spill_test.go
+++ b/core/spill/spill_test.go
@@ -45,7 +45,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			left, draws := 0, 100
 			for draw := range draws {
-				isHere, index := spill.Choose(spill.DefaultPolicy(), test.here, test.there, spill.Request{PromptTokens: 1000, TimeLeft: 500 * time.Millisecond, Bytes: test.bytes}, float64(draw)/float64(draws))
+				isHere, index := choose(spill.DefaultPolicy(), test.here, test.there, spill.Request{PromptTokens: 1000, TimeLeft: 500 * time.Millisecond, Bytes: test.bytes}, float64(draw)/float64(draws))
 				assert.Assert(t, index >= 0)
 				if !isHere {
 					left++
@@ -55,7 +55,7 @@
 			assert.Check(t, got >= test.least && got <= test.most, "%g leave", got)
 		})
 	}
-	_, index := spill.Choose(spill.DefaultPolicy(), nil, nil, spill.Request{}, 0)
+	_, index := choose(spill.DefaultPolicy(), nil, nil, spill.Request{}, 0)
 	assert.Equal(t, index, -1)
 }
 
@@ -69,3 +69,29 @@
 	}
 	assert.Equal(t, spill.Replica{Speed: batch.Replica{Engine: &site.Engine{Slots: 4}}}.FirstEvent(spill.Request{}), time.Duration(0))
 }
+
+// choose returns the index of the replica that a request is sent to among those of this zone (here true) or
+// of the others, and -1 if there is none. random is a number in [0,1).
+func choose(policy spill.Policy, here, there []spill.Replica, request spill.Request, random float64) (isHere bool, index int) {
+	home, homeTime := soonest(here, request)
+	away, awayTime := soonest(there, request)
+	switch {
+	case away < 0:
+		return true, home
+	case home < 0 || random < spill.Share(policy, homeTime, awayTime, request):
+		return false, away
+	default:
+		return true, home
+	}
+}
+
+// soonest returns the replica that would serve a request the soonest, or -1.
+func soonest(replicas []spill.Replica, request spill.Request) (best int, at time.Duration) {
+	best = -1
+	for i, replica := range replicas {
+		if first := replica.FirstEvent(request); best < 0 || first < at {
+			best, at = i, first
+		}
+	}
+	return best, at
+}
--- a/core/worth/doc.go
+++ b/core/worth/doc.go
@@ -3,8 +3,8 @@
 //
 // All values are in hosts: a replica of 4 hosts that is fully needed is worth at least
 // 4. The value of a model's replicas grows more slowly the closer they come to the need
-// of the model, so that the best plan under shortage covers the needs of all models
-// alike, instead of the model that is served with the fewest hosts.
+// of the model, so that under shortage the best plan covers the same fraction of the need of each
+// model. A plan of the largest number of replicas would serve only the smallest model.
 //
 // Best picks one option for each fabric domain. An option is a number of replicas of
 // each model with its cost, such as the loss of service while replicas move.
--- a/io/assign/assign_test.go
+++ b/io/assign/assign_test.go
@@ -224,8 +224,8 @@
 	}
 }
 
-// TestTwoLeaders guards against two leaders of a zone for a moment that each take the replicas for idle which
-// the other has filled, or count the requests of their own nodes twice, by reports and by digests.
+// TestTwoLeaders guards against an overload while a zone has two leaders: each of them counts the requests that the
+// other has assigned, and counts those of its own nodes once, although both reports and digests contain them.
 func TestTwoLeaders(t *testing.T) {
 	first, second := newZone(t, newView(), nil), newZone(t, newView(), nil)
 	one, other := newNode("n1", first), newNode("n2", second)
--- a/io/assign/server.go
+++ b/io/assign/server.go
@@ -212,10 +212,10 @@
 }
 
 // question returns the request as the queue needs to know it.
-func (request *placeRequest) question(now time.Time) queue.Request {
+func (placerequest *placeRequest) question(now time.Time) queue.Request {
 	return queue.Request{
-		Key: queue.Key{Node: request.Node, ID: request.ID}, Work: batch.Work{PromptTokens: request.Prompt, AnswerTokens: request.Answer},
-		FirstBy: now.Add(time.Duration(request.FirstLeft)), Deadline: now.Add(time.Duration(request.Left)), Pause: time.Duration(request.Pause),
-		Priority: request.Priority, Team: request.Team, Resumed: request.Resumed, Unusable: request.Unusable,
+		Key: queue.Key{Node: placerequest.Node, ID: placerequest.ID}, Work: batch.Work{PromptTokens: placerequest.Prompt, AnswerTokens: placerequest.Answer},
+		FirstBy: now.Add(time.Duration(placerequest.FirstLeft)), Deadline: now.Add(time.Duration(placerequest.Left)), Pause: time.Duration(placerequest.Pause),
+		Priority: placerequest.Priority, Team: placerequest.Team, Resumed: placerequest.Resumed, Unusable: placerequest.Unusable,
 	}
 }
--- a/io/edge/cold_test.go
+++ b/io/edge/cold_test.go
@@ -17,6 +17,7 @@
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
 	"hickorybend/platform"
+	"hickorybend/platform/fakes"
 )
 
 const coldTestTime = 10 * time.Second
@@ -42,7 +43,7 @@
 func coldRow(id string, startedAt time.Time, sequence int64, left any) platform.Entry {
 	row := map[string]any{"service": "app", "address": "127.0.0.1:1", "state": "ready", "slots": 4, "sequence": sequence, "born": startedAt.UnixMilli()}
 	if left != nil {
-		row["cold_remaining_ms"] = left
+		row[fakes.ColdField] = left
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/io/edge/evacuations.go
+++ b/io/edge/evacuations.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"hickorybend/core/evacuate"
+	"hickorybend/core/evac"
 	"hickorybend/core/fleet"
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
@@ -22,7 +22,7 @@
 
 // evacuations is what this node knows of the evacuated zones.
 type evacuations struct {
-	state  evacuate.State
+	state  evac.State
 	served bool            // evacuationsKnown, as of the last tick
 	judged map[string]bool // evacuated zones of which it is known whether they exist; true if they do
 }
@@ -36,20 +36,20 @@
 	}
 	changes := platform.Evacuations(change.batch.Entries)
 	if change.batch.Full {
-		control.applyEvacuations(evacuate.Read(changes, change.batch.Version, now), change.from, now)
+		control.applyEvacuations(evac.Read(changes, change.batch.Version, now), change.from, now)
 		return
 	}
 	control.setEvacuations(control.evacuations.state.Follow(changes, change.batch.Version, now), change.from, now)
 }
 
 // applyEvacuations merges a state into the known one.
-func (control *Control) applyEvacuations(state evacuate.State, from source, now time.Time) {
+func (control *Control) applyEvacuations(state evac.State, from source, now time.Time) {
 	control.setEvacuations(control.evacuations.state.Merge(state), from, now)
 }
 
 // setEvacuations puts a state in force: the snapshot that the control loop publishes next
 // has no candidate in an evacuated zone.
-func (control *Control) setEvacuations(state evacuate.State, from source, now time.Time) {
+func (control *Control) setEvacuations(state evac.State, from source, now time.Time) {
 	known := control.evacuations.state
 	control.evacuations.state = state
 	if known.Known() != state.Known() {
--- a/io/edge/evacuations_test.go
+++ b/io/edge/evacuations_test.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
-	"hickorybend/core/evacuate"
+	"hickorybend/core/evac"
 	"hickorybend/core/fleet"
 	"hickorybend/core/rows"
 	"hickorybend/core/site"
@@ -70,7 +70,7 @@
 		{"read from the store", func(control *Control) { control.readOperatorTable(true, 3, now, "east") }, time.Second, []string{"p-2"}},
 		{"changes without a read", func(control *Control) { control.readOperatorTable(false, 3, now, "east") }, time.Second, nil},
 		{"told by a digest", func(control *Control) {
-			digest := gossip.Digest{Evacuated: evacuate.State{Version: 4, Zones: []evacuate.Zone{{Name: "west", Version: 2, Since: now}}}}.WithAges(now)
+			digest := gossip.Digest{Evacuated: evac.State{Version: 4, Zones: []evac.Zone{{Name: "west", Version: 2, Since: now}}}}.WithAges(now)
 			control.applyEvacuations(digest.Evacuations.State(now), fromPeer, now)
 		}, time.Second, []string{"p-1"}},
 		{"a configuration of an earlier build", func(control *Control) {
@@ -110,7 +110,7 @@
 	control.readOperatorTable(true, 3, now)
 	digest := gossip.Digest{Versions: make([]rows.Version, tableCount), ConfirmedAt: make([]time.Time, tableCount)}
 	digest.Versions[tableConfig], digest.ConfirmedAt[tableConfig] = 1, now.Add(time.Minute)
-	for _, evacuated := range []evacuate.State{{}, {Version: 3}} {
+	for _, evacuated := range []evac.State{{}, {Version: 3}} {
 		digest.Evacuated = evacuated
 		control.confirmByPeer(digest.WithAges(now.Add(time.Minute)), now.Add(time.Minute), now.Add(time.Minute))
 		assert.Equal(t, control.copies.watermarks[tableConfig].At.Equal(now.Add(time.Minute)), evacuated.Known())
--- a/io/gossip/evacuations.go
+++ b/io/gossip/evacuations.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"hickorybend/core/evacuate"
+	"hickorybend/core/evac"
 	"hickorybend/core/rows"
 )
 
@@ -22,7 +22,7 @@
 }
 
 // EvacuationsOf returns a state with its ages as of now, or nil if nothing is known.
-func EvacuationsOf(state evacuate.State, now time.Time) *Evacuations {
+func EvacuationsOf(state evac.State, now time.Time) *Evacuations {
 	if !state.Known() {
 		return nil
 	}
@@ -34,13 +34,13 @@
 }
 
 // State returns the state that was received now.
-func (evacuations *Evacuations) State(now time.Time) evacuate.State {
+func (evacuations *Evacuations) State(now time.Time) evac.State {
 	if evacuations == nil || evacuations.Version <= 0 {
-		return evacuate.State{}
+		return evac.State{}
 	}
-	state := evacuate.State{Version: evacuations.Version}
+	state := evac.State{Version: evacuations.Version}
 	for _, evacuation := range evacuations.Zones {
-		state.Zones = append(state.Zones, evacuate.Zone{Name: evacuation.Zone, Version: evacuation.Version, Since: now.Add(-time.Duration(evacuation.Age))})
+		state.Zones = append(state.Zones, evac.Zone{Name: evacuation.Zone, Version: evacuation.Version, Since: now.Add(-time.Duration(evacuation.Age))})
 	}
 	return state
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"hickorybend/core/evacuate"
+	"hickorybend/core/evac"
 	"hickorybend/core/rows"
 	"hickorybend/core/topo"
 	"hickorybend/io/wire"
@@ -66,8 +66,8 @@
 	HeldTokens       map[string]int       `cbor:"51,keyasint,omitempty"` // tokens of the prompts and longest answers of the requests in InFlight, by endpoint
 	Usable           map[string]int       `cbor:"24,keyasint,omitempty"` // endpoints that the node sends requests to, by pool (reach.PoolKey); in a sum, those of the node that uses most
 	Evacuations      *Evacuations         `cbor:"40,keyasint,omitempty"` // nil if the sender does not know
-	Evacuated        evacuate.State       `cbor:"-"`                     // the same with times of the node's own clock
-	Cold             []ColdEndpoint       `cbor:"41,keyasint,omitempty"` // endpoints that the node knows to be cold from another source than their rows
+	Evacuated        evac.State           `cbor:"-"`                     // the same with times of the node's own clock
+	Cold             []ColdEndpoint       `cbor:"41,keyasint,omitempty"` // endpoints that are cold by the node's tables or by other digests
 }
 
 // SumOf returns a fingerprint of names, whatever their order.
