Review case 8: a crowd that sends slowly keeps all other clients from a ready node

Cause: when an address has as many connections as it may have, only a connection without progress for half a second is closed for a new one (io/gate, worst). Clients that send a byte each quarter of a second always make progress.

Case: 2,300 such clients at each of three nodes with 4,100 descriptors, and eight ordinary clients of each node.

--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -14,7 +14,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) (outcome, error){
-	"group": playGroup, "blind": playBlind,
+	"crowd": playCrowd, "group": playGroup, "blind": playBlind,
 }
 
 func main() {
