--- a/core/fleet/clearance_test.go
+++ b/core/fleet/clearance_test.go
@@ -23,14 +23,15 @@
 }
 
 // expectJoin lets a new holder place e-1, which has accepted a number of commands, and another endpoint, which has
-// accepted none. seen is what the holder sees of e-1 at a time since the takeover. e-1 must join a replica at the
-// given time, not earlier.
-func expectJoin(t *testing.T, report fleet.HolderReport, commands int64, seen func(after time.Duration) fleet.Endpoint, want time.Duration) {
+// accepted none. seen is what the holder sees of e-1 at a time since the takeover; it knows all else from input. e-1 must
+// join a replica at the given time, not earlier.
+func expectJoin(t *testing.T, input fleet.Input, commands int64, seen func(after time.Duration) fleet.Endpoint, want time.Duration) {
 	t.Helper()
 	small := &site.Engine{Slots: 17, LoadsPerSec: 5, MaxConcurrentLoads: 7, Models: []site.Model{engine.Models[1]}}
 	planner := fleet.NewPlanner(fleet.DefaultPolicy(), "llm")
 	for after := time.Duration(0); after <= want+time.Second; after += step {
-		input := fleet.Input{Now: takeover.Add(after), Fence: 7, Engine: small, Endpoints: []fleet.Endpoint{seen(after), prepared("e-2", 0)}, HolderReport: report}
+		input.Now, input.Fence, input.Engine = takeover.Add(after), 7, small
+		input.Endpoints = []fleet.Endpoint{seen(after), prepared("e-2", 0)}
 		for _, command := range planner.Plan(input) {
 			if command.Endpoint == "e-1" && command.ExpectedCommandCount != commands {
 				planner.Resolve(input.Now, command, fleet.Rejected{})
@@ -79,7 +80,9 @@
 			return endpoint
 		}, breaksAfter},
 	} {
-		t.Run(test.name, func(t *testing.T) { expectJoin(t, test.report, test.seen(breaksAfter).CommandCount, test.seen, test.want) })
+		t.Run(test.name, func(t *testing.T) {
+			expectJoin(t, fleet.Input{HolderReport: test.report}, test.seen(breaksAfter).CommandCount, test.seen, test.want)
+		})
 	}
 }
 
@@ -96,7 +99,7 @@
 		{"cleared", 2, fleet.HolderReport{Fence: 6, Cleared: map[string]fleet.Clearance{"e-1": {StartedAt: incarnation, CommandCount: 2}}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			expectJoin(t, test.report, 4, func(after time.Duration) fleet.Endpoint {
+			expectJoin(t, fleet.Input{HolderReport: test.report}, 4, func(after time.Duration) fleet.Endpoint {
 				if after < time.Second {
 					return prepared("e-1", test.known)
 				}
@@ -106,6 +109,13 @@
 	}
 }
 
+// TestHolderChangesBeforeFirstRequest guards against an endpoint that joins another replica although its former first
+// host still serves, because no request has arrived yet (TWO): replicas are open before the first one, and the previous
+// holder may have told the endpoint to leave one.
+func TestHolderChangesBeforeFirstRequest(t *testing.T) {
+	expectJoin(t, fleet.Input{NoRequestsYet: true}, 4, func(time.Duration) fleet.Endpoint { return prepared("e-1", 4) }, breaksAfter)
+}
+
 // TestStageKeepsClearance guards against a new holder that waits for a free endpoint only because the previous one, or
 // it itself, has had the endpoint load weights.
 func TestStageKeepsClearance(t *testing.T) {
--- a/core/fleet/planner.go
+++ b/core/fleet/planner.go
@@ -238,13 +238,12 @@
 // unconfirmed: the previous holder may have told it to leave a replica whose first
 // host does not respond and still serves. The previous holder can have done so
 // until this one took over, so the endpoint waits for a stall timeout from then,
-// unless it is cleared. Before the first request an endpoint does not become
-// unconfirmed this way.
+// unless it is cleared.
 func (pass *pass) observeEndpoint(endpoint Endpoint) {
 	record := pass.planner.recordOf(endpoint.ID)
 	if !record.seen {
 		record.seen = true
-		if endpoint.Membership.Replica == "" && !pass.NoRequestsYet {
+		if endpoint.Membership.Replica == "" {
 			record.unconfirmedUntil = pass.planner.unconfirmedUntil
 		}
 		pass.planner.lastNewEndpointAt = pass.Now
--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -43,6 +43,7 @@
 	claimPending    bool               // a transaction on the lease awaits its outcome
 	active          bool               // this node places: it holds the lease, or continues without it in a store outage
 	fence           int64              // fencing number of the latest lease under which this node planned
+	isFirstHolder   bool               // no other node has placed before this one, as far as it has heard
 	row             rows.Row           // of the lease, as last read or written
 	fencingRow      rows.Row           // of its fencing number, as last read or written
 	planCount       int64              // planning passes under this fencing number
@@ -276,6 +277,7 @@
 		return false
 	}
 	consecutive := fence == placement.fence+1
+	placement.isFirstHolder = placement.fence == 0 && placement.holderReport.Fence == 0 || placement.isFirstHolder && consecutive
 	placement.fence, placement.planCount = fence, 0
 	if consecutive {
 		return false
@@ -419,15 +421,17 @@
 // ensureCommandCounts finds out how many commands each endpoint has accepted,
 // where that is unknown: an endpoint carries a command out only if the command
 // states this count. It also asks those that are free by their rows only, since a
-// row has no count.
+// row has no count. The first holder need not ask new endpoints: they have accepted
+// no command.
 func (control *Control) ensureCommandCounts(endpoints []fleet.Endpoint, noRequestsYet bool, now time.Time) {
+	allNew := noRequestsYet && control.placement.isFirstHolder
 	for i, endpoint := range endpoints {
 		switch {
 		case endpoint.CommandCountKnown && (endpoint.CommandCount == 0 || endpoint.Membership.Replica != "" || !endpoint.FreeSince.IsZero()):
 		case endpoint.CommandCountKnown:
 			control.probeCount(endpoint.ID, now)
-		case noRequestsYet && endpoint.Membership.Replica == "":
-			endpoints[i].CommandCountKnown = true // all nodes have just started, and none has sent a command
+		case allNew && endpoint.Membership.Replica == "":
+			endpoints[i].CommandCountKnown = true
 			control.endpoints.byID[endpoint.ID] = endpoints[i]
 		case endpoint.Membership.Replica == "":
 			control.probeCount(endpoint.ID, now)
--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 	"hickorybend/io/event"
 	"hickorybend/io/gossip"
 	"hickorybend/io/meter"
+	"hickorybend/io/pool"
+	"hickorybend/platform"
 )
 
 // TestPlannersSurviveLeaseLapse guards against planners that are replaced, and so
@@ -232,3 +235,25 @@
 		})
 	}
 }
+
+// TestCountsBeforeFirstRequest guards against a new holder that takes the endpoints for new ones, which have accepted no
+// command, because no request has arrived yet: an earlier holder has sent commands.
+func TestCountsBeforeFirstRequest(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fence int64 // of the holder that has reported; 0 if none has
+		known bool
+	}{{"first holder", 0, true}, {"an earlier holder has reported", 1, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			control := newHolder(time.Now())
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel() // no probe is sent
+			control.ctx, control.engineClient = ctx, platform.NewEngineClient(pool.New())
+			control.placement.fence, control.placement.holderReport.Fence = 0, test.fence
+			control.planUnder(2)
+			control.endpoints.byID["e-1"] = fleet.Endpoint{ID: "e-1", Service: "llm"}
+			control.ensureCommandCounts(control.endpoints.ofService("llm"), true, time.Now())
+			assert.Equal(t, control.endpoints.byID["e-1"].CommandCountKnown, test.known)
+		})
+	}
+}
