--- a/io/edge/copies.go
+++ b/io/edge/copies.go
@@ -117,7 +117,7 @@
 		if !hasAge(table) || len(digest.Versions) <= table || control.completeVersion(table) < requiredVersion(digest, table) {
 			continue
 		}
-		if table == tableConfig && digest.Evacuations == nil && control.evacuations.state.Known() {
+		if table == tableConfig && digest.Evacuations == nil && control.evacuations.inForce.State.Known() {
 			continue // a node of an earlier build does not tell which zones are evacuated
 		}
 		if table == tableEndpoints {
--- a/io/edge/evacuations.go
+++ b/io/edge/evacuations.go
@@ -20,11 +20,15 @@
 // of earlier builds, which know of no evacuation either.
 const unknownEvacuationsTime = 10 * time.Second
 
+// lostRowGrace is for how long a zone stays evacuated whose row is missing in a store that has come back from an older
+// copy. Operators and endpoints write again what they had written there within about two seconds.
+const lostRowGrace = removalGrace
+
 // evacuations is what this node knows of the evacuated zones.
 type evacuations struct {
-	state  evac.State
-	served bool            // evacuationsKnown, as of the last tick
-	judged map[string]bool // evacuated zones of which it is known whether they exist; true if they do
+	inForce evac.InForce
+	served  bool            // evacuationsKnown, as of the last tick
+	judged  map[string]bool // evacuated zones of which it is known whether they exist; true if they do
 }
 
 // handleEvacuationRows applies rows of the operators' table, as the store or another node
@@ -39,56 +43,61 @@
 		control.applyEvacuations(evac.Read(changes, change.batch.Version, now), change.from, now)
 		return
 	}
-	control.setEvacuations(control.evacuations.state.Follow(changes, change.batch.Version, now), change.from, now)
+	control.setEvacuations(control.evacuations.inForce.State.Follow(changes, change.batch.Version, now), change.from, now)
 }
 
 // applyEvacuations merges a state into the known one.
 func (control *Control) applyEvacuations(state evac.State, from source, now time.Time) {
-	control.setEvacuations(control.evacuations.state.Merge(state), from, now)
+	control.setEvacuations(control.evacuations.inForce.State.Merge(state), from, now)
 }
 
-// setEvacuations puts a state in force: the snapshot that the control loop publishes next
-// has no candidate in an evacuated zone.
+// setEvacuations makes a state the known one.
 func (control *Control) setEvacuations(state evac.State, from source, now time.Time) {
-	known := control.evacuations.state
-	control.evacuations.state = state
-	if known.Known() != state.Known() {
+	control.putInForce(control.evacuations.inForce.With(state, lostRowGrace, now), from, now)
+}
+
+// putInForce puts evacuations in force: the snapshot that the control loop publishes next
+// has no candidate in an evacuated zone.
+func (control *Control) putInForce(inforce evac.InForce, from source, now time.Time) {
+	known := control.evacuations.inForce
+	control.evacuations.inForce = inforce
+	if known.State.Known() != inforce.State.Known() {
 		control.snapshotStale = true
 	}
-	if known.SameZones(state) {
-		return
-	}
-	control.snapshotStale = true
-	for _, zone := range state.Zones {
+	version := inforce.State.Version
+	for _, zone := range inforce.Zones() {
 		if !known.Has(zone.Name) {
+			control.snapshotStale = true
 			event.Log(control.log, event.ZoneEvacuated, zap.String("zone", zone.Name), zap.String("from", string(from)),
 				zap.Int64("version", zone.Version.Number()), zap.Int64("era", zone.Version.Era()), zap.Duration("age", now.Sub(zone.Since)))
 		}
 	}
-	for _, zone := range known.Zones {
-		if !state.Has(zone.Name) {
+	for _, zone := range known.Zones() {
+		if !inforce.Has(zone.Name) {
+			control.snapshotStale = true
 			delete(control.evacuations.judged, zone.Name)
 			event.Log(control.log, event.ZoneTakenBack, zap.String("zone", zone.Name), zap.String("from", string(from)),
-				zap.Int64("version", state.Version.Number()), zap.Int64("era", state.Version.Era()), zap.Duration("after", now.Sub(zone.Since)))
+				zap.Int64("version", version.Number()), zap.Int64("era", version.Era()), zap.Duration("after", now.Sub(zone.Since)))
 		}
 	}
 }
 
 // evacuationsKnown reports whether this node may serve by what it knows of evacuations.
 func (control *Control) evacuationsKnown(now time.Time) bool {
-	return control.evacuations.state.Known() || now.Sub(control.startedAt) >= unknownEvacuationsTime
+	return control.evacuations.inForce.State.Known() || now.Sub(control.startedAt) >= unknownEvacuationsTime
 }
 
-// judgeEvacuations logs each evacuated zone in which there is neither an endpoint nor a
-// node, once.
+// judgeEvacuations takes zones back whose rows have not been written again in time, and logs
+// each evacuated zone in which there is neither an endpoint nor a node, once.
 func (control *Control) judgeEvacuations(now time.Time) {
+	control.putInForce(control.evacuations.inForce.Expire(now), fromGrace, now)
 	if known := control.evacuationsKnown(now); known != control.evacuations.served {
 		control.evacuations.served, control.snapshotStale = known, true
 	}
 	if !control.endpoints.loaded || control.starting(now) {
 		return
 	}
-	for _, zone := range control.evacuations.state.Zones {
+	for _, zone := range control.evacuations.inForce.Zones() {
 		if _, judged := control.evacuations.judged[zone.Name]; judged {
 			continue
 		}
@@ -121,10 +130,10 @@
 // plannable returns the endpoints of a service that placement may use.
 func (control *Control) plannable(service string) []fleet.Endpoint {
 	endpoints := control.endpoints.ofService(service)
-	if len(control.evacuations.state.Zones) == 0 {
+	if len(control.evacuations.inForce.Zones()) == 0 {
 		return endpoints
 	}
-	return fleet.OutsideZones(endpoints, control.evacuations.state.Has)
+	return fleet.OutsideZones(endpoints, control.evacuations.inForce.Has)
 }
 
 // evacuationsListed asks Control for the evacuated zones.
@@ -149,7 +158,8 @@
 }
 
 func (control *Control) handleEvacuationsListed(listed evacuationsListed, now time.Time) {
-	state := control.evacuations.state
+	inforce := control.evacuations.inForce
+	state := evac.State{Version: inforce.State.Version, Zones: inforce.Zones()}
 	evacuationlist := gossip.EvacuationList{Known: state.Known()}
 	for i, evacuation := range gossip.EvacuationsOf(state, now).List() {
 		evacuationlist.Zones = append(evacuationlist.Zones, gossip.RunningZone{
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -325,7 +325,7 @@
 	}
 	digest.StoreReplyAge = int64(time.Since(control.storeRepliedAt))
 	digest.StoreUnreachable = control.storeUnreachable.Load()
-	digest.Evacuated = control.evacuations.state
+	digest.Evacuated = control.evacuations.inForce.State
 	digest.Cold = control.coldDigest(time.Now())
 	control.digest.Store(digest)
 }
--- a/io/edge/publish.go
+++ b/io/edge/publish.go
@@ -60,7 +60,7 @@
 	endpoints := control.endpoints.ofService(service.Name)
 	if service.Engine == nil {
 		for _, endpoint := range endpoints {
-			if !endpoint.Draining && !control.evacuations.state.Has(endpoint.Zone) {
+			if !endpoint.Draining && !control.evacuations.inForce.Has(endpoint.Zone) {
 				servicepool.Plain = append(servicepool.Plain, control.newCandidate(service, endpoint, nodes))
 			}
 		}
@@ -70,7 +70,7 @@
 		servicepool.Models[model.Name] = nil
 	}
 	for _, replica := range fleet.ServingReplicas(service.Engine, endpoints, control.endpoints.isUnresponsive) {
-		if control.evacuations.state.Has(replica.FirstHost.Zone) {
+		if control.evacuations.inForce.Has(replica.FirstHost.Zone) {
 			continue
 		}
 		candidate := control.newCandidate(service, replica.FirstHost, nodes)
