--- a/io/gate/conn.go
+++ b/io/gate/conn.go
@@ -36,6 +36,8 @@
 	ended      bool
 	bytes      int64
 	fields     int
+	begunAt    time.Time // when the first byte of the present request came; zero before
+	size       int64     // bytes of it that have come
 	progressAt time.Time
 	writeBy    time.Time // when the server wants what it writes to have been taken; zero for no such time
 	claim      *buffer.Claim
@@ -49,6 +51,10 @@
 func (conn *Conn) Received(data []byte, now time.Time) error {
 	conn.mutex.Lock()
 	conn.progressAt, conn.received = now, true
+	if conn.begunAt.IsZero() {
+		conn.begunAt = now
+	}
+	conn.size += int64(len(data))
 	if conn.inHead {
 		conn.scan(data)
 	}
@@ -106,6 +112,7 @@
 	case http.StateIdle, http.StateClosed, http.StateHijacked:
 		conn.received, conn.waiting = false, state == http.StateIdle && pool.HasUnread(conn.tcp)
 		conn.inHead, conn.lineEmpty, conn.begun, conn.whole, conn.bytes, conn.fields = true, true, false, false, 0, 0
+		conn.begunAt, conn.size = time.Time{}, 0
 		if conn.claim != nil {
 			conn.claim.Release()
 			conn.claim = nil
@@ -202,10 +209,20 @@
 func (conn *Conn) standing(others int, now time.Time) (standing, bool) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	stalled := now.Sub(conn.progressAt) / stallStep
+	stalled := conn.stalledFor(now) / stallStep
 	return standing{served: conn.served, stalled: stalled, cost: conn.cost(), others: others}, !conn.whole && stalled > 0
 }
 
+// stalledFor returns for how long the connection has made no progress, or too little: a request that comes
+// more slowly than slowRate has made none since its first byte. The mutex must be held.
+func (conn *Conn) stalledFor(now time.Time) time.Duration {
+	begunFor := now.Sub(conn.begunAt)
+	if !conn.begunAt.IsZero() && float64(conn.size) < slowRate*begunFor.Seconds() {
+		return begunFor
+	}
+	return now.Sub(conn.progressAt)
+}
+
 // refuse answers a head with too many fields and gives the client time to read the answer.
 func (conn *Conn) refuse() {
 	_ = conn.tcp.SetDeadline(time.Now().Add(refusalTime))
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 	textFactor    = 2        // copies of the text of a head: in the reader and in the fields
 	uncountedCost = 16 << 10 // of each connection, so that most do without the ledger
 	stallStep     = 500 * time.Millisecond
+	slowRate      = 4 << 10                // bytes a second, below which a request that has not come whole makes no progress; the largest head within the operators' time for one comes faster
+	maxVictims    = 64                     // connections chosen at once, to be closed for further ones
 	refusalTime   = 100 * time.Millisecond // for a client to read a refusal, before its connection is closed
 	writePiece    = 16 << 10               // bytes for which a client has WriteTime
 	maxPipelined  = 64                     // requests in a row that a client sends without a wait for the response before
@@ -55,6 +58,8 @@
 	mutex    sync.Mutex
 	conns    map[*Conn]bool
 	bySource map[string]int
+	victims  []*Conn   // to be closed for further connections, the first one last
+	chosenAt time.Time // when they were chosen
 }
 
 // New returns a gate whose connections count in a ledger.
@@ -93,17 +98,16 @@
 	case gate.limits.PerSource > 0 && gate.bySource[source] >= gate.limits.PerSource:
 		return gate.worst(source, now), ReasonSource
 	case gate.limits.Connections > 0 && len(gate.conns) >= gate.limits.Connections:
-		return gate.worst("", now), ReasonConnections
+		return gate.nextVictim(now), ReasonConnections
 	}
 	return nil, ""
 }
 
-// worst returns the connection that is to be closed first, among those of one source if that is not empty. The mutex
-// must be held.
+// worst returns the connection of a source that is to be closed first. The mutex must be held.
 func (gate *Gate) worst(source string, now time.Time) *Conn {
 	var worst *Conn
 	for conn := range gate.conns {
-		if source != "" && conn.source != source {
+		if conn.source != source {
 			continue
 		}
 		if standing, mayEnd := conn.standing(gate.bySource[conn.source], now); mayEnd && (worst == nil || standing.worseThan(worst.last)) {
@@ -114,6 +118,49 @@
 	return worst
 }
 
+// nextVictim returns the connection that is to be closed first. It chooses several at once, since a crowd makes it
+// close many in a short time and looking at all connections takes long. The mutex must be held.
+func (gate *Gate) nextVictim(now time.Time) *Conn {
+	if now.Sub(gate.chosenAt) >= stallStep {
+		gate.victims = nil
+	}
+	for refilled := false; ; refilled = true {
+		for len(gate.victims) > 0 {
+			victim := gate.victims[len(gate.victims)-1]
+			gate.victims = gate.victims[:len(gate.victims)-1]
+			if _, mayEnd := victim.standing(0, now); mayEnd && gate.conns[victim] {
+				return victim
+			}
+		}
+		if refilled {
+			return nil
+		}
+		gate.chooseVictims(now)
+	}
+}
+
+// chooseVictims chooses the connections that are to be closed first. The mutex must be held.
+func (gate *Gate) chooseVictims(now time.Time) {
+	gate.victims, gate.chosenAt = nil, now
+	for conn := range gate.conns {
+		standing, mayEnd := conn.standing(gate.bySource[conn.source], now)
+		if conn.last = standing; mayEnd {
+			gate.victims = append(gate.victims, conn)
+		}
+	}
+	slices.SortFunc(gate.victims, func(a, b *Conn) int {
+		switch {
+		case a.last.worseThan(b.last):
+			return 1
+		case b.last.worseThan(a.last):
+			return -1
+		default:
+			return 0
+		}
+	})
+	gate.victims = gate.victims[max(0, len(gate.victims)-maxVictims):]
+}
+
 // standing is what decides which connection is closed first.
 type standing struct {
 	served  bool          // it has carried a whole request
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -54,6 +54,12 @@
 break_one "an endpoint cleared while its first host may serve" core/fleet/clearance.go 'range pass.free() {' 'range pass.idle() {' ./core/fleet 'TestHolderChangesWhileMembersWait|TestPlacementInvariants'
 break_one "an endpoint that passes for free whatever happened between two reports" io/edge/probe.go 'report.CommandCount == known.CommandCount' 'true' ./io/edge TestFreeWhileNobodyLooked
 break_one "command counts of before that a new holder relies on" io/edge/placement.go 'control.endpoints.doubtCommandCounts()' '' ./io/edge TestNewHolderAsksForCommandCounts
+break_one "a new holder that waits for nobody before the first request" core/fleet/planner.go 'record.unconfirmedUntil = pass.planner.unconfirmedUntil' 'if !pass.NoRequestsYet {
+			record.unconfirmedUntil = pass.planner.unconfirmedUntil
+			}' ./core/fleet TestHolderChangesBeforeFirstRequest
+break_one "a later holder that takes all endpoints for new" io/edge/placement.go 'noRequestsYet && control.placement.isFirstHolder' 'noRequestsYet' ./io/edge TestCountsBeforeFirstRequest
+break_one "a lost row of an evacuation taken for its removal" core/evac/inforce.go 'state.Version.Era() > inforce.State.Version.Era()' 'false' ./io/edge TestStoreGoesBackWithoutEvacuation
+break_one "a byte now and then that counts as progress" io/gate/conn.go 'float64(conn.size) < slowRate*begunFor.Seconds()' 'false' ./io/gate TestSlowCrowdKeepsOthersOut
 break_one "model shares decided by the first requests alone" core/fleet/demand.go 'priorWork := float64(hosts) * priorTime.Seconds()' 'priorWork := 0.001' ./core/fleet TestFirstRequestsCloseNothing
 break_one "weight loads without a rate limit" core/fleet/stage.go 'for pass.mayStartLoad() && pass.startBestLoad' 'for pass.startBestLoad' ./core/fleet TestLoadsArePaced
 break_one "a 503 without the not-executed header read as not run" io/entry/buffered.go '&& !responseheader.Receipt, claimsNotExecuted(status):' '&& !responseheader.Receipt:' ./platform/fakes TestAtMostOnceUnderFaults
