Clearances that an endpoint's known state has passed are dropped

Callers see no difference; digests named each endpoint that had ever been free, some 25 bytes for each, to every node ten times a second, and bytes between zones are dear.

Cause: a clearance was removed only when its endpoint was gone. That of a member of a replica can never hold again.

Ruled out: dropping those whose count is not known at the moment; the next holder may know it.

Change: a clearance goes when the endpoint has a known count above it, or a later start. Before: two of six cases of TestOutdatedClearancesAreDropped failed (joined a replica, restarted).

--- a/core/fleet/clearance.go
+++ b/core/fleet/clearance.go
@@ -39,19 +39,11 @@
 }
 
 // updateClearances adds the clearances of the latest holder report, and of the
-// endpoints that are free and have reported so, and removes those of endpoints that
-// are gone.
+// endpoints that are free and have reported so, and removes outdated ones.
 func (pass *pass) updateClearances() {
 	planner := pass.planner
-	for id := range planner.clearances {
-		if _, known := pass.known[id]; !known {
-			delete(planner.clearances, id)
-		}
-	}
 	for id, clearance := range pass.HolderReport.Cleared {
-		if _, known := pass.known[id]; known {
-			planner.clear(id, clearance)
-		}
+		planner.clear(id, clearance)
 	}
 	for _, ids := range pass.free() {
 		for _, id := range ids {
@@ -61,6 +53,17 @@
 			}
 		}
 	}
+	for id, clearance := range planner.clearances {
+		if endpoint, known := pass.known[id]; !known || clearance.outdated(endpoint) {
+			delete(planner.clearances, id)
+		}
+	}
+}
+
+// outdated reports whether an endpoint has accepted commands or restarted after the
+// state that the clearance is of.
+func (clearance Clearance) outdated(endpoint Endpoint) bool {
+	return endpoint.CommandCountKnown && Clearance{StartedAt: endpoint.StartedAt, CommandCount: endpoint.CommandCount}.newerThan(clearance)
 }
 
 // clear records a clearance of an endpoint unless a later one is known.
--- a/core/fleet/clearance_test.go
+++ b/core/fleet/clearance_test.go
@@ -132,3 +132,31 @@
 	planner.Resolve(takeover, stage, fleet.Accepted{})
 	assert.Equal(t, planner.Cleared()["e-1"].CommandCount, int64(5))
 }
+
+// TestOutdatedClearancesAreDropped guards against digests that grow with each endpoint that has ever been free, and
+// against a clearance that is lost because its holder does not know the endpoint's count.
+func TestOutdatedClearancesAreDropped(t *testing.T) {
+	uncounted, member, restarted := prepared("e-1", 4), prepared("e-1", 5), prepared("e-1", 1)
+	uncounted.CommandCountKnown = false
+	member.Membership = fleet.Membership{Replica: "small.a", Epoch: 1, Phase: fleet.PhaseReady}
+	restarted.StartedAt = incarnation.Add(time.Minute)
+	for _, test := range []struct {
+		name      string
+		endpoints []fleet.Endpoint
+		want      int
+	}{
+		{"same state", []fleet.Endpoint{prepared("e-1", 4)}, 1},
+		{"count unknown", []fleet.Endpoint{uncounted}, 1},
+		{"count of before", []fleet.Endpoint{prepared("e-1", 3)}, 1},
+		{"joined a replica", []fleet.Endpoint{member}, 0},
+		{"restarted", []fleet.Endpoint{restarted}, 0},
+		{"gone", nil, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			planner := fleet.NewPlanner(fleet.DefaultPolicy(), "llm")
+			planner.Plan(fleet.Input{Now: takeover, Fence: 7, Engine: engine, Endpoints: test.endpoints,
+				HolderReport: fleet.HolderReport{Fence: 6, Cleared: map[string]fleet.Clearance{"e-1": {StartedAt: incarnation, CommandCount: 4}}}})
+			assert.Equal(t, len(planner.Cleared()), test.want)
+		})
+	}
+}
