--- a/core/fleet/clearance_test.go
+++ b/core/fleet/clearance_test.go
@@ -48,8 +48,8 @@
 }
 
 // TestClearanceOfOtherState guards against a new holder that lets an endpoint join a replica because of what was
-// reported of an earlier state, or of nothing at all: the endpoint has been told to leave a replica since, whose
-// first host still serves.
+// reported of an earlier state, or of nothing at all: the endpoint has left a replica since, whose first
+// host still serves.
 func TestClearanceOfOtherState(t *testing.T) {
 	reported := func(clearance fleet.Clearance) fleet.HolderReport {
 		return fleet.HolderReport{Fence: 6, ReceivedAt: takeover, Cleared: map[string]fleet.Clearance{"e-1": clearance}}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"sync"
@@ -96,69 +97,64 @@
 func (gate *Gate) makeRoom(source string, now time.Time) (*Conn, Reason) {
 	switch {
 	case gate.limits.PerSource > 0 && gate.bySource[source] >= gate.limits.PerSource:
-		return gate.worst(source, now), ReasonSource
+		return gate.nextVictim(source, now), ReasonSource
 	case gate.limits.Connections > 0 && len(gate.conns) >= gate.limits.Connections:
-		return gate.nextVictim(now), ReasonConnections
+		return gate.nextVictim("", now), ReasonConnections
 	}
 	return nil, ""
 }
 
-// worst returns the connection of a source that is to be closed first. The mutex must be held.
-func (gate *Gate) worst(source string, now time.Time) *Conn {
-	var worst *Conn
-	for conn := range gate.conns {
-		if conn.source != source {
-			continue
-		}
-		if standing, mayEnd := conn.standing(gate.bySource[conn.source], now); mayEnd && (worst == nil || standing.worseThan(worst.last)) {
-			conn.last = standing
-			worst = conn
-		}
+// nextVictim returns the connection that is to be closed first, among those of one source if that is not empty. Of all
+// connections it chooses several at once, since a crowd makes it close many in a short time and looking at all of them
+// takes long. The mutex must be held.
+func (gate *Gate) nextVictim(source string, now time.Time) *Conn {
+	if source != "" {
+		return last(gate.victimsOf(source, now))
 	}
-	return worst
-}
-
-// nextVictim returns the connection that is to be closed first. It chooses several at once, since a crowd makes it
-// close many in a short time and looking at all connections takes long. The mutex must be held.
-func (gate *Gate) nextVictim(now time.Time) *Conn {
 	if now.Sub(gate.chosenAt) >= stallStep {
 		gate.victims = nil
 	}
-	for refilled := false; ; refilled = true {
-		for len(gate.victims) > 0 {
-			victim := gate.victims[len(gate.victims)-1]
-			gate.victims = gate.victims[:len(gate.victims)-1]
-			if _, mayEnd := victim.standing(0, now); mayEnd && gate.conns[victim] {
-				return victim
-			}
-		}
-		if refilled {
-			return nil
+	if victim := gate.takeVictim(now); victim != nil {
+		return victim
+	}
+	gate.victims, gate.chosenAt = gate.victimsOf("", now), now
+	return gate.takeVictim(now)
+}
+
+// takeVictim returns the first of the chosen connections that may still be closed. The mutex must be held.
+func (gate *Gate) takeVictim(now time.Time) *Conn {
+	for len(gate.victims) > 0 {
+		victim := last(gate.victims)
+		gate.victims = gate.victims[:len(gate.victims)-1]
+		if _, mayEnd := victim.standing(0, now); mayEnd && gate.conns[victim] {
+			return victim
 		}
-		gate.chooseVictims(now)
 	}
+	return nil
 }
 
-// chooseVictims chooses the connections that are to be closed first. The mutex must be held.
-func (gate *Gate) chooseVictims(now time.Time) {
-	gate.victims, gate.chosenAt = nil, now
+// victimsOf returns connections that may be closed, maxVictims at most, the one that is to be closed first last. The mutex
+// must be held.
+func (gate *Gate) victimsOf(source string, now time.Time) []*Conn {
+	var victims []*Conn
 	for conn := range gate.conns {
+		if source != "" && conn.source != source {
+			continue
+		}
 		standing, mayEnd := conn.standing(gate.bySource[conn.source], now)
 		if conn.last = standing; mayEnd {
-			gate.victims = append(gate.victims, conn)
+			victims = append(victims, conn)
 		}
 	}
-	slices.SortFunc(gate.victims, func(a, b *Conn) int {
-		switch {
-		case a.last.worseThan(b.last):
-			return 1
-		case b.last.worseThan(a.last):
-			return -1
-		default:
-			return 0
-		}
-	})
-	gate.victims = gate.victims[max(0, len(gate.victims)-maxVictims):]
+	slices.SortFunc(victims, func(a, b *Conn) int { return a.last.compare(b.last) })
+	return victims[max(0, len(victims)-maxVictims):]
+}
+
+func last(conns []*Conn) *Conn {
+	if len(conns) == 0 {
+		return nil
+	}
+	return conns[len(conns)-1]
 }
 
 // standing is what decides which connection is closed first.
@@ -169,19 +165,16 @@
 	others  int // connections of its source
 }
 
-// worseThan reports whether a connection is to be closed rather than another one: one that has carried no whole
-// request first, then the longest without progress, the largest, and one of the source with most.
-func (standing standing) worseThan(other standing) bool {
-	switch {
-	case standing.served != other.served:
-		return !standing.served
-	case standing.stalled != other.stalled:
-		return standing.stalled > other.stalled
-	case standing.cost != other.cost:
-		return standing.cost > other.cost
-	default:
-		return standing.others > other.others
+// compare orders connections by which is to be closed rather, that one last: one that has carried no whole request,
+// then the longest without progress, the largest, and one of the source with most.
+func (standing standing) compare(other standing) int {
+	if standing.served != other.served {
+		if standing.served {
+			return -1
+		}
+		return 1
 	}
+	return cmp.Or(cmp.Compare(standing.stalled, other.stalled), cmp.Compare(standing.cost, other.cost), cmp.Compare(standing.others, other.others))
 }
 
 // remove forgets a connection. The mutex must be held.
