A new holder uses cleared endpoints although their reports are older than the last command

Cause: a report may be from before the endpoint accepted the previous holder's last command. Its count is then below that of the clearance, and nothing asked again. And a holder that crashed, started again and acquired the lease at once had no report of what it had cleared itself.

Change: a count that is known from a report is raised to that of the clearance; counts only grow, and the clearance says that the endpoint is free at that one. A node that has no report of the last holder, and was not it, acquires the lease 0.5 s later than others.

Tests: TestReportOlderThanClearance, TestRestartedHolderAcquiresLeaseAgain (new code, so they did not build before).

--- a/io/edge/placement.go
+++ b/io/edge/placement.go
@@ -25,6 +25,7 @@
 
 	maxPendingCountProbes = 24                     // pending probes from which on no command count is asked for
 	weakHostDelay         = 600 * time.Millisecond // how much later than a host with a whole core one with nearly none acquires a free lease
+	uninformedDelay       = 500 * time.Millisecond // how much later than others a node acquires a free lease that has no report of its last holder, since it would wait for free endpoints that others may use at once
 	maxLateness           = 2 * time.Second        // for this long a holder may be late again and again before it releases the lease
 	lateHolderPause       = 10 * time.Second       // after that, before it acquires the lease again
 )
@@ -296,11 +297,7 @@
 	if !placement.active && now.Before(placement.holderReport.ReceivedAt.Add(digestTTL)) {
 		return // another node places, with the lease or, in a store outage, without it
 	}
-	delay := placement.acquireDelay
-	if !control.peers.role.Mesh {
-		delay += weaknessDelay(control.settings.Processor)
-	}
-	action := placement.claim.Next(now, delay, uuid.NewString())
+	action := placement.claim.Next(now, control.acquireDelay(), uuid.NewString())
 	txn := txnOf(action)
 	if len(txn.Ops) == 0 {
 		return
@@ -311,6 +308,19 @@
 	}()
 }
 
+// acquireDelay returns how long this node waits before it acquires a free lease.
+func (control *Control) acquireDelay() time.Duration {
+	placement := &control.placement
+	delay := placement.acquireDelay
+	if !control.peers.role.Mesh {
+		delay += weaknessDelay(control.settings.Processor)
+	}
+	if latest := lease.FencingNumber(placement.fencingRow); max(placement.fence, placement.holderReport.Fence) < latest {
+		delay += uninformedDelay
+	}
+	return delay
+}
+
 // releaseIfUnfit releases the lease if this node has been late again and again, since a
 // holder that lags plans from what was true a while ago, or if it is cut off from the
 // endpoints. Where there are few nodes, or all that it hears are late, they are as slow as this one.
@@ -379,6 +389,7 @@
 		Demand: control.demand.recent.Recent(), HolderReport: placement.holderReport,
 		Peak: control.demand.peakFor(service.Engine, now), Objectives: objectivesOf(control.config.index.Config, service),
 	}
+	control.raiseCommandCounts(input.Endpoints, now)
 	control.ensureCommandCounts(input.Endpoints, input.NoRequestsYet, now)
 	for id := range control.endpoints.unresponsive {
 		if control.cutoff.Concludes(id, now) {
@@ -418,6 +429,20 @@
 	}
 }
 
+// raiseCommandCounts takes the counts of endpoints from their clearances where a
+// report is older: its contents may be from before the last command of the previous
+// holder, and an endpoint would reject a command on the condition of that count.
+func (control *Control) raiseCommandCounts(endpoints []fleet.Endpoint, now time.Time) {
+	for i, endpoint := range endpoints {
+		clearance, found := control.placement.holderReport.Cleared[endpoint.ID]
+		if !found || !endpoint.CommandCountKnown || endpoint.Membership.Replica != "" || !clearance.StartedAt.Equal(endpoint.StartedAt) || clearance.CommandCount <= endpoint.CommandCount {
+			continue
+		}
+		endpoints[i].CommandCount, endpoints[i].FreeSince = clearance.CommandCount, now
+		control.endpoints.set(endpoints[i])
+	}
+}
+
 // ensureCommandCounts finds out how many commands each endpoint has accepted,
 // where that is unknown: an endpoint carries a command out only if the command
 // states this count. It also asks those that are free by their rows only, since a
--- a/io/edge/placement_test.go
+++ b/io/edge/placement_test.go
@@ -257,3 +257,63 @@
 		})
 	}
 }
+
+// TestReportOlderThanClearance guards against a new holder that does not use free endpoints for a stall timeout: their
+// reports are from before they accepted the last command of the previous holder, and the counts are not asked for again.
+func TestReportOlderThanClearance(t *testing.T) {
+	startedAt, now := time.UnixMilli(1000), time.Now()
+	known := fleet.Endpoint{ID: "e-1", Service: "llm", StartedAt: startedAt, CommandCount: 1, CommandCountKnown: true, FreeSince: now.Add(-time.Second)}
+	member, uncounted := known, known
+	member.Membership.Replica, uncounted.CommandCountKnown = "large.a", false
+	for _, test := range []struct {
+		name      string
+		endpoint  fleet.Endpoint
+		clearance fleet.Clearance
+		want      int64
+	}{
+		{"older report", known, fleet.Clearance{StartedAt: startedAt, CommandCount: 2}, 2},
+		{"newer report", known, fleet.Clearance{StartedAt: startedAt, CommandCount: 0}, 1},
+		{"another incarnation", known, fleet.Clearance{StartedAt: startedAt.Add(-time.Second), CommandCount: 2}, 1},
+		{"member of a replica", member, fleet.Clearance{StartedAt: startedAt, CommandCount: 2}, 1},
+		{"count not known", uncounted, fleet.Clearance{StartedAt: startedAt, CommandCount: 2}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			control := newHolder(now)
+			control.endpoints.byID["e-1"] = test.endpoint
+			control.placement.holderReport.Cleared = map[string]fleet.Clearance{"e-1": test.clearance}
+			endpoints := control.endpoints.ofService("llm")
+			control.raiseCommandCounts(endpoints, now)
+			got := control.endpoints.byID["e-1"]
+			assert.Equal(t, got.CommandCount, test.want)
+			assert.DeepEqual(t, endpoints[0], got)
+			assert.Equal(t, got.FreeSince.Equal(now), test.want == 2)
+		})
+	}
+}
+
+// TestRestartedHolderAcquiresLeaseAgain guards against a holder that crashes, starts again and acquires the lease before the
+// nodes that know which endpoints it had cleared: it knows of none, and does not use them for a stall timeout.
+func TestRestartedHolderAcquiresLeaseAgain(t *testing.T) {
+	for _, test := range []struct {
+		name                  string
+		latest, planned, told int64 // fencing numbers: of the store, under which this node planned, of the holder that it has a report of
+		later                 bool
+	}{
+		{"nobody has held the lease", 0, 0, 0, false},
+		{"it has a report", 5, 0, 5, false},
+		{"it was the holder", 5, 5, 0, false},
+		{"it has just started", 5, 0, 0, true},
+		{"it has a report of an earlier holder", 5, 3, 4, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			control := newHolder(time.Now())
+			control.placement.fence, control.placement.holderReport.Fence = test.planned, test.told
+			control.placement.fencingRow.Version = rows.NewVersion(0, test.latest)
+			want := control.placement.acquireDelay
+			if test.later {
+				want += uninformedDelay
+			}
+			assert.Equal(t, control.acquireDelay(), want)
+		})
+	}
+}
