The soak leaves out heartbeats that are older than the last one of their runner

Cause: the checker's own. By the nodes' logs the endpoints themselves accepted the close (34.57 s) and the leave (35.37 s) of large.mh37 by llm-11-1 before the two joins (35.47 s), and the rows that the store got from the same heartbeats were in force at 35.37 and 35.47. At 35.85 the checker took both runners for members of large.mh37 again: a runner gives up waiting for the reply to a heartbeat and sends the next one, and the first was handled last.

Ruled out: the product; each command's condition was the endpoint's own count, and the replies are the endpoints'.

Change: heartbeats carry the number of the runner's row, and one below the last handled is left out. The check itself is as it was.

Before: the new case of the checker's test, "heartbeats of before both left are handled after they have joined", had the same finding.

--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -175,6 +175,9 @@
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
 	known := checker.runners[heartbeat.ID]
+	if known != nil && outdated(heartbeat, known.Heartbeat) {
+		return checker.complete(known.Heartbeat)
+	}
 	if known != nil && (known.StartedAt != heartbeat.StartedAt || heartbeat.Phase == "broken") {
 		checker.timeline.addFault(runnerComponent(heartbeat.ID), known.heartbeatAt, checker.now())
 	}
@@ -196,6 +199,23 @@
 	return checker.complete(heartbeat)
 }
 
+// outdated reports whether a heartbeat was sent before another one of the same runner. A runner gives up waiting for
+// the reply to a heartbeat and sends the next one, so that the first may be handled last.
+func outdated(heartbeat, known fakes.Heartbeat) bool {
+	if heartbeat.StartedAt != known.StartedAt {
+		return heartbeat.StartedAt < known.StartedAt
+	}
+	return heartbeat.Sequence < known.Sequence
+}
+
+// isOutdated reports whether a later heartbeat of the same runner has been handled.
+func (checker *checker) isOutdated(heartbeat fakes.Heartbeat) bool {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	known := checker.runners[heartbeat.ID]
+	return known != nil && outdated(heartbeat, known.Heartbeat)
+}
+
 // recordUnresponsive records a fault of a runner whose last heartbeat is older than
 // heartbeatTimeout, apart from pauses: the first host of its replica pauses its requests
 // for that time.
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -17,6 +17,7 @@
 
 // harness is a checker whose clock the test sets.
 type harness struct {
+	heartbeats int64 // sent so far
 	*checker
 	clock time.Time
 }
@@ -49,7 +50,8 @@
 }
 
 func (harness *harness) heartbeat(id, replica, phase string, epoch int64, members ...string) {
-	harness.Heartbeat(fakes.Heartbeat{ID: id, StartedAt: 1, Replica: replica, Epoch: epoch, Phase: phase, Members: members})
+	harness.heartbeats++
+	harness.Heartbeat(fakes.Heartbeat{ID: id, StartedAt: 1, Sequence: harness.heartbeats, Replica: replica, Epoch: epoch, Phase: phase, Members: members})
 }
 
 func completeAnswer(id, runner string) fakes.Answer {
@@ -315,6 +317,18 @@
 			harness.runnerExited("h")
 			harness.heartbeat("m", "g2", "joining", 2, "m")
 		}, nil},
+		{"heartbeats of before both left are handled after they have joined", func(harness *harness) {
+			formReplica(harness, "h", "m")
+			late := []fakes.Heartbeat{harness.runners["h"].Heartbeat, harness.runners["m"].Heartbeat}
+			harness.heartbeat("h", "", "", 0)
+			harness.heartbeat("h", "g2", "joining", 2, "h", "m")
+			harness.heartbeat("m", "g2", "joining", 2, "h", "m")
+			for _, heartbeat := range late {
+				harness.Heartbeat(heartbeat)
+			}
+			harness.heartbeat("h", "g2", "ready", 2, "h", "m")
+			harness.heartbeat("m", "g2", "ready", 2, "h", "m")
+		}, nil},
 		{"first host without heartbeats for the stall timeout", func(harness *harness) {
 			formReplica(harness, "h", "m")
 			harness.advance(stallTimeout + time.Millisecond)
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -282,7 +282,7 @@
 func (cluster *cluster) Heartbeat(heartbeat fakes.Heartbeat) bool {
 	complete := cluster.checker.Heartbeat(heartbeat)
 	slot := cluster.slotOf(heartbeat.ID)
-	if slot == nil {
+	if slot == nil || cluster.checker.isOutdated(heartbeat) {
 		return complete
 	}
 	slot.proxy.SetTarget(heartbeat.Address)
