Seeds of the soak that differ by a multiple of 40,000 have networks of their own

Cause: the network of a seed repeats after 40,000 seeds, and seed 70006 of the same list ran at the same time.

Ruled out: processes left over (none listened there afterwards); the product.

Change: networkOf shifts each further 40,000 seeds by 7 networks. Seeds below that keep theirs.

Before: TestSeedsShareNetwork failed (6 and 40006, 40006 and 80006 share one).

--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -704,3 +704,14 @@
 	assert.Assert(t, kinds[RunnerBusy{Runner: 3, RetryAfter: 3 * time.Second}] && kinds[RunnerLimited{Runner: 3, PerSecond: 2}] && kinds[RunnerContradicts{Runner: 3, Script: 2}])
 	assert.Assert(t, kinds[StoreWentBack{Changes: 7}] && kinds[StoreOutage{}] && kinds[RouteDropped{}] && kinds[RunnerDrained{Runner: 0}])
 }
+
+// TestSeedsShareNetwork guards against nodes of two seeds that run at once and listen on the same addresses, so that one
+// of the seeds has findings because its nodes do not start.
+func TestSeedsShareNetwork(t *testing.T) {
+	seeds := map[string]uint64{}
+	for _, seed := range []uint64{1, 2, 6, 2137, 39999, 40006, 70004, 70006, 70025, 80006, 110006, 120006} {
+		network := networkOf(seed)
+		assert.Check(t, seeds[network] == 0, "%d and %d have %s", seeds[network], seed, network)
+		seeds[network] = seed
+	}
+}
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -110,7 +110,7 @@
 func newCluster(config Config) (*cluster, error) {
 	timeline := newTimeline()
 	cluster := &cluster{
-		config: config, network: fmt.Sprintf("127.%d.%d", 20+config.Seed/200%200, 1+config.Seed%200), store: fakes.NewStore(), timeline: timeline,
+		config: config, network: networkOf(config.Seed), store: fakes.NewStore(), timeline: timeline,
 		checker: newChecker(timeline, streamEvents), rows: map[string]storedRow{}, closed: make(chan struct{}),
 		deployed: fakes.Deployment{Version: 1, Keys: []string{firstKey}, LargeReplicaSize: 3, SmallReplicaSize: 2},
 	}
@@ -277,6 +277,12 @@
 	cluster.checker.RecordRejection(rejection)
 }
 
+// networkOf returns the first three bytes of the loopback addresses of a seed's nodes. Seeds below 40,000 have one
+// each; of the others, those that differ by multiples of it have different ones, as they may run at once.
+func networkOf(seed uint64) string {
+	return fmt.Sprintf("127.%d.%d", 20+(seed/200+7*(seed/40000))%200, 1+seed%200)
+}
+
 // Heartbeat implements fakes.Fabric. It writes the runner's row to the store if it
 // has changed, with the address of the runner's proxy.
 func (cluster *cluster) Heartbeat(heartbeat fakes.Heartbeat) bool {
